--- /dev/null
+++ b/crates/caller/src/request.rs
@@ -0,0 +1,224 @@
+//! One request of a trace: sent, read and checked.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use gooseberry_edges::http::{ConnectionUse, HttpAnswer, HttpCall, HttpClient, HttpError};
+use gooseberry_standins::token;
+use gooseberry_wire::{
+    engine::{CompletionChunk, CompletionRequest},
+    problem::ProblemDocument,
+    trace::TraceEntry,
+};
+use http_types::{Method, Request, StatusCode, Url};
+
+use crate::{
+    outcome::{CallerOutcome, CallerResult},
+    prompt,
+};
+
+/// Time after the deadline for which a caller still waits for an answer.
+const GRACE: Duration = Duration::from_secs(5);
+/// Deadline of an entry that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Sends one request and checks its answer.
+pub struct CallerRequest<'a> {
+    pub client: &'a HttpClient,
+    pub daemon: &'a str,
+    pub key: &'a str,
+    pub entry: &'a TraceEntry,
+    pub index: usize,
+}
+
+impl CallerRequest<'_> {
+    /// Sends the request and waits for its end.
+    pub async fn run(&self) -> CallerResult {
+        let started = Instant::now();
+        let mut result = match self.exchange(started).await {
+            Ok(result) => result,
+            Err(error) => CallerResult::without_tokens(CallerOutcome::Failed, error_name(&error)),
+        };
+        result.total = started.elapsed();
+        result.in_time = result.outcome == CallerOutcome::Whole && result.total <= self.deadline();
+        result
+    }
+
+    fn deadline(&self) -> Duration {
+        self.entry.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis)
+    }
+
+    async fn exchange(&self, started: Instant) -> Result<CallerResult, HttpError> {
+        let prompt = prompt::build(self.entry, self.index);
+        let call = self.call(&prompt);
+        let limit = self.deadline() + GRACE;
+        let answer = self.client.send(self.daemon, &call, ConnectionUse::Fresh, limit).await?;
+        if is_problem(&answer) {
+            let bytes = answer.into_bytes(limit).await?;
+            return Ok(match serde_json::from_slice::<ProblemDocument>(&bytes) {
+                Ok(document) => CallerResult::refused(&document),
+                Err(_) => CallerResult::without_tokens(CallerOutcome::Wrong, "not-a-problem"),
+            });
+        }
+        if self.entry.path.is_some() {
+            return self.read_plain(answer, limit).await;
+        }
+        if answer.status() != StatusCode::Ok {
+            return Ok(CallerResult::without_tokens(CallerOutcome::Wrong, "bare-status"));
+        }
+        let mut reading = StreamReading::new(&prompt, self.entry.output_tokens, started);
+        reading.read(answer, limit).await?;
+        Ok(reading.result())
+    }
+
+    fn call(&self, prompt: &str) -> HttpCall {
+        let path = self.entry.path.as_deref().unwrap_or("/v1/completions");
+        let url = Url::parse(&format!("http://{}{path}", self.daemon)).expect("a valid address");
+        let method = self.entry.method.as_deref().and_then(|name| name.parse().ok());
+        let mut head = Request::new(method.unwrap_or(Method::Post), url);
+        head.insert_header("authorization", format!("Bearer {}", self.key));
+        head.insert_header("request-deadline", self.absolute_deadline().to_string());
+        if let Some(key) = &self.entry.key {
+            head.insert_header("idempotency-key", key.as_str());
+        }
+        if self.entry.path.is_some() {
+            let body = self.entry.body.clone().unwrap_or_default().into_bytes();
+            return HttpCall { head, body };
+        }
+        let wanted = CompletionRequest {
+            model: self.entry.service.clone(),
+            prompt: prompt.to_owned(),
+            max_tokens: self.entry.output_tokens,
+            stream: true,
+            stream_id: None,
+            resume_from: 0,
+            priority: 1,
+            kv_handle: None,
+            adapter: None,
+            export_kv: false,
+        };
+        HttpCall::with_json(head, &wanted)
+    }
+
+    fn absolute_deadline(&self) -> u128 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (now + self.deadline()).as_millis()
+    }
+
+    async fn read_plain(
+        &self,
+        answer: HttpAnswer,
+        limit: Duration,
+    ) -> Result<CallerResult, HttpError> {
+        let bytes = answer.into_bytes(limit).await?;
+        let answered: serde_json::Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        let own_key = answered["key"].as_str() == self.entry.key.as_deref();
+        let own_body = answered["body"].as_str() == Some(self.entry.body.as_deref().unwrap_or(""));
+        if own_key && own_body {
+            return Ok(CallerResult::without_tokens(CallerOutcome::Whole, ""));
+        }
+        Ok(CallerResult::without_tokens(CallerOutcome::Wrong, "foreign-answer"))
+    }
+}
+
+fn is_problem(answer: &HttpAnswer) -> bool {
+    let content_type = answer.response.header("content-type");
+    content_type.is_some_and(|values| values.last().as_str().contains("problem+json"))
+}
+
+fn error_name(error: &HttpError) -> &'static str {
+    match error {
+        HttpError::Connect { .. } => "can't-connect",
+        HttpError::AnswerLost { .. } => "answer-lost",
+        HttpError::Silent { .. } => "silent",
+    }
+}
+
+/// Reads a streamed answer and checks each token.
+struct StreamReading {
+    prompt_hash: u64,
+    wanted: u32,
+    next: u32,
+    started: Instant,
+    last: Option<Instant>,
+    result: CallerResult,
+}
+
+impl StreamReading {
+    fn new(prompt: &str, wanted: u32, started: Instant) -> Self {
+        Self {
+            prompt_hash: token::prompt_hash(prompt),
+            wanted,
+            next: 0,
+            started,
+            last: None,
+            result: CallerResult::without_tokens(CallerOutcome::Failed, "truncated"),
+        }
+    }
+
+    async fn read(&mut self, mut answer: HttpAnswer, limit: Duration) -> Result<(), HttpError> {
+        let mut line = String::new();
+        let mut is_error = false;
+        loop {
+            line.clear();
+            if answer.read_line(&mut line, limit).await? == 0 {
+                return Ok(());
+            }
+            let text = line.trim_end();
+            is_error |= text == "event: error";
+            let Some(event) = text.strip_prefix("data: ") else { continue };
+            if is_error {
+                self.end(CallerOutcome::Failed, "explicit-error");
+                return Ok(());
+            }
+            if event == "[DONE]" {
+                self.finish();
+                return Ok(());
+            }
+            if !self.take(event) {
+                return Ok(());
+            }
+        }
+    }
+
+    fn take(&mut self, event: &str) -> bool {
+        let Ok(chunk) = serde_json::from_str::<CompletionChunk>(event) else {
+            self.end(CallerOutcome::Wrong, "malformed-token");
+            return false;
+        };
+        let expected = token::text(self.prompt_hash, self.next);
+        let text = chunk.choices.first().map(|choice| choice.text.as_str());
+        if chunk.position != self.next || text != Some(expected.as_str()) {
+            self.end(CallerOutcome::Wrong, "wrong-token");
+            return false;
+        }
+        self.next += 1;
+        self.note_time();
+        true
+    }
+
+    fn note_time(&mut self) {
+        let now = Instant::now();
+        match self.last.replace(now) {
+            Some(last) => self.result.between_tokens.push(now - last),
+            None => self.result.first_token = Some(now - self.started),
+        }
+    }
+
+    fn finish(&mut self) {
+        if self.next == self.wanted {
+            self.end(CallerOutcome::Whole, "");
+        } else {
+            self.end(CallerOutcome::Wrong, "missing-tokens");
+        }
+    }
+
+    fn end(&mut self, outcome: CallerOutcome, reason: &str) {
+        self.result.outcome = outcome;
+        self.result.reason = reason.to_owned();
+    }
+
+    fn result(mut self) -> CallerResult {
+        self.result.tokens = self.next;
+        self.result
+    }
+}
--- /dev/null
+++ b/crates/caller/src/tally.rs
@@ -0,0 +1,172 @@
+//! Sums over all requests of a replay.
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::outcome::{CallerOutcome, CallerResult};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Sums what the callers saw.
+pub struct Tally {
+    sent: u64,
+    outcomes: BTreeMap<CallerOutcome, u64>,
+    reasons: BTreeMap<String, u64>,
+    in_time: u64,
+    useful_tokens: u64,
+    span: Duration,
+    first_token_us: Histogram<u64>,
+    between_tokens_us: Histogram<u64>,
+    total_us: Histogram<u64>,
+}
+
+/// Holds percentiles of a span, in milliseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct SpanSummary {
+    pub p50_ms: f64,
+    pub p95_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// Holds the result of a replay, for programs.
+#[derive(Clone, Debug, Serialize)]
+pub struct TallySummary {
+    pub sent: u64,
+    pub whole: u64,
+    pub refused: u64,
+    pub unknown: u64,
+    pub failed: u64,
+    pub wrong: u64,
+    pub unaccounted: u64,
+    pub in_time: u64,
+    /// Tokens of whole answers that came in time, for each second.
+    pub goodput_tokens_per_second: f64,
+    pub goodput_requests_per_second: f64,
+    pub reasons: BTreeMap<String, u64>,
+    pub first_token: SpanSummary,
+    pub between_tokens: SpanSummary,
+    pub total: SpanSummary,
+}
+
+impl Tally {
+    /// Makes an empty tally for a number of requests that were sent.
+    pub fn new(sent: u64) -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("the digits are valid");
+        Self {
+            sent,
+            outcomes: BTreeMap::new(),
+            reasons: BTreeMap::new(),
+            in_time: 0,
+            useful_tokens: 0,
+            span: Duration::ZERO,
+            first_token_us: histogram(),
+            between_tokens_us: histogram(),
+            total_us: histogram(),
+        }
+    }
+
+    /// Adds one request.
+    pub fn add(&mut self, result: &CallerResult) {
+        *self.outcomes.entry(result.outcome).or_default() += 1;
+        if !result.reason.is_empty() {
+            *self.reasons.entry(result.reason.clone()).or_default() += 1;
+        }
+        if result.in_time {
+            self.in_time += 1;
+            self.useful_tokens += u64::from(result.tokens);
+        }
+        if let Some(span) = result.first_token {
+            record(&mut self.first_token_us, span);
+        }
+        for span in &result.between_tokens {
+            record(&mut self.between_tokens_us, *span);
+        }
+        if result.outcome == CallerOutcome::Whole {
+            record(&mut self.total_us, result.total);
+        }
+    }
+
+    /// Notes the time that the replay took.
+    pub fn finish(&mut self, span: Duration) {
+        self.span = span;
+    }
+
+    /// Tells whether no answer was wrong and every request is accounted for.
+    pub fn is_sound(&self) -> bool {
+        let summary = self.summary();
+        summary.wrong == 0 && summary.unaccounted == 0
+    }
+
+    /// Returns the result for programs.
+    pub fn summary(&self) -> TallySummary {
+        let count = |outcome| self.outcomes.get(&outcome).copied().unwrap_or_default();
+        let seconds = self.span.as_secs_f64().max(f64::EPSILON);
+        TallySummary {
+            sent: self.sent,
+            whole: count(CallerOutcome::Whole),
+            refused: count(CallerOutcome::Refused),
+            unknown: count(CallerOutcome::Unknown),
+            failed: count(CallerOutcome::Failed),
+            wrong: count(CallerOutcome::Wrong),
+            unaccounted: self.sent - self.outcomes.values().sum::<u64>(),
+            in_time: self.in_time,
+            goodput_tokens_per_second: self.useful_tokens as f64 / seconds,
+            goodput_requests_per_second: self.in_time as f64 / seconds,
+            reasons: self.reasons.clone(),
+            first_token: summarise(&self.first_token_us),
+            between_tokens: summarise(&self.between_tokens_us),
+            total: summarise(&self.total_us),
+        }
+    }
+
+    /// Returns the result for people.
+    pub fn to_text(&self) -> String {
+        let summary = self.summary();
+        let mut text = String::new();
+        let _ = writeln!(
+            text,
+            "sent {} = whole {} + refused {} + unknown {} + failed {} + wrong {} (unaccounted {})",
+            summary.sent,
+            summary.whole,
+            summary.refused,
+            summary.unknown,
+            summary.failed,
+            summary.wrong,
+            summary.unaccounted
+        );
+        let _ = writeln!(
+            text,
+            "in time {}; goodput {:.1} tokens/s, {:.2} requests/s",
+            summary.in_time, summary.goodput_tokens_per_second, summary.goodput_requests_per_second
+        );
+        let spans = [
+            ("first token", &summary.first_token),
+            ("between tokens", &summary.between_tokens),
+            ("whole answer", &summary.total),
+        ];
+        for (name, span) in spans {
+            let _ = writeln!(
+                text,
+                "{name:<15} p50 {:.2} ms, p95 {:.2} ms, p99 {:.2} ms",
+                span.p50_ms, span.p95_ms, span.p99_ms
+            );
+        }
+        for (reason, count) in &summary.reasons {
+            let _ = writeln!(text, "  {count} x {reason}");
+        }
+        text
+    }
+}
+
+fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    // The histogram grows by itself, so that no span is too long for it.
+    let _ = histogram.record(span.as_micros() as u64);
+}
+
+fn summarise(histogram: &Histogram<u64>) -> SpanSummary {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    SpanSummary { p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,9 @@
+//! Reads YAML texts, checks them and builds the fleet that they describe.
+//!
+//! Every fault of a text is found in one pass and named with its line, its
+//! field and what to do, because operators mend a text as a whole.
+
+pub mod document;
+pub mod fault;
+pub mod fleet;
+pub mod settings;
--- /dev/null
+++ b/crates/core/src/arena.rs
@@ -0,0 +1,115 @@
+//! Small copyable keys and the tables that they index.
+//!
+//! A key is valid for the table that issued it and for no other: tables are
+//! built anew for each configuration revision.
+
+use std::{marker::PhantomData, ops};
+
+/// Converts between a key and its position in a table.
+pub trait ArenaKey: Copy {
+    /// Makes the key of a position.
+    fn from_index(index: usize) -> Self;
+    /// Returns the position of the key.
+    fn index(self) -> usize;
+}
+
+macro_rules! arena_key {
+    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(u32);
+
+        impl ArenaKey for $name {
+            fn from_index(index: usize) -> Self {
+                Self(index as u32)
+            }
+
+            fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+    )+};
+}
+
+arena_key! {
+    /// Names a region.
+    RegionKey,
+    /// Names a failure domain.
+    DomainKey,
+    /// Names a model.
+    ModelKey,
+    /// Names a model engine.
+    EngineKey,
+    /// Names a service.
+    ServiceKey,
+    /// Names a backend server of a plain service.
+    PlainKey,
+    /// Names a client account.
+    AccountKey,
+}
+
+/// Holds rows that are found by their key.
+#[derive(Clone, Debug)]
+pub struct Arena<K, T> {
+    rows: Vec<T>,
+    keys: PhantomData<K>,
+}
+
+impl<K: ArenaKey, T> Arena<K, T> {
+    /// Adds a row and returns its key.
+    pub fn push(&mut self, row: T) -> K {
+        self.rows.push(row);
+        K::from_index(self.rows.len() - 1)
+    }
+
+    /// Returns the number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether the table has no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Visits the rows in the order in which they were added.
+    pub fn iter(&self) -> impl Iterator<Item = (K, &T)> {
+        self.rows.iter().enumerate().map(|(index, row)| (K::from_index(index), row))
+    }
+
+    /// Finds the first row that fits.
+    pub fn find(&self, mut fits: impl FnMut(&T) -> bool) -> Option<(K, &T)> {
+        self.iter().find(|(_, row)| fits(row))
+    }
+
+    /// Returns the row of a key, or nothing if another table issued the key.
+    pub fn get(&self, key: K) -> Option<&T> {
+        self.rows.get(key.index())
+    }
+}
+
+impl<K, T> Default for Arena<K, T> {
+    fn default() -> Self {
+        Self { rows: Vec::new(), keys: PhantomData }
+    }
+}
+
+impl<K: ArenaKey, T> FromIterator<T> for Arena<K, T> {
+    fn from_iter<I: IntoIterator<Item = T>>(rows: I) -> Self {
+        Self { rows: rows.into_iter().collect(), keys: PhantomData }
+    }
+}
+
+impl<K: ArenaKey, T> ops::Index<K> for Arena<K, T> {
+    type Output = T;
+
+    fn index(&self, key: K) -> &T {
+        &self.rows[key.index()]
+    }
+}
+
+impl<K: ArenaKey, T> ops::IndexMut<K> for Arena<K, T> {
+    fn index_mut(&mut self, key: K) -> &mut T {
+        &mut self.rows[key.index()]
+    }
+}
--- /dev/null
+++ b/crates/core/src/balance.rs
@@ -0,0 +1,74 @@
+//! The balance of requests: each accepted one ends in exactly one way.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+/// Says how a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RequestOutcome {
+    /// The caller got the whole answer.
+    Whole,
+    /// The caller was told that the request has not run.
+    Refused,
+    /// The caller was told that the request may have run.
+    Unknown,
+    /// The caller got an explicit error, an incomplete answer, or left.
+    Failed,
+}
+
+/// Names a row of the balance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BalanceKey {
+    pub service: SmolStr,
+    pub account: SmolStr,
+}
+
+/// Counts the requests of one account at one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BalanceRow {
+    pub accepted: u64,
+    pub whole: u64,
+    pub refused: u64,
+    pub unknown: u64,
+    pub failed: u64,
+}
+
+impl BalanceRow {
+    /// Returns the number of requests that have not ended.
+    pub fn running(&self) -> u64 {
+        self.accepted - self.whole - self.refused - self.unknown - self.failed
+    }
+}
+
+/// Accounts for all requests of one daemon.
+#[derive(Clone, Debug, Default)]
+pub struct BalanceTable {
+    rows: BTreeMap<BalanceKey, BalanceRow>,
+}
+
+impl BalanceTable {
+    /// Counts a request that was accepted for work or refusal.
+    pub fn accept(&mut self, key: BalanceKey) {
+        self.rows.entry(key).or_default().accepted += 1;
+    }
+
+    /// Counts the end of a request that was accepted before.
+    pub fn end(&mut self, key: &BalanceKey, outcome: RequestOutcome) {
+        let Some(row) = self.rows.get_mut(key) else {
+            return;
+        };
+        match outcome {
+            RequestOutcome::Whole => row.whole += 1,
+            RequestOutcome::Refused => row.refused += 1,
+            RequestOutcome::Unknown => row.unknown += 1,
+            RequestOutcome::Failed => row.failed += 1,
+        }
+    }
+
+    /// Visits all rows by service and account.
+    pub fn iter(&self) -> impl Iterator<Item = (&BalanceKey, &BalanceRow)> {
+        self.rows.iter()
+    }
+}
--- /dev/null
+++ b/crates/core/src/refusal.rs
@@ -0,0 +1,111 @@
+//! Reasons for which a request is refused or ends without a whole answer.
+
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+/// Says whether a request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RequestExecuted {
+    /// Provably not run: no byte of it reached a backend server.
+    No,
+    /// May have run: bytes may have left and no answer came back.
+    Unknown,
+    /// Has run, but its answer can't be given.
+    Yes,
+}
+
+/// Names the reason of a refusal; the name is the end of the problem's type.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RefusalReason {
+    #[error("the request isn't valid: {0}")]
+    BadRequest(SmolStr),
+    #[error("the body exceeds the limit of {0} bytes")]
+    BodyTooLarge(u64),
+    #[error("the account key is missing or unknown")]
+    WrongKey,
+    #[error("no service offers the model or path {0}")]
+    UnknownService(SmolStr),
+    #[error("the deadline has passed")]
+    DeadlinePassed,
+    #[error("the deadline can't be met now")]
+    DeadlineUnmeetable,
+    #[error("the account has used up its limit")]
+    LimitReached,
+    #[error("the daemon is shutting down")]
+    ShuttingDown,
+    #[error("the daemon has no configuration yet")]
+    NotConfigured,
+    #[error("no backend server of {0} is available")]
+    NoBackend(SmolStr),
+    #[error("the service {0} that this one depends on is not available")]
+    DependencyDown(SmolStr),
+    #[error("the call may run at most once and needs an Idempotency-Key header")]
+    KeyRequired,
+    #[error("a call with the same key is still running")]
+    ClaimRunning,
+    #[error("the key was used before with another request")]
+    KeyReused,
+    #[error("the claim on the key can't be recorded now")]
+    ClaimUnavailable,
+    #[error("whether an earlier call with this key has run isn't known")]
+    OutcomeUnknown,
+    #[error("the backend server failed before it gave an answer")]
+    BackendFailed,
+    #[error("this request crashed backend servers and isn't run again")]
+    Convicted,
+    #[error("the retry budget is spent")]
+    RetryBudgetSpent,
+}
+
+/// Refuses a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestRefusal {
+    pub reason: RefusalReason,
+    pub executed: RequestExecuted,
+    /// When to come back, if that can help.
+    pub retry_after: Option<Duration>,
+}
+
+impl RequestRefusal {
+    /// Refuses a request of which no byte has reached a backend server.
+    pub fn not_executed(reason: RefusalReason) -> Self {
+        Self { reason, executed: RequestExecuted::No, retry_after: None }
+    }
+
+    /// Refuses a request that may have run.
+    pub fn unknown(reason: RefusalReason) -> Self {
+        Self { reason, executed: RequestExecuted::Unknown, retry_after: None }
+    }
+
+    /// Adds the time after which the caller may come back.
+    pub fn retry_after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Returns the HTTP status of the refusal.
+    pub fn status(&self) -> u16 {
+        match self.reason {
+            RefusalReason::BadRequest(_)
+            | RefusalReason::DeadlinePassed
+            | RefusalReason::KeyRequired => 400,
+            RefusalReason::WrongKey => 401,
+            RefusalReason::UnknownService(_) => 404,
+            RefusalReason::ClaimRunning => 409,
+            RefusalReason::BodyTooLarge(_) => 413,
+            RefusalReason::KeyReused | RefusalReason::Convicted => 422,
+            RefusalReason::LimitReached => 429,
+            RefusalReason::BackendFailed | RefusalReason::OutcomeUnknown => 502,
+            RefusalReason::DeadlineUnmeetable
+            | RefusalReason::ShuttingDown
+            | RefusalReason::NotConfigured
+            | RefusalReason::NoBackend(_)
+            | RefusalReason::DependencyDown(_)
+            | RefusalReason::ClaimUnavailable
+            | RefusalReason::RetryBudgetSpent => 503,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,40 @@
+//! Points in time, in milliseconds since the Unix epoch.
+
+use std::{ops, time::Duration};
+
+/// Marks a point in time with millisecond resolution.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// Makes a timestamp from milliseconds since the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since an earlier point, or zero if that point lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_millis() as u64))
+    }
+}
+
+impl ops::Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_millis() as u64))
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/configuration.rs
@@ -0,0 +1,102 @@
+//! The recorded configuration: read, compare, write.
+
+use anyhow::Context;
+use gooseberry_edges::{
+    clock::Clock,
+    http::HttpClient,
+    platform::{PlatformClient, PlatformEdge, PutOutcome},
+};
+use gooseberry_wire::{
+    edit::ConfigurationEdit,
+    platform::{KvPut, KvRecord},
+};
+use similar::TextDiff;
+
+use crate::{arguments::Target, exit::CommandError};
+
+/// Key of the configuration in the key-value service.
+const CONFIGURATION_KEY: &str = "configuration";
+
+/// Holds the recorded text with its revision.
+#[derive(Clone, Debug)]
+pub struct RecordedText {
+    pub revision: u64,
+    pub edit: ConfigurationEdit,
+}
+
+/// Reads and writes the recorded configuration.
+pub struct ConfigurationStore {
+    platform: PlatformClient,
+    clock: Clock,
+}
+
+impl ConfigurationStore {
+    /// Makes a store on the platform that the arguments name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the arguments name no platform.
+    pub fn new(target: &Target) -> anyhow::Result<Self> {
+        let address = target.platform.as_deref();
+        let address = address.context("name the platform with --platform ADDRESS")?;
+        let clock = Clock::system();
+        let http = HttpClient::new(clock.clone());
+        let platform = PlatformClient::new(http, address, target.platform_secret.as_deref());
+        Ok(Self { platform, clock })
+    }
+
+    /// Reads the recorded text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform gives no answer.
+    pub async fn get(&self) -> anyhow::Result<Option<RecordedText>> {
+        self.platform.get(CONFIGURATION_KEY).await?.map(parse).transpose()
+    }
+
+    /// Records a text if the recorded revision is still the base.
+    ///
+    /// An answer that is lost is neither success nor failure: the record is
+    /// read back and recognised by the edit's identifier.
+    ///
+    /// # Errors
+    ///
+    /// Returns the difference if another operator was first.
+    pub async fn put(&self, base: u64, author: &str, text: &str) -> Result<u64, CommandError> {
+        let edit = ConfigurationEdit {
+            edit: format!("{:032x}", rand::random::<u128>()),
+            author: author.to_owned(),
+            made_at_ms: self.clock.now().as_millis(),
+            base,
+            text: text.to_owned(),
+        };
+        let value = serde_json::to_string(&edit).context("the edit can't be written as JSON")?;
+        let put = KvPut { value, expected: Some(base), lease: None };
+        let found = match self.platform.put(CONFIGURATION_KEY, &put).await {
+            Ok(PutOutcome::Written(revision)) => return Ok(revision),
+            Ok(PutOutcome::Conflict(found)) => found.map(parse).transpose()?,
+            Err(error) if error.is_without_effect() => {
+                return Err(anyhow::Error::from(error).context("nothing was recorded").into());
+            }
+            Err(_) => self.get().await.context("whether the text was recorded isn't known")?,
+        };
+        match found {
+            Some(recorded) if recorded.edit.edit == edit.edit => Ok(recorded.revision),
+            Some(recorded) => Err(CommandError::Conflict {
+                revision: recorded.revision,
+                difference: difference(&recorded.edit.text, text),
+            }),
+            None => Err(anyhow::anyhow!("no text is recorded; put it with --base 0").into()),
+        }
+    }
+}
+
+fn parse(record: KvRecord) -> anyhow::Result<RecordedText> {
+    let edit = serde_json::from_str(&record.value).context("the record can't be read")?;
+    Ok(RecordedText { revision: record.revision, edit })
+}
+
+/// Writes the difference between two texts.
+pub fn difference(from: &str, to: &str) -> String {
+    TextDiff::from_lines(from, to).unified_diff().header("recorded", "file").to_string()
+}
--- /dev/null
+++ b/crates/ctl/src/exit.rs
@@ -0,0 +1,30 @@
+//! Exit codes, which scripts rely on.
+
+use std::process::ExitCode;
+
+use gooseberry_config::fault::TextFaults;
+
+/// Says why the command ends without success.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    #[error("{0}")]
+    InvalidText(#[from] TextFaults),
+    #[error("another operator was first: revision {revision} is recorded\n{difference}")]
+    Conflict { revision: u64, difference: String },
+    #[error("revision {revision} isn't in force at: {lagging}")]
+    Lagging { revision: u64, lagging: String },
+    #[error("{0:#}")]
+    Failed(#[from] anyhow::Error),
+}
+
+impl CommandError {
+    /// Returns the exit code that stands for this error.
+    pub fn code(&self) -> ExitCode {
+        match self {
+            Self::Failed(_) => ExitCode::from(1),
+            Self::InvalidText(_) => ExitCode::from(3),
+            Self::Conflict { .. } => ExitCode::from(4),
+            Self::Lagging { .. } => ExitCode::from(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,8 @@
+//! The operators' command: the configuration text, and what the daemons say.
+
+pub mod arguments;
+pub mod configuration;
+pub mod daemons;
+pub mod exit;
+pub mod report;
+pub mod run;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,11 @@
+//! Runs the operators' command.
+
+use std::process::ExitCode;
+
+use async_std::task;
+use gooseberry_ctl::{arguments, run};
+
+fn main() -> ExitCode {
+    let arguments = arguments::arguments().run();
+    task::block_on(run::run(arguments))
+}
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,10 @@
+//! What callers reach: completions, chats, plain services and health.
+
+pub mod app;
+pub mod attempts;
+pub mod chat;
+pub mod completion;
+pub mod identity;
+pub mod plain;
+pub mod refusals;
+pub mod request;
--- /dev/null
+++ b/crates/daemon/src/callers/app.rs
@@ -0,0 +1,63 @@
+//! The routes that callers use.
+
+use std::sync::Arc;
+
+use gooseberry_core::refusal::{RefusalReason, RequestRefusal};
+use tide::{Request, Response, StatusCode};
+
+use crate::{
+    callers::{chat, completion, plain, refusals},
+    context::DaemonContext,
+};
+
+/// A request with the context of this daemon.
+pub type CallerRequest = Request<Arc<DaemonContext>>;
+
+/// Builds the application that callers reach.
+pub fn build(context: Arc<DaemonContext>) -> tide::Server<Arc<DaemonContext>> {
+    let mut app = tide::with_state(context);
+    app.at("/healthz").get(|_| async { Ok(Response::new(StatusCode::Ok)) });
+    app.at("/readyz").get(ready);
+    app.at("/v1/completions").post(complete);
+    app.at("/v1/chat/completions").post(converse);
+    app.at("/*path").all(forward);
+    app
+}
+
+async fn ready(request: CallerRequest) -> tide::Result {
+    let ready = request.state().is_ready();
+    Ok(Response::new(if ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable }))
+}
+
+async fn complete(request: CallerRequest) -> tide::Result {
+    if let Some(refusal) = refuse_all(request.state()) {
+        return Ok(refusals::answer(&refusal));
+    }
+    Ok(completion::complete(request).await.unwrap_or_else(|refusal| refusals::answer(&refusal)))
+}
+
+async fn converse(request: CallerRequest) -> tide::Result {
+    if let Some(refusal) = refuse_all(request.state()) {
+        return Ok(refusals::answer(&refusal));
+    }
+    Ok(chat::converse(request).await.unwrap_or_else(|refusal| refusals::answer(&refusal)))
+}
+
+async fn forward(request: CallerRequest) -> tide::Result {
+    if let Some(refusal) = refuse_all(request.state()) {
+        return Ok(refusals::answer(&refusal));
+    }
+    Ok(plain::forward(request).await.unwrap_or_else(|refusal| refusals::answer(&refusal)))
+}
+
+/// Refuses every request of a daemon that stops or knows no configuration.
+fn refuse_all(context: &DaemonContext) -> Option<RequestRefusal> {
+    let reason = if context.stop.is_given() {
+        RefusalReason::ShuttingDown
+    } else if context.snapshot.load().fleet.revision == 0 {
+        RefusalReason::NotConfigured
+    } else {
+        return None;
+    };
+    Some(RequestRefusal::not_executed(reason).retry_after(refusals::SHORT_RETRY))
+}
--- /dev/null
+++ b/crates/daemon/src/callers/chat.rs
@@ -0,0 +1,93 @@
+//! Chats in the OpenAI style, run as completions.
+
+use gooseberry_core::refusal::RequestRefusal;
+use gooseberry_wire::engine::{
+    ChatAnswer, ChatChoice, ChatDelta, ChatMessage, ChatRequest, CompletionAnswer, CompletionChunk,
+    CompletionRequest,
+};
+use tide::Response;
+
+use crate::callers::{
+    app::CallerRequest,
+    completion::{self, AnswerStyle},
+    request,
+};
+
+/// Role of the messages that engines generate.
+const ASSISTANT: &str = "assistant";
+/// Priority of requests that people wait for.
+const PRIORITY: u32 = 1;
+
+/// Answers a chat request.
+///
+/// # Errors
+///
+/// Returns the refusal if the request isn't valid or can't be run.
+pub async fn converse(mut request: CallerRequest) -> Result<Response, RequestRefusal> {
+    let snapshot = request.state().snapshot.load_full();
+    let (account, body) = request::read(&mut request, &snapshot).await?;
+    let chat: ChatRequest = completion::parse(&body)?;
+    let wanted = CompletionRequest {
+        prompt: prompt(&chat.messages),
+        model: chat.model,
+        max_tokens: chat.max_tokens,
+        stream: chat.stream,
+        adapter: chat.adapter,
+        priority: PRIORITY,
+        stream_id: None,
+        resume_from: 0,
+        kv_handle: None,
+        export_kv: false,
+    };
+    completion::run(request, account, wanted, AnswerStyle::Chat).await
+}
+
+/// Writes the messages of a chat as the prompt that the engines get.
+pub fn prompt(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    prompt.push_str(ASSISTANT);
+    prompt.push(':');
+    prompt
+}
+
+/// Turns a whole completion into a chat answer.
+pub fn whole(answer: CompletionAnswer) -> ChatAnswer {
+    let choices = answer.choices.into_iter().map(|choice| ChatChoice {
+        index: choice.index,
+        message: Some(ChatMessage { role: ASSISTANT.to_owned(), content: choice.text }),
+        delta: None,
+        finish_reason: choice.finish_reason,
+    });
+    ChatAnswer {
+        id: answer.id,
+        object: "chat.completion".to_owned(),
+        model: answer.model,
+        choices: choices.collect(),
+        usage: Some(answer.usage),
+        position: None,
+    }
+}
+
+/// Turns a token of a completion into a part of a chat answer.
+pub fn part(chunk: CompletionChunk) -> ChatAnswer {
+    let choices = chunk.choices.into_iter().map(|choice| ChatChoice {
+        index: choice.index,
+        message: None,
+        delta: Some(ChatDelta { content: choice.text }),
+        finish_reason: choice.finish_reason,
+    });
+    ChatAnswer {
+        id: chunk.id,
+        object: "chat.completion.chunk".to_owned(),
+        model: chunk.model,
+        choices: choices.collect(),
+        usage: None,
+        position: Some(chunk.position),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/identity.rs
@@ -0,0 +1,43 @@
+//! Who calls: account keys are compared as digests in constant time.
+
+use gooseberry_core::{
+    arena::AccountKey,
+    fleet::FleetTable,
+    refusal::{RefusalReason, RequestRefusal},
+};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::callers::app::CallerRequest;
+
+/// Scheme of the header that carries the account key.
+const SCHEME: &str = "Bearer ";
+
+/// Finds the account that a request's key belongs to.
+///
+/// # Errors
+///
+/// Returns a refusal if the key is missing or unknown.
+pub fn authenticate(
+    fleet: &FleetTable,
+    request: &CallerRequest,
+) -> Result<AccountKey, RequestRefusal> {
+    let header = request.header("authorization").map(|values| values.last().as_str());
+    let key = header.and_then(|value| value.strip_prefix(SCHEME));
+    let found = key.and_then(|key| find_account(fleet, key.trim()));
+    found.ok_or_else(|| RequestRefusal::not_executed(RefusalReason::WrongKey))
+}
+
+/// Compares all digests, so that the time tells nothing about a match.
+fn find_account(fleet: &FleetTable, key: &str) -> Option<AccountKey> {
+    let digest: [u8; 32] = Sha256::digest(key.as_bytes()).into();
+    let mut found = None;
+    for (account, row) in fleet.accounts.iter() {
+        for known in &row.key_digests {
+            if bool::from(known.ct_eq(&digest)) {
+                found = Some(account);
+            }
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/daemon/src/callers/plain.rs
@@ -0,0 +1,270 @@
+//! Plain services by path prefix, any method; some calls run at most once.
+
+use std::{sync::Arc, time::Duration};
+
+use gooseberry_core::{
+    arena::PlainKey,
+    balance::RequestOutcome,
+    claims::{self, ClaimKey, ClaimVerdict, KeptAnswer},
+    refusal::{RefusalReason, RequestRefusal},
+};
+use gooseberry_edges::http::{HttpAnswer, HttpCall, HttpError};
+use http_types::{headers, Request as HttpRequest, Url};
+use smol_str::SmolStr;
+use tide::{Body, Response};
+use xxhash_rust::xxh3;
+
+use crate::{
+    callers::{
+        app::CallerRequest,
+        refusals,
+        request::{self, AcceptedRequest},
+    },
+    claims::{ClaimOutcome, HeldClaim},
+};
+
+/// Header that names a call that runs at most once.
+const KEY_HEADER: &str = "idempotency-key";
+/// Interval at which a second try looks whether the running one has ended.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(100);
+/// Headers that concern one connection only, and the caller's account key.
+const HOP_HEADERS: [&str; 9] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Forwards a request to a plain service.
+///
+/// # Errors
+///
+/// Returns the refusal if the request isn't valid or can't be run.
+pub async fn forward(mut request: CallerRequest) -> Result<Response, RequestRefusal> {
+    let snapshot = request.state().snapshot.load_full();
+    let path = request.url().path().to_owned();
+    let Some(service) = snapshot.fleet.plain_service(&path) else {
+        let reason = RefusalReason::UnknownService(path.into());
+        return Err(RequestRefusal::not_executed(reason));
+    };
+    let (account, body) = request::read(&mut request, &snapshot).await?;
+    let accepted = request::accept(&request, snapshot, account, service)?;
+    if let Err(refusal) = accepted.check_dependencies() {
+        return Err(accepted.refuse(refusal));
+    }
+    let call = PlainCall { call: outbound(&request, body), path };
+    let row = &accepted.snapshot.fleet.services[service];
+    let result = if row.is_unrepeatable(request.method().as_ref(), &call.path) {
+        let key = request.header(KEY_HEADER).map(|values| SmolStr::new(values.last().as_str()));
+        run_once(&accepted, &call, key).await
+    } else {
+        run_repeatable(&accepted, &call).await
+    };
+    match result {
+        Ok(response) => {
+            accepted.ticket.end(RequestOutcome::Whole);
+            Ok(response)
+        }
+        Err(refusal) => Err(accepted.refuse(refusal)),
+    }
+}
+
+/// Holds a call with its path, for any backend server.
+struct PlainCall {
+    call: HttpCall,
+    path: String,
+}
+
+impl PlainCall {
+    /// Returns a hash that differs for another call with the same key.
+    fn fingerprint(&self) -> u64 {
+        let method = self.call.head.method().to_string();
+        let seed = xxh3::xxh3_64(format!("{method} {}", self.path).as_bytes());
+        xxh3::xxh3_64_with_seed(&self.call.body, seed)
+    }
+
+    fn towards(&self, address: &str) -> HttpCall {
+        let mut call = self.call.clone();
+        let mut url = Url::parse(&format!("http://{address}"))
+            .expect("the configuration admits only addresses");
+        url.set_path(&self.path);
+        url.set_query(self.call.head.url().query());
+        *call.head.url_mut() = url;
+        call
+    }
+}
+
+/// Copies a caller's request without what concerns its connection only.
+fn outbound(request: &CallerRequest, body: Vec<u8>) -> HttpCall {
+    let mut head = HttpRequest::new(request.method(), request.url().clone());
+    for (name, values) in request.iter() {
+        if !HOP_HEADERS.contains(&name.as_str()) {
+            for value in values.iter() {
+                head.append_header(name, value.clone());
+            }
+        }
+    }
+    HttpCall { head, body }
+}
+
+/// Runs a call that may be repeated, on another server if one fails.
+async fn run_repeatable(
+    accepted: &AcceptedRequest,
+    call: &PlainCall,
+) -> Result<Response, RequestRefusal> {
+    let mut tried = Vec::new();
+    let attempts = accepted.snapshot.fleet.limits.attempts;
+    while (tried.len() as u32) < attempts {
+        let Some(server) = choose(accepted, &tried) else { break };
+        match send(accepted, call, server).await {
+            Ok(answer) => return Ok(respond(answer)),
+            Err(error) => {
+                tracing::warn!(%error, "a plain service's server failed");
+                tried.push(server);
+            }
+        }
+    }
+    let name = accepted.snapshot.fleet.services[accepted.service].name.clone();
+    let refusal = if tried.is_empty() {
+        RequestRefusal::not_executed(RefusalReason::NoBackend(name))
+    } else {
+        RequestRefusal::unknown(RefusalReason::BackendFailed)
+    };
+    Err(refusal.retry_after(refusals::SHORT_RETRY))
+}
+
+/// Runs a call at most once over all daemons and tries.
+async fn run_once(
+    accepted: &AcceptedRequest,
+    call: &PlainCall,
+    key: Option<SmolStr>,
+) -> Result<Response, RequestRefusal> {
+    let Some(key) = key else {
+        return Err(RequestRefusal::not_executed(RefusalReason::KeyRequired));
+    };
+    let fleet = &accepted.snapshot.fleet;
+    let key = ClaimKey {
+        service: fleet.services[accepted.service].name.clone(),
+        account: fleet.accounts[accepted.account].name.clone(),
+        key,
+    };
+    let fingerprint = call.fingerprint();
+    let context = &accepted.context;
+    loop {
+        let claimed = context.claims.claim(&key, &context.holder, fingerprint).await;
+        match claimed {
+            Ok(ClaimOutcome::Held(held)) => return send_claimed(accepted, call, *held).await,
+            Ok(ClaimOutcome::Found { fingerprint: other, .. }) if other != fingerprint => {
+                return Err(RequestRefusal::not_executed(RefusalReason::KeyReused));
+            }
+            Ok(ClaimOutcome::Found { state, .. }) => match claims::judge(&state, "") {
+                ClaimVerdict::Answer(answer) => return Ok(kept(answer)),
+                ClaimVerdict::Unknown => {
+                    return Err(RequestRefusal::unknown(RefusalReason::OutcomeUnknown));
+                }
+                ClaimVerdict::Wait | ClaimVerdict::Send => {}
+            },
+            Err(error) => {
+                tracing::warn!(%error, "no claim");
+                let refusal = RequestRefusal::not_executed(RefusalReason::ClaimUnavailable);
+                return Err(refusal.retry_after(refusals::SHORT_RETRY));
+            }
+        }
+        if accepted.time_left() < CLAIM_INTERVAL {
+            let refusal = RequestRefusal::unknown(RefusalReason::ClaimRunning);
+            return Err(refusal.retry_after(refusals::SHORT_RETRY));
+        }
+        context.clock.sleep(CLAIM_INTERVAL).await;
+    }
+}
+
+/// Sends a claimed call once and records what came of it.
+async fn send_claimed(
+    accepted: &AcceptedRequest,
+    call: &PlainCall,
+    held: HeldClaim,
+) -> Result<Response, RequestRefusal> {
+    let claims = &accepted.context.claims;
+    let Some(server) = choose(accepted, &[]) else {
+        let _ = claims.release(held).await;
+        let name = accepted.snapshot.fleet.services[accepted.service].name.clone();
+        let refusal = RequestRefusal::not_executed(RefusalReason::NoBackend(name));
+        return Err(refusal.retry_after(refusals::SHORT_RETRY));
+    };
+    match send(accepted, call, server).await {
+        Ok(answer) => {
+            if let Err(error) = claims.finish(held, &answer).await {
+                tracing::warn!(%error, "the answer of a claimed call isn't kept");
+            }
+            Ok(respond(answer))
+        }
+        Err(error) if error.is_unsent() => {
+            let _ = claims.release(held).await;
+            let refusal = RequestRefusal::not_executed(RefusalReason::BackendFailed);
+            Err(refusal.retry_after(refusals::SHORT_RETRY))
+        }
+        Err(error) => {
+            tracing::warn!(%error, "the answer of a claimed call is lost");
+            let _ = claims.lose(held).await;
+            Err(RequestRefusal::unknown(RefusalReason::OutcomeUnknown))
+        }
+    }
+}
+
+/// Chooses the open server with the least latency and work of this daemon.
+fn choose(accepted: &AcceptedRequest, tried: &[PlainKey]) -> Option<PlainKey> {
+    let snapshot = &accepted.snapshot;
+    let newest = accepted.context.snapshot.load_full();
+    let same_revision = newest.fleet.revision == snapshot.fleet.revision;
+    let view = if same_revision { &newest } else { snapshot };
+    let open = view.plain_servers.iter().filter(|(key, entry)| {
+        let row = &view.fleet.plain_servers[*key];
+        entry.open && row.service == accepted.service && !tried.contains(key)
+    });
+    let (key, _) = open.min_by_key(|(_, entry)| (entry.latency, entry.gauge.outstanding()))?;
+    let server = &view.fleet.plain_servers[key].name;
+    tracing::info!(%server, tried = tried.len(), revision = view.fleet.revision, "routed");
+    Some(key)
+}
+
+async fn send(
+    accepted: &AcceptedRequest,
+    call: &PlainCall,
+    server: PlainKey,
+) -> Result<KeptAnswer, HttpError> {
+    let address = accepted.snapshot.fleet.plain_servers[server].address.clone();
+    let _outstanding = accepted.snapshot.plain_servers[server].gauge.start(0);
+    let call = call.towards(&address);
+    let plain = Arc::clone(&accepted.context.plain);
+    let answer = plain.forward(&address, &call, accepted.time_left()).await?;
+    read_answer(answer, accepted.time_left()).await
+}
+
+async fn read_answer(answer: HttpAnswer, limit: Duration) -> Result<KeptAnswer, HttpError> {
+    let status = answer.status().into();
+    let content_type = answer.response.header(headers::CONTENT_TYPE);
+    let content_type = content_type.map_or("", |values| values.last().as_str()).into();
+    let body = answer.into_bytes(limit).await?;
+    Ok(KeptAnswer { status, content_type, body })
+}
+
+fn respond(answer: KeptAnswer) -> Response {
+    let mut response = Response::new(answer.status);
+    response.set_body(Body::from_bytes(answer.body));
+    if !answer.content_type.is_empty() {
+        response.insert_header(headers::CONTENT_TYPE, answer.content_type.as_str());
+    }
+    response
+}
+
+/// Answers with the kept answer of an earlier try.
+fn kept(answer: KeptAnswer) -> Response {
+    let mut response = respond(answer);
+    response.insert_header("idempotency-replayed", "true");
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/callers/refusals.rs
@@ -0,0 +1,51 @@
+//! Refusals as RFC 9457 problem documents.
+
+use std::time::Duration;
+
+use gooseberry_core::refusal::{RefusalReason, RequestExecuted, RequestRefusal};
+use gooseberry_wire::problem::{self, ProblemDocument};
+use tide::{http::headers, Body, Response};
+
+/// Time after which a caller may come back when another daemon can help.
+pub const SHORT_RETRY: Duration = Duration::from_secs(1);
+/// Start of the types of problem documents.
+const TYPE_PREFIX: &str = "urn:gooseberrykeel:";
+
+/// Answers a request that is refused.
+pub fn answer(refusal: &RequestRefusal) -> Response {
+    let document = document(refusal);
+    let mut response = Response::new(document.status);
+    let body = serde_json::to_string(&document).expect("border types are valid JSON");
+    response.set_body(Body::from_string(body));
+    response.set_content_type("application/problem+json");
+    if let Some(seconds) = document.retry_after_s {
+        response.insert_header(headers::RETRY_AFTER, seconds.to_string());
+    }
+    if matches!(refusal.reason, RefusalReason::ShuttingDown | RefusalReason::BodyTooLarge(_)) {
+        response.insert_header(headers::CONNECTION, "close");
+    }
+    response
+}
+
+/// Writes a refusal as a problem document.
+pub fn document(refusal: &RequestRefusal) -> ProblemDocument {
+    let name: &'static str = (&refusal.reason).into();
+    let dependency = match &refusal.reason {
+        RefusalReason::DependencyDown(service) => Some(service.to_string()),
+        _ => None,
+    };
+    ProblemDocument {
+        type_: format!("{TYPE_PREFIX}{name}"),
+        title: name.replace('-', " "),
+        status: refusal.status(),
+        detail: refusal.reason.to_string(),
+        executed: match refusal.executed {
+            RequestExecuted::No => problem::RequestExecuted::No,
+            RequestExecuted::Unknown => problem::RequestExecuted::Unknown,
+            RequestExecuted::Yes => problem::RequestExecuted::Yes,
+        },
+        // Whole seconds, and never too early.
+        retry_after_s: refusal.retry_after.map(|span| span.as_secs_f64().ceil() as u64),
+        dependency,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/request.rs
@@ -0,0 +1,144 @@
+//! What all requests of callers have in common: body, account and deadline.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_lite::AsyncReadExt;
+use gooseberry_core::{
+    arena::{AccountKey, ServiceKey},
+    balance::{BalanceKey, RequestOutcome},
+    refusal::{RefusalReason, RequestExecuted, RequestRefusal},
+    time::Timestamp,
+};
+use smol_str::SmolStr;
+
+use crate::{
+    balance::RequestTicket,
+    callers::{app::CallerRequest, identity},
+    context::DaemonContext,
+    snapshot::FleetSnapshot,
+};
+
+/// Header with the absolute deadline, in milliseconds since the Unix epoch.
+pub const DEADLINE_HEADER: &str = "request-deadline";
+/// Longest time for the body of a request.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Holds a request that was read and whose caller is known.
+pub struct AcceptedRequest {
+    pub context: Arc<DaemonContext>,
+    /// View that the request keeps until it ends.
+    pub snapshot: Arc<FleetSnapshot>,
+    pub account: AccountKey,
+    pub service: ServiceKey,
+    pub deadline: Timestamp,
+    pub ticket: RequestTicket,
+}
+
+/// Reads the body and finds the account.
+///
+/// # Errors
+///
+/// Returns a refusal for an unknown key or a body that is too large or slow.
+pub async fn read(
+    request: &mut CallerRequest,
+    snapshot: &FleetSnapshot,
+) -> Result<(AccountKey, Vec<u8>), RequestRefusal> {
+    let account = identity::authenticate(&snapshot.fleet, request)?;
+    let limit = snapshot.fleet.limits.body_bytes;
+    let too_large = || RequestRefusal::not_executed(RefusalReason::BodyTooLarge(limit));
+    if request.len().is_some_and(|length| length as u64 > limit) {
+        return Err(too_large());
+    }
+    let clock = request.state().clock.clone();
+    let mut body = Vec::new();
+    let mut reader = request.take_body().into_reader().take(limit + 1);
+    let read = clock.timeout(BODY_TIMEOUT, reader.read_to_end(&mut body)).await;
+    match read {
+        Ok(Ok(length)) if length as u64 > limit => Err(too_large()),
+        Ok(Ok(_)) => Ok((account, body)),
+        Ok(Err(error)) => Err(bad_request(&format!("the body can't be read: {error}"))),
+        Err(_) => Err(bad_request("the body came too slowly")),
+    }
+}
+
+/// Accepts a request for a service, from where its end is counted.
+///
+/// # Errors
+///
+/// Returns a refusal for a deadline that can't be read or has passed.
+pub fn accept(
+    request: &CallerRequest,
+    snapshot: Arc<FleetSnapshot>,
+    account: AccountKey,
+    service: ServiceKey,
+) -> Result<AcceptedRequest, RequestRefusal> {
+    let context = Arc::clone(request.state());
+    let deadline = read_deadline(request, &context, &snapshot, service)?;
+    let key = BalanceKey {
+        service: snapshot.fleet.services[service].name.clone(),
+        account: snapshot.fleet.accounts[account].name.clone(),
+    };
+    let ticket = context.balance.accept(key);
+    Ok(AcceptedRequest { context, snapshot, account, service, deadline, ticket })
+}
+
+fn read_deadline(
+    request: &CallerRequest,
+    context: &DaemonContext,
+    snapshot: &FleetSnapshot,
+    service: ServiceKey,
+) -> Result<Timestamp, RequestRefusal> {
+    let now = context.clock.now();
+    let Some(value) = request.header(DEADLINE_HEADER) else {
+        return Ok(now + snapshot.fleet.services[service].deadline);
+    };
+    let Ok(millis) = value.last().as_str().trim().parse() else {
+        return Err(bad_request("the request-deadline header isn't a number of milliseconds"));
+    };
+    let deadline = Timestamp::from_millis(millis);
+    if deadline <= now {
+        return Err(RequestRefusal::not_executed(RefusalReason::DeadlinePassed));
+    }
+    Ok(deadline)
+}
+
+impl AcceptedRequest {
+    /// Returns the time that is left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
+    /// Refuses the request if a service that it depends on isn't served.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the missing service.
+    pub fn check_dependencies(&self) -> Result<(), RequestRefusal> {
+        let Some(missing) = self.snapshot.missing_dependency(self.service) else {
+            return Ok(());
+        };
+        let name = self.snapshot.fleet.services[missing].name.clone();
+        let refusal = RequestRefusal::not_executed(RefusalReason::DependencyDown(name));
+        Err(refusal.retry_after(super::refusals::SHORT_RETRY))
+    }
+
+    /// Counts the end of a refused request and passes the refusal on.
+    pub fn refuse(self, refusal: RequestRefusal) -> RequestRefusal {
+        self.ticket.end(outcome(&refusal));
+        refusal
+    }
+}
+
+/// Returns how a refusal counts in the balance.
+pub fn outcome(refusal: &RequestRefusal) -> RequestOutcome {
+    match refusal.executed {
+        RequestExecuted::No => RequestOutcome::Refused,
+        RequestExecuted::Unknown => RequestOutcome::Unknown,
+        RequestExecuted::Yes => RequestOutcome::Failed,
+    }
+}
+
+/// Refuses a request that isn't valid.
+pub fn bad_request(detail: &str) -> RequestRefusal {
+    RequestRefusal::not_executed(RefusalReason::BadRequest(SmolStr::new(detail)))
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,19 @@
+//! The daemon of an entry VM.
+//!
+//! One control thread owns all control state and publishes immutable
+//! snapshots; the other threads carry traffic and read the newest snapshot.
+//! Nothing is kept on disk: what must last lies in the platform's key-value
+//! service.
+
+pub mod balance;
+pub mod callers;
+pub mod claims;
+pub mod context;
+pub mod control;
+pub mod logs;
+pub mod metrics;
+pub mod peers;
+pub mod pollers;
+pub mod program;
+pub mod revisions;
+pub mod snapshot;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Metrics by statsd.
+
+use std::{net::UdpSocket, time::Duration};
+
+use anyhow::Context;
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+use gooseberry_core::balance::RequestOutcome;
+
+/// Prefix of all metric names.
+const PREFIX: &str = "gooseberrykeel";
+
+/// Sends the metrics of one daemon.
+#[derive(Debug)]
+pub struct MetricClient {
+    client: StatsdClient,
+}
+
+impl MetricClient {
+    /// Makes a client that sends to a statsd server, or nowhere without one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be used.
+    pub fn new(address: Option<&str>) -> anyhow::Result<Self> {
+        let Some(address) = address else {
+            return Ok(Self { client: StatsdClient::from_sink(PREFIX, NopMetricSink) });
+        };
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(address, socket)
+            .with_context(|| format!("can't send metrics to {address}"))?;
+        let client = StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink));
+        Ok(Self { client })
+    }
+
+    /// Counts the end of a request.
+    pub fn request_ended(&self, outcome: RequestOutcome) {
+        self.client.count_with_tags("requests", 1).with_tag("outcome", &outcome.to_string()).send();
+    }
+
+    /// Notes the time to the first token.
+    pub fn first_token(&self, span: Duration) {
+        let _ = self.client.time("first_token", span);
+    }
+
+    /// Notes the configuration revision in force.
+    pub fn revision(&self, revision: u64) {
+        let _ = self.client.gauge("revision", revision);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pollers.rs
@@ -0,0 +1,84 @@
+//! Tasks that ask backend servers and the platform how they are.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use gooseberry_edges::http::HttpCall;
+use http_types::{Method, Request, Url};
+use smol_str::SmolStr;
+
+use crate::{context::DaemonContext, control::ControlEvent};
+
+/// Interval of load reports and health checks.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time for the answer to a health check.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval of reads of the platform's list of VMs.
+const VM_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Starts to read the load of an engine, until it leaves the configuration.
+pub fn spawn_engine(context: &Arc<DaemonContext>, engine: SmolStr) {
+    let context = Arc::clone(context);
+    task::spawn(async move {
+        loop {
+            context.clock.sleep(POLL_INTERVAL).await;
+            let Some(address) = engine_address(&context, &engine) else { return };
+            let event = match context.engines.load(&address).await {
+                Ok(report) => {
+                    ControlEvent::Report { engine: engine.clone(), report: Box::new(report) }
+                }
+                Err(error) => {
+                    tracing::debug!(%engine, %error, "no load report");
+                    ControlEvent::ReportMissing { engine: engine.clone() }
+                }
+            };
+            let _ = context.events.send(event).await;
+        }
+    });
+}
+
+fn engine_address(context: &DaemonContext, engine: &str) -> Option<SmolStr> {
+    let snapshot = context.snapshot.load();
+    // The snapshot that names the engine may be published after this starts.
+    let found = snapshot.fleet.engines.find(|row| row.name == engine);
+    found.map(|(_, row)| row.address.clone())
+}
+
+/// Starts to check a plain service's server, until it leaves the configuration.
+pub fn spawn_plain(context: &Arc<DaemonContext>, server: SmolStr) {
+    let context = Arc::clone(context);
+    task::spawn(async move {
+        loop {
+            context.clock.sleep(POLL_INTERVAL).await;
+            let Some(address) = plain_address(&context, &server) else { return };
+            let healthy = is_healthy(&context, &address).await;
+            let event = ControlEvent::PlainHealth { server: server.clone(), healthy };
+            let _ = context.events.send(event).await;
+        }
+    });
+}
+
+fn plain_address(context: &DaemonContext, server: &str) -> Option<SmolStr> {
+    let snapshot = context.snapshot.load();
+    let found = snapshot.fleet.plain_servers.find(|row| row.name == server);
+    found.map(|(_, row)| row.address.clone())
+}
+
+async fn is_healthy(context: &DaemonContext, address: &str) -> bool {
+    let Ok(url) = Url::parse(&format!("http://{address}/health")) else { return false };
+    let call = HttpCall::new(Request::new(Method::Get, url));
+    match context.plain.forward(address, &call, HEALTH_TIMEOUT).await {
+        Ok(answer) => answer.status().is_success(),
+        Err(_) => false,
+    }
+}
+
+/// Reads the platform's list of VMs for ever.
+pub async fn read_vms(context: Arc<DaemonContext>) {
+    loop {
+        if let Ok(listing) = context.platform.vms().await {
+            let _ = context.events.send(ControlEvent::Vms(listing)).await;
+        }
+        context.clock.sleep(VM_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/program.rs
@@ -0,0 +1,126 @@
+//! Starts the parts of a daemon and stops them in order.
+
+use std::{sync::Arc, thread, time::Duration};
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use async_std::{net::TcpListener, task};
+use gooseberry_edges::{
+    clock::Clock,
+    engine::EngineClient,
+    http::HttpClient,
+    listener::HttpListener,
+    plain::PlainClient,
+    platform::{PlatformClient, PlatformEdge},
+    stop::StopSignal,
+};
+use gooseberry_wire::settings::DaemonSettings;
+
+use crate::{
+    balance::BalanceBook,
+    callers::app,
+    claims::ClaimStore,
+    context::DaemonContext,
+    control::{ControlEvent, ControlState},
+    logs::LogLevels,
+    metrics::MetricClient,
+    peers::{self, PeerBook, PeerServer},
+    pollers,
+    revisions::{self, RevisionStore},
+    snapshot::FleetSnapshot,
+};
+
+/// Time for which a stopping daemon answers new requests with a refusal, so
+/// that the balancer notices before the listener closes.
+const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
+
+/// Runs a daemon until it is stopped.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn run(settings: DaemonSettings, levels: LogLevels) -> anyhow::Result<()> {
+    let stop = StopSignal::on_termination()?;
+    let drain_limit = Duration::from_secs(settings.drain_s);
+    let (context, events) = context(settings, levels, stop.clone())?;
+    start_control(&context, events)?;
+    let revisions = Arc::new(RevisionStore::default());
+    let book = Arc::new(PeerBook::default());
+    start_tasks(&context, &revisions, &book);
+    let server = PeerServer::start(Arc::clone(&context), revisions, book)
+        .await
+        .with_context(|| format!("can't listen at {}", context.settings.peer_listen))?;
+    let listen = &context.settings.listen;
+    let socket =
+        TcpListener::bind(listen).await.with_context(|| format!("can't listen at {listen}"))?;
+    tracing::info!(daemon = context.settings.name, incarnation = context.incarnation, "started");
+    let listener = HttpListener::new(context.clock.clone());
+    let closed = StopSignal::new();
+    let serving = task::spawn({
+        let (listener, closed) = (listener.clone(), closed.clone());
+        let app = app::build(Arc::clone(&context));
+        async move { listener.serve(socket, app, closed).await }
+    });
+    stop.wait().await;
+    tracing::info!(running = listener.running(), "stopping");
+    context.clock.sleep(REFUSAL_PERIOD).await;
+    closed.give();
+    serving.await;
+    let cut = listener.drain(drain_limit).await;
+    let _ = server.stop();
+    tracing::info!(cut, balance = ?context.balance.rows(), "stopped");
+    Ok(())
+}
+
+fn context(
+    settings: DaemonSettings,
+    levels: LogLevels,
+    stop: StopSignal,
+) -> anyhow::Result<(Arc<DaemonContext>, async_channel::Receiver<ControlEvent>)> {
+    let clock = Clock::system();
+    let http = HttpClient::new(clock.clone());
+    let secret = settings.platform_secret.as_deref();
+    let platform: Arc<dyn PlatformEdge> =
+        Arc::new(PlatformClient::new(http.clone(), &settings.platform, secret));
+    let metrics = Arc::new(MetricClient::new(settings.metrics.as_deref())?);
+    let incarnation = clock.now().as_millis();
+    let (sender, events) = async_channel::unbounded();
+    let context = DaemonContext {
+        holder: smol_str::format_smolstr!("{}/{incarnation}", settings.name),
+        incarnation,
+        stop,
+        snapshot: ArcSwap::from_pointee(FleetSnapshot::empty()),
+        events: sender,
+        claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
+        platform,
+        engines: Arc::new(EngineClient::new(http.clone())),
+        plain: Arc::new(PlainClient::new(http)),
+        balance: BalanceBook::new(Arc::clone(&metrics)),
+        metrics,
+        levels,
+        clock,
+        settings,
+    };
+    Ok((Arc::new(context), events))
+}
+
+/// Starts the thread that owns all control state.
+fn start_control(
+    context: &Arc<DaemonContext>,
+    events: async_channel::Receiver<ControlEvent>,
+) -> anyhow::Result<()> {
+    let state = ControlState::new(Arc::clone(context));
+    let thread = thread::Builder::new().name("control".to_owned());
+    thread.spawn(move || task::block_on(state.run(events)))?;
+    Ok(())
+}
+
+fn start_tasks(context: &Arc<DaemonContext>, revisions: &Arc<RevisionStore>, book: &Arc<PeerBook>) {
+    let platform = Arc::clone(&context.platform);
+    task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
+    task::spawn(pollers::read_vms(Arc::clone(context)));
+    for address in &context.settings.peers {
+        let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
+        task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
+    }
+}
--- /dev/null
+++ b/crates/harness/src/calls.rs
@@ -0,0 +1,98 @@
+//! HTTP calls of a test.
+
+use std::time::Duration;
+
+use async_std::task;
+use gooseberry_edges::{
+    clock::Clock,
+    http::{ConnectionUse, HttpCall, HttpClient},
+};
+use http_types::{Method, Request, Url};
+use serde::{de::DeserializeOwned, Serialize};
+
+/// Longest wait for an answer, so that a test that hangs ends.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+
+/// Holds an answer.
+#[derive(Clone, Debug)]
+pub struct TestAnswer {
+    pub status: u16,
+    pub retry_after: Option<String>,
+    pub body: Vec<u8>,
+}
+
+impl TestAnswer {
+    /// Reads the body as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the body isn't valid.
+    pub fn json<T: DeserializeOwned>(&self) -> T {
+        serde_json::from_slice(&self.body)
+            .unwrap_or_else(|error| panic!("{error}: {}", String::from_utf8_lossy(&self.body)))
+    }
+}
+
+/// A call that is built step by step.
+#[derive(Clone, Debug)]
+pub struct TestCall {
+    address: String,
+    call: HttpCall,
+}
+
+impl TestCall {
+    /// Makes a call without headers or body.
+    pub fn new(method: Method, address: &str, path: &str) -> Self {
+        let url = Url::parse(&format!("http://{address}{path}")).expect("a valid URL");
+        let call = HttpCall::new(Request::new(method, url));
+        Self { address: address.to_owned(), call }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.call.head.insert_header(name, value);
+        self
+    }
+
+    /// Adds the key of an account.
+    pub fn account_key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.call.body = body.into();
+        self
+    }
+
+    /// Sets a JSON body.
+    pub fn json(self, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("a value that can be written as JSON");
+        self.header("content-type", "application/json").body(body)
+    }
+
+    /// Sends the call on a new connection and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer came.
+    pub fn send(&self) -> anyhow::Result<TestAnswer> {
+        task::block_on(self.send_async())
+    }
+
+    /// Sends the call as [`Self::send`] does, for tests that run several.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer came.
+    pub async fn send_async(&self) -> anyhow::Result<TestAnswer> {
+        let client = HttpClient::new(Clock::system());
+        let answer =
+            client.send(&self.address, &self.call, ConnectionUse::Fresh, ANSWER_LIMIT).await?;
+        let status = answer.status().into();
+        let retry_after = answer.response.header("retry-after");
+        let retry_after = retry_after.map(|values| values.last().to_string());
+        let body = answer.into_bytes(ANSWER_LIMIT).await?;
+        Ok(TestAnswer { status, retry_after, body })
+    }
+}
--- /dev/null
+++ b/crates/harness/src/process.rs
@@ -0,0 +1,124 @@
+//! Processes that a test starts, pauses and ends.
+
+use std::{
+    env,
+    fs::File,
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use rustix::process::{kill_process, Pid, Signal};
+
+/// Longest wait for anything, so that a test that hangs ends.
+pub const HANG_LIMIT: Duration = Duration::from_secs(60);
+/// Interval at which conditions are looked at.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A process that ends with its handle.
+#[derive(Debug)]
+pub struct TestProcess {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl TestProcess {
+    /// Starts a program of this workspace; its logs go to a file.
+    pub fn start(folder: &Path, name: &str, program: &str, arguments: &[String]) -> Self {
+        let log = folder.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(&log).expect("a log file");
+        let child = Command::new(program_path(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("a second handle of the log file"))
+            .stderr(output)
+            .spawn()
+            .with_context(|| format!("can't start {program}; run scripts/test.sh"))
+            .expect("a started program");
+        Self { name: name.to_owned(), child, log }
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Ends the process at once, as a crash does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process in its tracks until [`Self::resume`].
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the process to end.
+    pub fn wait(&mut self) -> ExitStatus {
+        let deadline = Instant::now() + HANG_LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child's status") {
+                return status;
+            }
+            assert!(Instant::now() < deadline, "{} doesn't end", self.name);
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Tells whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child's status").is_none()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("a process identifier");
+        kill_process(pid, signal).expect("a signal to the test's own child");
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Finds a program beside the test's own folder.
+fn program_path(program: &str) -> PathBuf {
+    let test = env::current_exe().expect("the test's own path");
+    let folder = test.ancestors().nth(2).expect("the target folder");
+    folder.join(program)
+}
+
+/// Returns a loopback address that nothing listens at.
+pub fn free_address() -> String {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("an address").to_string()
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics with the description if it doesn't hold for the hang limit.
+pub fn wait_until(description: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + HANG_LIMIT;
+    while !holds() {
+        assert!(Instant::now() < deadline, "gave up waiting until {description}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
--- /dev/null
+++ b/crates/harness/src/system.rs
@@ -0,0 +1,310 @@
+//! A small system: platform, engines, plain servers, daemons.
+
+use std::{fmt::Write, fs};
+
+use async_std::task;
+use gooseberry_edges::{
+    clock::Clock,
+    http::HttpClient,
+    platform::{PlatformClient, PlatformEdge, PutOutcome},
+};
+use gooseberry_standins::plain::{PlainCounts, PlainFaults};
+use gooseberry_wire::{
+    edit::ConfigurationEdit,
+    engine::EngineFaults,
+    platform::{KvPut, PlatformCounts, PlatformFaults, VmEntry},
+};
+use http_types::Method;
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+
+use crate::{
+    calls::TestCall,
+    process::{self, TestProcess},
+};
+
+/// Key of the account that tests use.
+pub const ACCOUNT_KEY: &str = "test-key";
+/// Name of the account that tests use.
+pub const ACCOUNT: &str = "tester";
+/// Secret that the daemons share.
+pub const PEER_SECRET: &str = "test-secret";
+
+/// A running program with its addresses.
+#[derive(Debug)]
+pub struct TestServer {
+    pub name: String,
+    pub address: String,
+    pub control: String,
+    pub process: TestProcess,
+    program: &'static str,
+    arguments: Vec<String>,
+}
+
+impl TestServer {
+    /// Sets the faults of a stand-in.
+    pub fn set_faults(&self, faults: &impl Serialize) {
+        let call = TestCall::new(Method::Put, &self.control, "/faults").json(faults);
+        assert_eq!(call.send().expect("an answer of the control port").status, 200);
+    }
+
+    /// Reads the counts of a stand-in.
+    pub fn counts<T: serde::de::DeserializeOwned>(&self) -> T {
+        let call = TestCall::new(Method::Get, &self.control, "/counts");
+        call.send().expect("an answer of the control port").json()
+    }
+}
+
+/// Says how large a system is.
+#[derive(Clone, Debug)]
+pub struct SystemSize {
+    /// Daemons in each failure domain.
+    pub daemons: usize,
+    /// Engines in each failure domain.
+    pub engines: usize,
+    /// Plain servers in each failure domain.
+    pub plain_servers: usize,
+    pub domains: usize,
+    /// Further arguments of each engine.
+    pub engine_arguments: Vec<String>,
+}
+
+impl Default for SystemSize {
+    fn default() -> Self {
+        Self { daemons: 1, engines: 2, plain_servers: 1, domains: 1, engine_arguments: Vec::new() }
+    }
+}
+
+/// A running system; all of its processes end with it.
+pub struct TestSystem {
+    pub folder: TempDir,
+    pub platform: TestServer,
+    pub engines: Vec<TestServer>,
+    pub plain_servers: Vec<TestServer>,
+    pub daemons: Vec<TestServer>,
+    pub size: SystemSize,
+}
+
+impl TestSystem {
+    /// Starts a system and waits until every daemon serves the sample services.
+    pub fn start(size: SystemSize) -> Self {
+        let mut system = Self::start_without_configuration(size);
+        let text = system.configuration("");
+        assert!(matches!(system.put(0, &text), PutOutcome::Written(_)));
+        system.wait_ready();
+        system
+    }
+
+    /// Starts a system whose platform holds no configuration yet.
+    pub fn start_without_configuration(size: SystemSize) -> Self {
+        let folder = TempDir::new().expect("a temporary folder");
+        let platform = start_server(&folder, "platform", "standin-platform", &[]);
+        let mut engines = Vec::new();
+        let mut plain_servers = Vec::new();
+        for domain in 0..size.domains {
+            for index in 0..size.engines {
+                let name = format!("engine-{domain}-{index}");
+                let mut arguments = vec!["--name".to_owned(), name.clone()];
+                arguments.extend(size.engine_arguments.iter().cloned());
+                engines.push(start_server(&folder, &name, "standin-engine", &arguments));
+            }
+            for index in 0..size.plain_servers {
+                let name = format!("plain-{domain}-{index}");
+                let arguments = ["--name".to_owned(), name.clone()];
+                plain_servers.push(start_server(&folder, &name, "standin-plain", &arguments));
+            }
+        }
+        let mut system =
+            Self { folder, platform, engines, plain_servers, daemons: Vec::new(), size };
+        system.start_daemons();
+        system
+    }
+
+    fn start_daemons(&mut self) {
+        let count = self.size.daemons * self.size.domains;
+        let addresses: Vec<_> =
+            (0..count).map(|_| (process::free_address(), process::free_address())).collect();
+        for (index, (address, peer_address)) in addresses.iter().enumerate() {
+            let name = format!("daemon-{index}");
+            let domain = index / self.size.daemons;
+            let others = addresses.iter().map(|(_, peer)| peer.as_str());
+            let peers: Vec<_> = others.filter(|peer| peer != peer_address).collect();
+            let settings = format!(
+                "name: {name}\nfailure_domain: domain-{domain}\nlisten: {address}\n\
+                 peer_listen: {peer_address}\nplatform: {}\npeer_secret: {PEER_SECRET}\n\
+                 peers: [{}]\ntraffic_threads: 2\n",
+                self.platform.address,
+                peers.join(", "),
+            );
+            let path = self.folder.path().join(format!("{name}.yaml"));
+            fs::write(&path, settings).expect("a settings file");
+            let arguments = vec!["--settings".to_owned(), path.display().to_string()];
+            let process = TestProcess::start(self.folder.path(), &name, "gooseberryd", &arguments);
+            self.daemons.push(TestServer {
+                name,
+                address: address.clone(),
+                control: peer_address.clone(),
+                process,
+                program: "gooseberryd",
+                arguments,
+            });
+        }
+    }
+
+    /// Starts a program that was ended again, with the same arguments.
+    pub fn restart(folder: &TempDir, server: &mut TestServer) {
+        server.process =
+            TestProcess::start(folder.path(), &server.name, server.program, &server.arguments);
+    }
+
+    /// Writes the configuration of this system; `extra` is added at its end.
+    pub fn configuration(&self, extra: &str) -> String {
+        let mut text = String::from("failure_domains:\n");
+        for domain in 0..self.size.domains {
+            let _ = writeln!(text, "  - {{name: domain-{domain}, region: region-{domain}}}");
+        }
+        text.push_str("models:\n  - {name: sample}\nengines:\n");
+        for (index, engine) in self.engines.iter().enumerate() {
+            let domain = index / self.size.engines;
+            let checks = engine.arguments.iter().any(|argument| argument == "--checks-fencing");
+            let _ = writeln!(
+                text,
+                "  - {{name: {}, address: \"{}\", failure_domain: domain-{domain}, \
+                 model: sample, checks_fencing: {checks}}}",
+                engine.name, engine.address
+            );
+        }
+        text.push_str("plain_servers:\n");
+        for (index, server) in self.plain_servers.iter().enumerate() {
+            let domain = index / self.size.plain_servers;
+            let _ = writeln!(
+                text,
+                "  - {{name: {}, service: booking, address: \"{}\", \
+                 failure_domain: domain-{domain}}}",
+                server.name, server.address
+            );
+        }
+        let digest = hex_digest(ACCOUNT_KEY);
+        let _ = writeln!(
+            text,
+            "services:\n  - {{name: assistant, kind: completion, model: sample}}\n  \
+             - name: booking\n    kind: plain\n    prefix: /booking\n    unrepeatable:\n      \
+             - {{method: POST, path: /reservations}}\n\
+             accounts:\n  - {{name: {ACCOUNT}, key_sha256: [{digest}]}}"
+        );
+        text.push_str(extra);
+        text
+    }
+
+    /// Records a configuration text.
+    pub fn put(&self, base: u64, text: &str) -> PutOutcome {
+        let edit = ConfigurationEdit {
+            edit: format!("test-{base}"),
+            author: "test".to_owned(),
+            made_at_ms: 0,
+            base,
+            text: text.to_owned(),
+        };
+        let value = serde_json::to_string(&edit).expect("an edit as JSON");
+        let put = KvPut { value, expected: Some(base), lease: None };
+        task::block_on(self.platform_client().put("configuration", &put))
+            .expect("an answer of the platform")
+    }
+
+    /// Makes a client of the stand-in platform.
+    pub fn platform_client(&self) -> PlatformClient {
+        PlatformClient::new(HttpClient::new(Clock::system()), &self.platform.address, None)
+    }
+
+    /// Sets the platform's list of VMs.
+    pub fn set_vms(&self, vms: &[VmEntry]) {
+        let call = TestCall::new(Method::Put, &self.platform.control, "/vms").json(&vms);
+        assert_eq!(call.send().expect("an answer of the control port").status, 200);
+    }
+
+    /// Waits until every daemon answers a completion and a plain call.
+    pub fn wait_ready(&mut self) {
+        for daemon in &self.daemons {
+            process::wait_until("the daemon serves", || {
+                serves(&completion_call(&daemon.address, "ready", 1))
+                    && (self.plain_servers.is_empty()
+                        || serves(&TestCall::new(Method::Get, &daemon.address, "/booking/ready")))
+            });
+        }
+    }
+}
+
+fn serves(call: &TestCall) -> bool {
+    let call = call.clone().account_key(ACCOUNT_KEY);
+    call.send().is_ok_and(|answer| answer.status == 200)
+}
+
+/// Makes a call for a whole completion.
+pub fn completion_call(address: &str, prompt: &str, tokens: u32) -> TestCall {
+    let body = serde_json::json!({
+        "model": "assistant", "prompt": prompt, "max_tokens": tokens,
+    });
+    TestCall::new(Method::Post, address, "/v1/completions").account_key(ACCOUNT_KEY).json(&body)
+}
+
+/// Makes a call that reserves something, which runs at most once.
+pub fn reservation_call(address: &str, key: &str) -> TestCall {
+    TestCall::new(Method::Post, address, "/booking/reservations")
+        .account_key(ACCOUNT_KEY)
+        .header("idempotency-key", key)
+        .body("one drill")
+}
+
+/// Returns faults of a plain stand-in without any fault.
+pub fn no_plain_faults() -> PlainFaults {
+    PlainFaults::default()
+}
+
+/// Returns faults of an engine stand-in without any fault.
+pub fn no_engine_faults() -> EngineFaults {
+    serde_json::from_str("{}").expect("all faults have defaults")
+}
+
+/// Returns faults of the platform stand-in without any fault.
+pub fn no_platform_faults() -> PlatformFaults {
+    serde_json::from_str("{}").expect("all faults have defaults")
+}
+
+/// Reads how often each key has run, over all plain servers.
+pub fn executions(system: &TestSystem, key: &str) -> u32 {
+    system
+        .plain_servers
+        .iter()
+        .map(|server| server.counts::<PlainCounts>().executions.get(key).copied().unwrap_or(0))
+        .sum()
+}
+
+/// Reads the platform's counts of calls.
+pub fn platform_counts(system: &TestSystem) -> PlatformCounts {
+    system.platform.counts()
+}
+
+fn hex_digest(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn start_server(
+    folder: &TempDir,
+    name: &str,
+    program: &'static str,
+    arguments: &[String],
+) -> TestServer {
+    let (address, control) = (process::free_address(), process::free_address());
+    let mut all =
+        vec!["--listen".to_owned(), address.clone(), "--control".to_owned(), control.clone()];
+    all.extend(arguments.iter().cloned());
+    let process = TestProcess::start(folder.path(), name, program, &all);
+    let server =
+        TestServer { name: name.to_owned(), address, control, process, program, arguments: all };
+    process::wait_until("the stand-in listens", || {
+        std::net::TcpStream::connect(&server.address).is_ok()
+            && std::net::TcpStream::connect(&server.control).is_ok()
+    });
+    server
+}
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/standins/src/engine/http.rs
@@ -0,0 +1,474 @@
+//! The HTTP interface of the stand-in engine.
+
+use std::{collections::HashSet, future, io, sync::Arc, time::Duration};
+
+use async_std::task;
+use gooseberry_core::time::Timestamp;
+use gooseberry_edges::{
+    channel::{BodyPart, ChannelReader},
+    clock::Clock,
+};
+use gooseberry_wire::engine::{
+    CacheEvents, CompletionAnswer, CompletionChoice, CompletionChunk, CompletionRequest,
+    EngineFaults, EngineOrder, EngineRole, EngineState, KvImport, LoadReport, TokenUsage,
+};
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tide::{Body, Request, Response, StatusCode};
+
+use crate::{
+    answer,
+    engine::{
+        batch::{BatchState, StepCosts},
+        orders::{OrderCounts, OrderState},
+        reports::ReportHistory,
+        streams::{SharedStream, StreamEnd, StreamState},
+    },
+    token,
+};
+
+/// Interval of heartbeats on a stream without tokens.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of load reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause of an engine without work.
+const IDLE_PAUSE: Duration = Duration::from_millis(20);
+/// Parts of a body that wait for a slow connection.
+const BODY_PARTS: usize = 16;
+
+/// Settings of the stand-in engine.
+#[derive(Clone, Debug, bpaf::Bpaf)]
+pub struct EngineOptions {
+    /// Name of the engine
+    #[bpaf(long, argument("NAME"))]
+    pub name: String,
+    /// Model that is loaded at the start
+    #[bpaf(long, argument("MODEL"), fallback("sample".to_owned()))]
+    pub model: String,
+    /// Role at the start: prefill, decode or mixed
+    #[bpaf(long, argument("ROLE"), fallback(EngineRole::Mixed))]
+    pub role: EngineRole,
+    /// Refuse an order that carries an old fencing token
+    pub checks_fencing: bool,
+    /// Pieces of KV memory
+    #[bpaf(long, argument("N"), fallback(8192))]
+    pub kv_pieces: u32,
+    /// Tokens in each piece
+    #[bpaf(long, argument("N"), fallback(16))]
+    pub piece_tokens: u32,
+    /// Least time of a step, in microseconds
+    #[bpaf(long, argument("US"), fallback(2000))]
+    pub step_us: u64,
+    /// Time that each running sequence adds to a step, in microseconds
+    #[bpaf(long, argument("US"), fallback(30))]
+    pub sequence_us: u64,
+    /// Time that each prompt token adds to a step, in microseconds
+    #[bpaf(long, argument("US"), fallback(20))]
+    pub prompt_token_us: u64,
+    /// Time that a change takes, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(1500))]
+    pub change_ms: u64,
+    /// Age of load reports, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(200))]
+    pub report_lag_ms: u64,
+    /// Age of cache events, in milliseconds
+    #[bpaf(long, argument("MS"), fallback(500))]
+    pub event_lag_ms: u64,
+}
+
+/// Holds the state of the stand-in engine.
+pub struct EngineServer {
+    clock: Clock,
+    incarnation: u64,
+    options: EngineOptions,
+    inner: Mutex<EngineInner>,
+    faults: Mutex<EngineFaults>,
+}
+
+struct EngineInner {
+    batch: BatchState,
+    orders: OrderState,
+    counts: OrderCounts,
+    reports: ReportHistory,
+    report_sequence: u64,
+    imports: HashSet<String>,
+    /// Streams begun before this time stay silent for good.
+    silent_before: Timestamp,
+}
+
+type EngineHttpRequest = Request<Arc<EngineServer>>;
+
+impl EngineServer {
+    /// Makes an engine without work.
+    pub fn new(options: EngineOptions) -> Arc<Self> {
+        let clock = Clock::system();
+        let costs = StepCosts {
+            base: Duration::from_micros(options.step_us),
+            per_sequence: Duration::from_micros(options.sequence_us),
+            per_prompt_token: Duration::from_micros(options.prompt_token_us),
+        };
+        let change = Duration::from_millis(options.change_ms);
+        let inner = EngineInner {
+            batch: BatchState::new(options.kv_pieces, options.piece_tokens, costs),
+            orders: OrderState::new(options.role, &options.model, options.checks_fencing, change),
+            counts: OrderCounts::default(),
+            reports: ReportHistory::new(Duration::from_millis(options.report_lag_ms)),
+            report_sequence: 0,
+            imports: HashSet::new(),
+            silent_before: Timestamp::default(),
+        };
+        Arc::new(Self {
+            incarnation: clock.now().as_millis(),
+            inner: Mutex::new(inner),
+            faults: Mutex::new(no_faults()),
+            clock,
+            options,
+        })
+    }
+
+    /// Runs the batch for ever.
+    pub async fn run_batch(&self) {
+        loop {
+            let stuck = self.faults.lock().stuck;
+            let step = if stuck { None } else { self.begin_step() };
+            match step {
+                Some(span) => {
+                    self.clock.sleep(span).await;
+                    self.crash_if_asked();
+                    self.inner.lock().batch.finish_step(self.clock.now());
+                }
+                None => self.clock.sleep(IDLE_PAUSE).await,
+            }
+        }
+    }
+
+    /// Makes load reports and applies orders for ever.
+    pub async fn run_reports(&self) {
+        loop {
+            self.clock.sleep(REPORT_INTERVAL).await;
+            let now = self.clock.now();
+            let lies_idle = self.faults.lock().lie_idle;
+            let mut inner = self.inner.lock();
+            if inner.orders.apply_due(now) {
+                inner.batch.memory.clear(now);
+            }
+            inner.report_sequence += 1;
+            let mut report = self.report(&inner, now);
+            if lies_idle {
+                (report.running, report.queued, report.prefill_backlog_tokens) = (0, 0, 0);
+            }
+            inner.reports.push(now, report);
+        }
+    }
+
+    fn begin_step(&self) -> Option<Duration> {
+        let delay = Duration::from_millis(self.faults.lock().step_delay_ms);
+        let mut inner = self.inner.lock();
+        if inner.orders.pending.is_some() {
+            return None;
+        }
+        let role = inner.orders.role;
+        inner.batch.begin_step(role, self.clock.now()).map(|span| span + delay)
+    }
+
+    /// Ends the process if a running prompt contains the text of the fault.
+    fn crash_if_asked(&self) {
+        let Some(text) = self.faults.lock().crash_on.clone() else { return };
+        if self.inner.lock().batch.runs_text(&text) {
+            std::process::abort();
+        }
+    }
+
+    fn report(&self, inner: &EngineInner, now: Timestamp) -> LoadReport {
+        let (running, queued) = inner.batch.lengths();
+        let state = if inner.orders.pending.is_some() {
+            EngineState::Changing
+        } else {
+            EngineState::Serving
+        };
+        LoadReport {
+            engine: self.options.name.clone(),
+            incarnation: self.incarnation,
+            sequence: inner.report_sequence,
+            made_at_ms: now.as_millis(),
+            role: inner.orders.role,
+            model: inner.orders.model.clone(),
+            version: inner.orders.version.clone(),
+            adapters: inner.orders.adapters.clone(),
+            state,
+            running,
+            queued,
+            prefill_backlog_tokens: inner.batch.prefill_backlog(),
+            kv_pieces_total: self.options.kv_pieces,
+            kv_pieces_free: inner.batch.memory.free(),
+            kv_piece_tokens: self.options.piece_tokens,
+            steps: inner.batch.steps,
+            highest_fencing: inner.orders.highest_fencing,
+            applied_order: inner.orders.applied_order.clone(),
+            pending_order: inner.orders.pending.as_ref().map(|it| it.order.order_id.clone()),
+        }
+    }
+
+    fn submit(&self, request: CompletionRequest) -> Result<SharedStream, StatusCode> {
+        let mut inner = self.inner.lock();
+        if inner.orders.pending.is_some() {
+            return Err(StatusCode::ServiceUnavailable);
+        }
+        if inner.orders.model != request.model {
+            return Err(StatusCode::NotFound);
+        }
+        if request.export_kv && self.faults.lock().refuse_export {
+            return Err(StatusCode::NotImplemented);
+        }
+        let handle = request.kv_handle.as_ref();
+        let imported = handle.is_some_and(|handle| inner.imports.remove(handle));
+        let now = self.clock.now();
+        inner.batch.submit(request, imported, now).map_err(|_| StatusCode::TooManyRequests)
+    }
+}
+
+fn no_faults() -> EngineFaults {
+    EngineFaults {
+        stuck: false,
+        silent_streams: false,
+        crash_on: None,
+        step_delay_ms: 0,
+        refuse_export: false,
+        lie_idle: false,
+    }
+}
+
+/// Builds the application that the daemons call.
+pub fn app(server: Arc<EngineServer>) -> tide::Server<Arc<EngineServer>> {
+    let mut app = tide::with_state(server);
+    app.at("/v1/completions").post(complete);
+    app.at("/v1/streams/:id/cancel").post(cancel);
+    app.at("/kv/import").post(import_kv);
+    app.at("/load").get(load);
+    app.at("/events").get(events);
+    app.at("/orders").post(order);
+    app
+}
+
+/// Builds the application of the control port.
+pub fn control(server: Arc<EngineServer>) -> tide::Server<Arc<EngineServer>> {
+    let mut app = tide::with_state(server);
+    app.at("/faults").put(set_faults);
+    app.at("/counts").get(counts);
+    app
+}
+
+async fn complete(mut request: EngineHttpRequest) -> tide::Result {
+    let wanted: CompletionRequest = request.body_json().await?;
+    let server = Arc::clone(request.state());
+    let reader = StreamReader {
+        from: wanted.resume_from,
+        model: wanted.model.clone(),
+        id: wanted.stream_id.clone().unwrap_or_default(),
+        begun: server.clock.now(),
+        stream: match server.submit(wanted.clone()) {
+            Ok(stream) => stream,
+            Err(status) => return answer::status(status),
+        },
+        server,
+    };
+    if !wanted.stream {
+        return reader.collect().await;
+    }
+    let (parts, body) = ChannelReader::new(BODY_PARTS);
+    task::spawn(async move { reader.send(parts).await });
+    let mut response = Response::new(StatusCode::Ok);
+    response.set_body(Body::from_reader(body, None));
+    response.set_content_type("text/event-stream");
+    Ok(response)
+}
+
+/// Reads one stream for one connection.
+struct StreamReader {
+    server: Arc<EngineServer>,
+    stream: SharedStream,
+    id: String,
+    model: String,
+    /// Position of the first token to send.
+    from: u32,
+    begun: Timestamp,
+}
+
+impl StreamReader {
+    /// Waits for the whole answer.
+    async fn collect(self) -> tide::Result {
+        loop {
+            let changed = {
+                let mut stream = self.stream.lock();
+                stream.last_read = self.server.clock.now();
+                match &stream.end {
+                    Some(StreamEnd::Cut) => return answer::lost(),
+                    Some(_) => return answer::json(StatusCode::Ok, &self.answer(&stream)),
+                    None => stream.watch(),
+                }
+            };
+            let _ = self.server.clock.timeout(HEARTBEAT_INTERVAL, changed.recv()).await;
+        }
+    }
+
+    fn answer(&self, stream: &StreamState) -> CompletionAnswer {
+        let text =
+            (self.from..stream.generated).map(|it| token::text(stream.prompt_hash, it)).collect();
+        CompletionAnswer {
+            id: self.id.clone(),
+            object: "text_completion".to_owned(),
+            model: self.model.clone(),
+            choices: vec![CompletionChoice {
+                index: 0,
+                text,
+                finish_reason: Some("length".to_owned()),
+            }],
+            usage: TokenUsage {
+                prompt_tokens: stream.prompt_tokens,
+                completion_tokens: stream.generated - self.from,
+                cached_tokens: stream.cached_tokens,
+            },
+        }
+    }
+
+    /// Sends tokens as they come, with heartbeats in between.
+    async fn send(mut self, parts: async_channel::Sender<BodyPart>) {
+        self.stream.lock().readers += 1;
+        self.send_all(&parts).await;
+        let mut stream = self.stream.lock();
+        stream.readers -= 1;
+        stream.last_read = self.server.clock.now();
+    }
+
+    async fn send_all(&mut self, parts: &async_channel::Sender<BodyPart>) {
+        loop {
+            if self.begun < self.server.inner.lock().silent_before {
+                // The connection stays open and says nothing more.
+                future::pending::<()>().await;
+            }
+            let (part, end, changed) = self.next_part();
+            let ended = end.is_some();
+            let part = match end {
+                Some(StreamEnd::Cut) => Err(io::ErrorKind::ConnectionAborted.into()),
+                _ => Ok(part),
+            };
+            let has_part = !matches!(&part, Ok(bytes) if bytes.is_empty());
+            if has_part && parts.send(part).await.is_err() {
+                return;
+            }
+            if ended {
+                return;
+            }
+            let woken = self.server.clock.timeout(HEARTBEAT_INTERVAL, changed.recv()).await;
+            if woken.is_err() && parts.send(Ok(b": heartbeat\n\n".to_vec())).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn next_part(&mut self) -> (Vec<u8>, Option<StreamEnd>, async_channel::Receiver<()>) {
+        let mut stream = self.stream.lock();
+        let mut bytes = Vec::new();
+        let first = self.from.max(stream.start);
+        for position in first..stream.generated {
+            let text = token::text(stream.prompt_hash, position);
+            let finish = stream.end.is_some() && position + 1 == stream.generated;
+            let reason = finish.then(|| "length".to_owned());
+            self.write_chunk(&mut bytes, position, text, reason, None);
+        }
+        self.from = first.max(stream.generated);
+        match &stream.end {
+            Some(StreamEnd::Whole) => bytes.extend_from_slice(b"data: [DONE]\n\n"),
+            Some(StreamEnd::Exported(handle)) => {
+                let reason = Some("exported".to_owned());
+                let handle = Some(handle.clone());
+                self.write_chunk(&mut bytes, stream.generated, String::new(), reason, handle);
+                bytes.extend_from_slice(b"data: [DONE]\n\n");
+            }
+            Some(StreamEnd::Cut) | None => {}
+        }
+        let end = stream.end.clone();
+        (bytes, end, stream.watch())
+    }
+
+    fn write_chunk(
+        &self,
+        bytes: &mut Vec<u8>,
+        position: u32,
+        text: String,
+        finish_reason: Option<String>,
+        kv_handle: Option<String>,
+    ) {
+        let chunk = CompletionChunk {
+            id: self.id.clone(),
+            object: "text_completion".to_owned(),
+            model: self.model.clone(),
+            choices: vec![CompletionChoice { index: 0, text, finish_reason }],
+            position,
+            kv_handle,
+        };
+        bytes.extend_from_slice(b"data: ");
+        serde_json::to_writer(&mut *bytes, &chunk).expect("border types are valid JSON");
+        bytes.extend_from_slice(b"\n\n");
+    }
+}
+
+async fn cancel(request: EngineHttpRequest) -> tide::Result {
+    let found = request.state().inner.lock().batch.cancel(request.param("id")?);
+    answer::status(if found { StatusCode::Ok } else { StatusCode::NotFound })
+}
+
+async fn import_kv(mut request: EngineHttpRequest) -> tide::Result {
+    let import: KvImport = request.body_json().await?;
+    request.state().inner.lock().imports.insert(import.handle);
+    answer::status(StatusCode::Ok)
+}
+
+async fn load(request: EngineHttpRequest) -> tide::Result {
+    let inner = request.state().inner.lock();
+    match inner.reports.visible() {
+        Some(report) => answer::json(StatusCode::Ok, report),
+        None => answer::status(StatusCode::ServiceUnavailable),
+    }
+}
+
+#[derive(Deserialize)]
+struct EventQuery {
+    after: u64,
+}
+
+async fn events(request: EngineHttpRequest) -> tide::Result {
+    let query: EventQuery = request.query()?;
+    let server = request.state();
+    let visible = server.clock.now() - Duration::from_millis(server.options.event_lag_ms);
+    let events = server.inner.lock().batch.memory.events(query.after, visible);
+    let next = events.last().map_or(query.after, |event| event.sequence);
+    answer::json(StatusCode::Ok, &CacheEvents { events, next })
+}
+
+async fn order(mut request: EngineHttpRequest) -> tide::Result {
+    let order: EngineOrder = request.body_json().await?;
+    let server = request.state();
+    let mut inner = server.inner.lock();
+    let inner = &mut *inner;
+    let answered = inner.orders.take(order, server.clock.now(), &mut inner.counts);
+    if answered.accepted {
+        inner.counts.cut += inner.batch.cut_all();
+    }
+    answer::json(StatusCode::Ok, &answered)
+}
+
+async fn set_faults(mut request: EngineHttpRequest) -> tide::Result {
+    let faults: EngineFaults = request.body_json().await?;
+    let server = request.state();
+    if faults.silent_streams {
+        server.inner.lock().silent_before = server.clock.now();
+    }
+    *server.faults.lock() = faults;
+    answer::status(StatusCode::Ok)
+}
+
+async fn counts(request: EngineHttpRequest) -> tide::Result {
+    let counts = request.state().inner.lock().counts.clone();
+    answer::json(StatusCode::Ok, &counts)
+}
--- /dev/null
+++ b/crates/standins/src/engine/orders.rs
@@ -0,0 +1,104 @@
+//! Orders for role, model, version and adapters.
+
+use std::time::Duration;
+
+use gooseberry_core::time::Timestamp;
+use gooseberry_wire::engine::{EngineOrder, EngineRole, OrderAnswer};
+use serde::{Deserialize, Serialize};
+
+/// Holds what orders can change, and the order that is being carried out.
+#[derive(Clone, Debug)]
+pub struct OrderState {
+    pub role: EngineRole,
+    pub model: String,
+    pub version: Option<String>,
+    pub adapters: Vec<String>,
+    pub highest_fencing: u64,
+    pub applied_order: Option<String>,
+    pub pending: Option<PendingOrder>,
+    checks_fencing: bool,
+    change: Duration,
+}
+
+/// Holds an order that takes effect at a later time.
+#[derive(Clone, Debug)]
+pub struct PendingOrder {
+    pub order: EngineOrder,
+    pub due: Timestamp,
+}
+
+/// Counts what has happened to orders, for tests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCounts {
+    /// Orders that were accepted.
+    pub accepted: u32,
+    /// Orders that were refused for their fencing token.
+    pub refused: u32,
+    /// Orders that came while another was being carried out.
+    pub conflicting: u32,
+    /// Accepted orders that carried a lower token than an earlier one.
+    pub stale: u32,
+    /// Sequences that an order cut.
+    pub cut: u32,
+}
+
+impl OrderState {
+    /// Makes the state of an engine that has had no order.
+    pub fn new(role: EngineRole, model: &str, checks_fencing: bool, change: Duration) -> Self {
+        Self {
+            role,
+            model: model.to_owned(),
+            version: None,
+            adapters: Vec::new(),
+            highest_fencing: 0,
+            applied_order: None,
+            pending: None,
+            checks_fencing,
+            change,
+        }
+    }
+
+    /// Takes an order, or refuses it for its fencing token.
+    pub fn take(
+        &mut self,
+        order: EngineOrder,
+        now: Timestamp,
+        counts: &mut OrderCounts,
+    ) -> OrderAnswer {
+        let stale = order.fencing < self.highest_fencing;
+        if stale && self.checks_fencing {
+            counts.refused += 1;
+            return OrderAnswer {
+                accepted: false,
+                highest_fencing: self.highest_fencing,
+                reason: Some("the fencing token is old".to_owned()),
+            };
+        }
+        counts.accepted += 1;
+        counts.stale += u32::from(stale);
+        counts.conflicting += u32::from(self.pending.is_some());
+        self.highest_fencing = self.highest_fencing.max(order.fencing);
+        self.pending = Some(PendingOrder { order, due: now + self.change });
+        OrderAnswer { accepted: true, highest_fencing: self.highest_fencing, reason: None }
+    }
+
+    /// Applies the pending order once its time has come.
+    pub fn apply_due(&mut self, now: Timestamp) -> bool {
+        let Some(pending) = self.pending.take_if(|pending| pending.due <= now) else {
+            return false;
+        };
+        let order = pending.order;
+        self.role = order.role.unwrap_or(self.role);
+        if let Some(model) = order.model {
+            self.model = model;
+        }
+        if order.version.is_some() {
+            self.version = order.version;
+        }
+        if !order.adapters.is_empty() {
+            self.adapters = order.adapters;
+        }
+        self.applied_order = Some(order.order_id);
+        true
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/reports.rs
@@ -0,0 +1,34 @@
+//! Load reports that come with a lag.
+
+use std::{collections::VecDeque, time::Duration};
+
+use gooseberry_core::time::Timestamp;
+use gooseberry_wire::engine::LoadReport;
+
+/// Keeps the reports that are younger than the lag, and the newest older one.
+#[derive(Debug)]
+pub struct ReportHistory {
+    lag: Duration,
+    reports: VecDeque<(Timestamp, LoadReport)>,
+}
+
+impl ReportHistory {
+    /// Makes an empty history.
+    pub fn new(lag: Duration) -> Self {
+        Self { lag, reports: VecDeque::new() }
+    }
+
+    /// Adds a report.
+    pub fn push(&mut self, now: Timestamp, report: LoadReport) {
+        self.reports.push_back((now, report));
+        let visible = now - self.lag;
+        while self.reports.get(1).is_some_and(|(made_at, _)| *made_at <= visible) {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns the report that readers see now.
+    pub fn visible(&self) -> Option<&LoadReport> {
+        self.reports.front().map(|(_, report)| report)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,5 @@
+//! A stand-in for the platform: key-value service, list of VMs, weight store.
+
+pub mod http;
+pub mod limits;
+pub mod store;
--- /dev/null
+++ b/crates/wire/generate.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Regenerates the border types from the schemas; needs the program cargo-typify.
+set -euo pipefail
+cd "$(dirname "$0")"
+for schema in schemas/*.schema.json; do
+  name=$(basename "$schema" .schema.json)
+  cargo typify --no-builder --additional-derive PartialEq --output "src/$name.rs" "$schema"
+done
+cargo fmt -p gooseberry-wire
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,103 @@
+#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+
+#[doc = "Accounts for the requests of one account at one service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BalanceRow {
+    pub accepted: u64,
+    pub account: ::std::string::String,
+    pub failed: u64,
+    pub refused: u64,
+    pub running: u64,
+    pub service: ::std::string::String,
+    pub unknown: u64,
+    pub whole: u64,
+}
+#[doc = "Reports the state of one daemon."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct DaemonStatus {
+    pub balance: ::std::vec::Vec<BalanceRow>,
+    pub daemon: ::std::string::String,
+    pub engines: ::std::vec::Vec<EngineStatus>,
+    pub failure_domain: ::std::string::String,
+    pub incarnation: u64,
+    pub peers: ::std::vec::Vec<PeerHello>,
+    pub ready: bool,
+    pub revision: u64,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub steward: ::std::option::Option<bool>,
+}
+#[doc = "Reports what a daemon knows of an engine."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct EngineStatus {
+    pub engine: ::std::string::String,
+    pub model: ::std::string::String,
+    pub outstanding: u32,
+    pub queued: u32,
+    pub reachable: bool,
+    pub role: ::std::string::String,
+    pub running: u32,
+}
+#[doc = "`PeerBorder`"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(transparent)]
+pub struct PeerBorder(pub ::serde_json::Value);
+impl ::std::ops::Deref for PeerBorder {
+    type Target = ::serde_json::Value;
+    fn deref(&self) -> &::serde_json::Value {
+        &self.0
+    }
+}
+impl ::std::convert::From<PeerBorder> for ::serde_json::Value {
+    fn from(value: PeerBorder) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<::serde_json::Value> for PeerBorder {
+    fn from(value: ::serde_json::Value) -> Self {
+        Self(value)
+    }
+}
+#[doc = "Introduces a daemon to a peer; sent as the heartbeat."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct PeerHello {
+    pub daemon: ::std::string::String,
+    pub failure_domain: ::std::string::String,
+    pub incarnation: u64,
+    #[doc = "Configuration revision in force."]
+    pub revision: u64,
+}
+#[doc = "Carries the configuration of a revision."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct PeerRevision {
+    pub revision: u64,
+    pub text: ::std::string::String,
+}
+#[doc = " Error types."]
+pub mod error {
+    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/trace.rs
@@ -0,0 +1,86 @@
+#![allow(clippy::redundant_closure_call)]
+#![allow(clippy::needless_lifetimes)]
+#![allow(clippy::match_single_binding)]
+#![allow(clippy::clone_on_copy)]
+
+#[doc = "`TraceBorder`"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(transparent)]
+pub struct TraceBorder(pub ::serde_json::Value);
+impl ::std::ops::Deref for TraceBorder {
+    type Target = ::serde_json::Value;
+    fn deref(&self) -> &::serde_json::Value {
+        &self.0
+    }
+}
+impl ::std::convert::From<TraceBorder> for ::serde_json::Value {
+    fn from(value: TraceBorder) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<::serde_json::Value> for TraceBorder {
+    fn from(value: ::serde_json::Value) -> Self {
+        Self(value)
+    }
+}
+#[doc = "Describes one request of a trace file, one JSON object a line."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TraceEntry {
+    #[doc = "Time of arrival since the start of the trace."]
+    pub at_ms: u64,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub body: ::std::option::Option<::std::string::String>,
+    #[doc = "Name of the account."]
+    pub caller: ::std::string::String,
+    #[doc = "Time from arrival to deadline."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub deadline_ms: ::std::option::Option<u64>,
+    #[doc = "Idempotency key."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub key: ::std::option::Option<::std::string::String>,
+    #[doc = "Method of a call to a plain service."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub method: ::std::option::Option<::std::string::String>,
+    #[serde(default)]
+    pub output_tokens: u32,
+    #[doc = "Path of a call to a plain service."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub path: ::std::option::Option<::std::string::String>,
+    #[doc = "Name of the prefix that prompts share."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub prefix: ::std::option::Option<::std::string::String>,
+    #[doc = "Tokens of the prompt that belong to the shared prefix."]
+    #[serde(default)]
+    pub prefix_tokens: u32,
+    #[serde(default)]
+    pub prompt_tokens: u32,
+    #[doc = "Name of the service."]
+    pub service: ::std::string::String,
+}
+#[doc = " Error types."]
+pub mod error {
+    #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,92 @@
+#!/usr/bin/env bash
+# Runs the whole system on loopback, replays a trace and prints the report.
+#
+# Usage: scripts/demo.sh [TRACE]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+trace=${1:-samples/demo/trace.jsonl}
+profile=${GOOSEBERRY_PROFILE:-release}
+case $profile in
+  release) cargo build --release --bins ;;
+  *) cargo build --bins ;;
+esac
+bin=${CARGO_TARGET_DIR:-target}/$profile
+work=$(mktemp -d)
+pids=()
+
+stop_all() {
+  # Daemons first, so that they finish what runs before the back ends go.
+  for pid in $(printf '%s\n' "${pids[@]}" | tac); do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  [ -n "${GOOSEBERRY_KEEP:-}" ] || rm -rf "$work"
+}
+trap stop_all EXIT
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  pids+=($!)
+}
+
+wait_for() {
+  for _ in $(seq 300); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  echo "gave up waiting for: $*" >&2
+  tail -n 5 "$work"/*.log >&2
+  return 1
+}
+
+start platform "$bin/standin-platform" --listen 127.0.0.1:21000 --control 127.0.0.1:21001
+port=21010
+for engine in a1 a2 a3 b1 b2 b3; do
+  fencing=()
+  # Matches checks_fencing in the sample configuration.
+  case $engine in a1 | a3 | b2) fencing=(--checks-fencing) ;; esac
+  start "engine-$engine" "$bin/standin-engine" --name "engine-$engine" \
+    --listen "127.0.0.1:$port" --control "127.0.0.1:$((port + 1))" "${fencing[@]}"
+  port=$((port + 2))
+done
+start booking-a "$bin/standin-plain" --name booking-a --listen 127.0.0.1:21030 --control 127.0.0.1:21031
+start booking-b "$bin/standin-plain" --name booking-b --listen 127.0.0.1:21032 --control 127.0.0.1:21033
+
+daemons=()
+callers=()
+index=0
+for daemon in a1 a2 b1 b2; do
+  peers=""
+  for other in 0 1 2 3; do
+    [ $other = $index ] || peers="$peers 127.0.0.1:$((21051 + 2 * other)),"
+  done
+  cat >"$work/$daemon.yaml" <<SETTINGS
+name: daemon-$daemon
+failure_domain: domain-${daemon%?}
+listen: 127.0.0.1:$((21050 + 2 * index))
+peer_listen: 127.0.0.1:$((21051 + 2 * index))
+platform: 127.0.0.1:21000
+peer_secret: demonstration
+peers: [$peers]
+SETTINGS
+  start "daemon-$daemon" "$bin/gooseberryd" --settings "$work/$daemon.yaml"
+  callers+=(--daemon "127.0.0.1:$((21050 + 2 * index))")
+  daemons+=(--daemon "127.0.0.1:$((21051 + 2 * index))")
+  index=$((index + 1))
+done
+
+ctl=("$bin/gooseberryctl" --platform 127.0.0.1:21000 --secret demonstration "${daemons[@]}")
+wait_for "${ctl[@]}" put --base 0 --author demonstration samples/demo/configuration.yaml
+serves_all() {
+  [ "$("${ctl[@]}" status | grep -c "6 of 6 engines reachable")" = 4 ]
+}
+wait_for serves_all
+"${ctl[@]}" status
+echo
+"$bin/gooseberry-caller" "${callers[@]}" --key branch=branch-key --key home=home-key "$trace"
+echo
+"${ctl[@]}" report
