Fix the borders for membership and roles; give the demonstration its own ports

Cause: several parts are to be built side by side and need the same types. Change: proof of death and role decisions have their modules in the core, the control thread's view is a file of its own, and scripts/demo.sh takes the thousands of its ports from GOOSEBERRY_PORTS.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,32 +3,26 @@
 //! Tasks on other threads send events; the control thread applies them to its
 //! tables, runs its systems each tick and publishes a snapshot.
 
+mod view;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use gooseberry_core::{
-    arena::{Arena, DomainKey, EngineKey, PlainKey},
-    fleet::{EngineRow, FleetTable, PlainRow},
-    routing::EngineView,
+    fleet::FleetTable,
+    membership::{ListedVm, MembershipTable, ProcessIncarnation},
     time::Timestamp,
 };
 use gooseberry_wire::{
-    engine::{EngineState, LoadReport},
+    engine::LoadReport,
+    peer::PeerHello,
     platform::{VmListing, VmState},
 };
 use smol_str::SmolStr;
 
-use crate::{
-    context::DaemonContext,
-    pollers,
-    snapshot::{EngineEntry, EngineGauge, FleetSnapshot, PlainEntry},
-};
+use crate::{context::DaemonContext, pollers, snapshot::EngineGauge};
 
 /// Interval of the systems.
 const TICK: Duration = Duration::from_millis(20);
-/// Age at which a load report no longer shows that its engine is alive.
-const REPORT_EXPIRY: Duration = Duration::from_secs(2);
-/// Cache piece assumed until an engine reports its own.
-const DEFAULT_PIECE_TOKENS: u32 = 16;
 
 /// Tells the control thread what happened.
 #[derive(Debug)]
@@ -43,6 +37,8 @@
     PlainHealth { server: SmolStr, healthy: bool },
     /// The platform's list of VMs came in.
     Vms(VmListing),
+    /// Another daemon introduced itself.
+    Peer(PeerHello),
 }
 
 /// Holds all control state of a daemon.
@@ -51,8 +47,7 @@
     fleet: Arc<FleetTable>,
     engines: HashMap<SmolStr, EngineStatus>,
     plain_servers: HashMap<SmolStr, PlainStatus>,
-    /// VMs that the platform lists as leaving.
-    leaving: Vec<SmolStr>,
+    membership: MembershipTable,
     changed: bool,
 }
 
@@ -80,7 +75,7 @@
             fleet: Arc::default(),
             engines: HashMap::new(),
             plain_servers: HashMap::new(),
-            leaving: Vec::new(),
+            membership: MembershipTable::default(),
             changed: false,
         }
     }
@@ -111,10 +106,12 @@
             ControlEvent::PlainHealth { server, healthy } => {
                 self.plain_servers.entry(server).or_default().healthy = healthy;
             }
-            ControlEvent::Vms(listing) => {
-                let leaving = listing.vms.into_iter().filter(|vm| vm.state == VmState::Leaving);
-                self.leaving = leaving.map(|vm| SmolStr::new(vm.name)).collect();
+            ControlEvent::Peer(hello) => {
+                let vm = SmolStr::new(hello.daemon);
+                let process = ProcessIncarnation { vm, incarnation: hello.incarnation };
+                self.membership.observe_process(&process, now);
             }
+            ControlEvent::Vms(listing) => self.observe_listing(&listing, now),
         }
         self.changed = true;
     }
@@ -145,6 +142,19 @@
         self.fleet = fleet;
     }
 
+    fn observe_listing(&mut self, listing: &VmListing, now: Timestamp) {
+        let vms: Vec<_> = listing
+            .vms
+            .iter()
+            .map(|vm| ListedVm {
+                name: SmolStr::new(&vm.name),
+                leaving: vm.state == VmState::Leaving,
+            })
+            .collect();
+        let made_at = Timestamp::from_millis(listing.made_at_ms);
+        self.membership.observe_listing(made_at, &vms, now);
+    }
+
     fn tick(&mut self, now: Timestamp) {
         // Reports expire with time, so the view may change without an event.
         if self.changed || !self.engines.is_empty() {
@@ -152,66 +162,4 @@
             self.changed = false;
         }
     }
-
-    fn view(&self, now: Timestamp) -> FleetSnapshot {
-        let domain = self.fleet.domain(&self.context.settings.failure_domain);
-        let engines = self.fleet.engines.iter();
-        let engines = engines.map(|(key, row)| self.engine_entry(key, row, domain, now)).collect();
-        let servers = self.fleet.plain_servers.iter();
-        let plain_servers: Arena<PlainKey, PlainEntry> =
-            servers.map(|(_, row)| self.plain_entry(row, domain)).collect();
-        FleetSnapshot { fleet: Arc::clone(&self.fleet), domain, engines, plain_servers }
-    }
-
-    fn engine_entry(
-        &self,
-        engine: EngineKey,
-        row: &EngineRow,
-        domain: Option<DomainKey>,
-        now: Timestamp,
-    ) -> EngineEntry {
-        let status = &self.engines[&row.name];
-        let report = status.report.as_ref().filter(|_| now.since(status.received) < REPORT_EXPIRY);
-        let leaving = row.leaving || self.leaving.contains(&row.name);
-        let serving = report.is_some_and(|report| report.state == EngineState::Serving);
-        let model = report.map_or(row.model, |report| {
-            let loaded = self.fleet.models.find(|model| model.name == report.model);
-            loaded.map_or(row.model, |(key, _)| key)
-        });
-        let role = report.and_then(|report| report.role.to_string().parse().ok());
-        EngineEntry {
-            view: EngineView {
-                engine,
-                model,
-                role: role.unwrap_or(row.role),
-                open: serving && !leaving,
-                latency: self.latency(domain, row.domain),
-                running: report.map_or(0, |report| report.running),
-                queued: report.map_or(0, |report| report.queued),
-                backlog_tokens: report.map_or(0, |report| report.prefill_backlog_tokens),
-                outstanding: 0,
-                unreported_tokens: 0,
-            },
-            piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
-            gauge: Arc::clone(&status.gauge),
-        }
-    }
-
-    fn plain_entry(&self, row: &PlainRow, domain: Option<DomainKey>) -> PlainEntry {
-        let status = &self.plain_servers[&row.name];
-        let leaving = row.leaving || self.leaving.contains(&row.name);
-        PlainEntry {
-            open: status.healthy && !leaving,
-            latency: self.latency(domain, row.domain),
-            gauge: Arc::clone(&status.gauge),
-        }
-    }
-
-    /// Returns the one-way latency between two failure domains.
-    fn latency(&self, from: Option<DomainKey>, to: DomainKey) -> Duration {
-        let Some(from) = from else { return Duration::ZERO };
-        let regions = (self.fleet.domains[from].region, self.fleet.domains[to].region);
-        let link = self.fleet.link(regions.0, regions.1);
-        link.map_or(Duration::ZERO, |link| link.latency)
-    }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use gooseberry_core::time::Timestamp;
 use gooseberry_wire::peer::{DaemonStatus, EngineStatus, PeerHello, PeerRevision};
 use jsonrpsee::{
     core::{async_trait, client::ClientT, RpcResult},
@@ -14,7 +15,7 @@
 use parking_lot::Mutex;
 use subtle::ConstantTimeEq;
 
-use crate::{context::DaemonContext, revisions::RevisionStore};
+use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore};
 
 /// Interval of heartbeats between daemons.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -57,12 +58,12 @@
 
 struct KnownPeer {
     hello: PeerHello,
-    heard: gooseberry_core::time::Timestamp,
+    heard: Timestamp,
 }
 
 impl PeerBook {
     /// Notes an introduction, unless a newer incarnation has come before.
-    pub fn hear(&self, hello: PeerHello, now: gooseberry_core::time::Timestamp) {
+    pub fn hear(&self, hello: PeerHello, now: Timestamp) {
         let mut peers = self.peers.lock();
         let known = peers.iter_mut().find(|peer| peer.hello.daemon == hello.daemon);
         match known {
@@ -73,7 +74,7 @@
     }
 
     /// Lists the peers that were heard lately.
-    pub fn live(&self, now: gooseberry_core::time::Timestamp) -> Vec<PeerHello> {
+    pub fn live(&self, now: Timestamp) -> Vec<PeerHello> {
         let peers = self.peers.lock();
         let live = peers.iter().filter(|peer| now.since(peer.heard) < PEER_EXPIRY);
         live.map(|peer| peer.hello.clone()).collect()
@@ -115,6 +116,7 @@
 impl PeerApiServer for PeerServer {
     async fn hello(&self, secret: String, hello: PeerHello) -> RpcResult<PeerHello> {
         self.check(&secret)?;
+        let _ = self.context.events.send(ControlEvent::Peer(hello.clone())).await;
         self.book.hear(hello, self.context.clock.now());
         Ok(own_hello(&self.context))
     }
@@ -204,6 +206,7 @@
         let hello: PeerHello =
             client.request("hello", rpc_params![secret, own_hello(context)]).await?;
         let offered = hello.revision;
+        let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
         book.hear(hello, context.clock.now());
         if offered > revisions.revision() {
             let newest: Option<PeerRevision> =
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -11,6 +11,7 @@
 use gooseberry_core::{
     arena::{Arena, DomainKey, EngineKey, PlainKey, ServiceKey},
     fleet::{FleetTable, ServiceKind},
+    membership::MembershipTable,
     routing::EngineView,
 };
 
@@ -18,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetSnapshot {
     pub fleet: Arc<FleetTable>,
+    pub membership: MembershipTable,
     /// Failure domain of this daemon, if the configuration names it.
     pub domain: Option<DomainKey>,
     pub engines: Arena<EngineKey, EngineEntry>,
@@ -92,6 +94,7 @@
     pub fn empty() -> Self {
         Self {
             fleet: Arc::default(),
+            membership: MembershipTable::default(),
             domain: None,
             engines: Arena::default(),
             plain_servers: Arena::default(),
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,8 @@
 cd "$(dirname "$0")/.."
 trace=${1:-samples/demo/trace.jsonl}
 profile=${GOOSEBERRY_PROFILE:-release}
+# Thousands of the ports, so that several copies can run side by side.
+ports=${GOOSEBERRY_PORTS:-21}
 case $profile in
   release) cargo build --release --bins ;;
   *) cargo build --bins ;;
@@ -43,8 +45,8 @@
   return 1
 }
 
-start platform "$bin/standin-platform" --listen 127.0.0.1:21000 --control 127.0.0.1:21001
-port=21010
+start platform "$bin/standin-platform" --listen 127.0.0.1:${ports}000 --control 127.0.0.1:${ports}001
+port=${ports}010
 for engine in a1 a2 a3 b1 b2 b3; do
   fencing=()
   # Matches checks_fencing in the sample configuration.
@@ -53,8 +55,8 @@
     --listen "127.0.0.1:$port" --control "127.0.0.1:$((port + 1))" "${fencing[@]}"
   port=$((port + 2))
 done
-start booking-a "$bin/standin-plain" --name booking-a --listen 127.0.0.1:21030 --control 127.0.0.1:21031
-start booking-b "$bin/standin-plain" --name booking-b --listen 127.0.0.1:21032 --control 127.0.0.1:21033
+start booking-a "$bin/standin-plain" --name booking-a --listen 127.0.0.1:${ports}030 --control 127.0.0.1:${ports}031
+start booking-b "$bin/standin-plain" --name booking-b --listen 127.0.0.1:${ports}032 --control 127.0.0.1:${ports}033
 
 daemons=()
 callers=()
@@ -62,25 +64,26 @@
 for daemon in a1 a2 b1 b2; do
   peers=""
   for other in 0 1 2 3; do
-    [ $other = $index ] || peers="$peers 127.0.0.1:$((21051 + 2 * other)),"
+    [ $other = $index ] || peers="$peers 127.0.0.1:$((${ports}051 + 2 * other)),"
   done
   cat >"$work/$daemon.yaml" <<SETTINGS
 name: daemon-$daemon
 failure_domain: domain-${daemon%?}
-listen: 127.0.0.1:$((21050 + 2 * index))
-peer_listen: 127.0.0.1:$((21051 + 2 * index))
-platform: 127.0.0.1:21000
+listen: 127.0.0.1:$((${ports}050 + 2 * index))
+peer_listen: 127.0.0.1:$((${ports}051 + 2 * index))
+platform: 127.0.0.1:${ports}000
 peer_secret: demonstration
 peers: [$peers]
 SETTINGS
   start "daemon-$daemon" "$bin/gooseberryd" --settings "$work/$daemon.yaml"
-  callers+=(--daemon "127.0.0.1:$((21050 + 2 * index))")
-  daemons+=(--daemon "127.0.0.1:$((21051 + 2 * index))")
+  callers+=(--daemon "127.0.0.1:$((${ports}050 + 2 * index))")
+  daemons+=(--daemon "127.0.0.1:$((${ports}051 + 2 * index))")
   index=$((index + 1))
 done
 
-ctl=("$bin/gooseberryctl" --platform 127.0.0.1:21000 --secret demonstration "${daemons[@]}")
-wait_for "${ctl[@]}" put --base 0 --author demonstration samples/demo/configuration.yaml
+sed "s/127.0.0.1:21/127.0.0.1:$ports/" samples/demo/configuration.yaml >"$work/configuration.yaml"
+ctl=("$bin/gooseberryctl" --platform 127.0.0.1:${ports}000 --secret demonstration "${daemons[@]}")
+wait_for "${ctl[@]}" put --base 0 --author demonstration "$work/configuration.yaml"
 serves_all() {
   [ "$("${ctl[@]}" status | grep -c "6 of 6 engines reachable")" = 4 ]
 }
