Find accounts by an index; name every fault of a text once

Cause: each request compared its key with the keys of all accounts, which grows with 23,000 accounts; and a dependency that doesn't exist was reported a second time as a circle, because its place was taken by the first service. Change: accounts are found by the first bytes of the digest and then compared whole in constant time; unknown dependencies are left out of the circle check.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -5,8 +5,8 @@
 use gooseberry_core::{
     arena::{ArenaKey, DomainKey, ModelKey, RegionKey, ServiceKey},
     fleet::{
-        self, AccountRow, DomainRow, EngineRow, FleetTable, LimitRow, LinkRow, ModelRow,
-        ObjectiveRow, PlainRow, ServiceRow,
+        self, AccountIndex, AccountRow, DomainRow, EngineRow, FleetTable, LimitRow, LinkRow,
+        ModelRow, ObjectiveRow, PlainRow, ServiceRow,
     },
 };
 use gooseberry_wire::{
@@ -63,6 +63,7 @@
         self.add_engines(text, &mut fleet);
         self.add_plain_servers(text, &mut fleet);
         self.add_accounts(text, &mut fleet);
+        fleet.account_index = AccountIndex::new(&fleet.accounts);
         let objectives = text.objectives.clone().unwrap_or_default();
         fleet.objectives = ObjectiveRow {
             first_token: Duration::from_millis(objectives.first_token_ms),
@@ -227,8 +228,14 @@
     fn dependencies(&mut self, at: &str, entry: &ServiceEntry, names: &[&str]) -> Vec<ServiceKey> {
         let mut keys = Vec::new();
         for (index, name) in entry.depends_on.iter().enumerate() {
-            let found = names.iter().position(|known| known == name).map(ServiceKey::from_index);
-            keys.push(self.resolve(&format!("{at}/depends_on/{index}"), "service", name, found));
+            match names.iter().position(|known| known == name) {
+                Some(position) => keys.push(ServiceKey::from_index(position)),
+                None => {
+                    let message =
+                        format!("no service is called {name}; add it or correct the name");
+                    self.fault(&format!("{at}/depends_on/{index}"), message);
+                }
+            }
         }
         keys
     }
@@ -347,10 +354,7 @@
         if *next == to {
             return true;
         }
-        let known = fleet.services.get(*next).is_some();
-        known
-            && !std::mem::replace(&mut seen[next.index()], true)
-            && reaches(fleet, *next, to, seen)
+        !std::mem::replace(&mut seen[next.index()], true) && reaches(fleet, *next, to, seen)
     })
 }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,7 +4,7 @@
 //! table is immutable: a later revision brings a new one, and a request in
 //! flight keeps the table that it was accepted with.
 
-use std::{str::FromStr, time::Duration};
+use std::{collections::HashMap, str::FromStr, time::Duration};
 
 use smol_str::SmolStr;
 
@@ -25,6 +25,7 @@
     pub services: Arena<ServiceKey, ServiceRow>,
     pub plain_servers: Arena<PlainKey, PlainRow>,
     pub accounts: Arena<AccountKey, AccountRow>,
+    pub account_index: AccountIndex,
     pub objectives: ObjectiveRow,
     pub limits: LimitRow,
 }
@@ -258,6 +259,43 @@
     pub priority: AccountPriority,
 }
 
+/// Finds accounts by the digest of a key, in a time that doesn't grow with
+/// their number.
+///
+/// The index is keyed by the first bytes of a digest, which tell nothing of a
+/// key; whether the whole digest fits is for the caller to compare.
+#[derive(Clone, Debug, Default)]
+pub struct AccountIndex {
+    by_start: HashMap<[u8; DIGEST_START], Vec<AccountKey>>,
+}
+
+/// Bytes of a digest that the index is keyed by.
+const DIGEST_START: usize = 8;
+
+impl AccountIndex {
+    /// Indexes all valid keys of all accounts.
+    pub fn new(accounts: &Arena<AccountKey, AccountRow>) -> Self {
+        let mut index = Self::default();
+        for (account, row) in accounts.iter() {
+            for digest in &row.key_digests {
+                index.by_start.entry(start(digest)).or_default().push(account);
+            }
+        }
+        index
+    }
+
+    /// Returns the accounts that may have a key with this digest.
+    pub fn candidates(&self, digest: &[u8; 32]) -> &[AccountKey] {
+        self.by_start.get(&start(digest)).map_or(&[], Vec::as_slice)
+    }
+}
+
+fn start(digest: &[u8; 32]) -> [u8; DIGEST_START] {
+    let mut start = [0; DIGEST_START];
+    start.copy_from_slice(&digest[..DIGEST_START]);
+    start
+}
+
 /// Says what the deployment values most.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/daemon/src/callers/identity.rs
+++ b/crates/daemon/src/callers/identity.rs
@@ -28,16 +28,12 @@
     found.ok_or_else(|| RequestRefusal::not_executed(RefusalReason::WrongKey))
 }
 
-/// Compares all digests, so that the time tells nothing about a match.
+/// Compares whole digests in constant time; the index is no secret.
 fn find_account(fleet: &FleetTable, key: &str) -> Option<AccountKey> {
     let digest: [u8; 32] = Sha256::digest(key.as_bytes()).into();
-    let mut found = None;
-    for (account, row) in fleet.accounts.iter() {
-        for known in &row.key_digests {
-            if bool::from(known.ct_eq(&digest)) {
-                found = Some(account);
-            }
-        }
-    }
-    found
+    let mut candidates = fleet.account_index.candidates(&digest).iter().copied();
+    candidates.find(|account| {
+        let known = &fleet.accounts[*account].key_digests;
+        known.iter().any(|known| bool::from(known.ct_eq(&digest)))
+    })
 }
