Give operators the whole command and auditors the whole balance

Cause: operators had no view of an edit's effect, no drain, and the balance ended with its daemon. Change: gooseberryctl shows the effect before it acts, drains by an edit that keeps comments, sets log levels, and reports as table, JSON and a page with plots; daemons record their balance every minute and, closed, at a graceful stop, so that a killed daemon's share is shown as unknown.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -61,12 +61,17 @@
         TextFault { line: self.line(pointer), field: field_name(pointer), message }
     }
 
+    /// Returns the line of a value that stands in the text.
+    pub fn line_of(&self, pointer: &str) -> Option<usize> {
+        self.lines.get(pointer).copied()
+    }
+
     /// Returns the line of a value, or of the closest value around it.
-    fn line(&self, pointer: &str) -> usize {
+    pub fn line(&self, pointer: &str) -> usize {
         let mut pointer = pointer;
         loop {
-            if let Some(line) = self.lines.get(pointer) {
-                return *line;
+            if let Some(line) = self.line_of(pointer) {
+                return line;
             }
             match pointer.rfind('/') {
                 Some(end) => pointer = &pointer[..end],
--- a/crates/core/src/balance.rs
+++ b/crates/core/src/balance.rs
@@ -1,6 +1,6 @@
 //! The balance of requests: each accepted one ends in exactly one way.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops};
 
 use smol_str::SmolStr;
 
@@ -42,6 +42,20 @@
     }
 }
 
+impl ops::Add for BalanceRow {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            accepted: self.accepted + other.accepted,
+            whole: self.whole + other.whole,
+            refused: self.refused + other.refused,
+            unknown: self.unknown + other.unknown,
+            failed: self.failed + other.failed,
+        }
+    }
+}
+
 /// Accounts for all requests of one daemon.
 #[derive(Clone, Debug, Default)]
 pub struct BalanceTable {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod balance;
 pub mod claims;
 pub mod fleet;
+pub mod history;
 pub mod membership;
 pub mod prefix;
 pub mod refusal;
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -6,14 +6,24 @@
 
 /// Operates gooseberrykeel
 ///
-/// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 the text isn't valid,
+/// Examples:
+///   gooseberryctl check configuration.yaml
+///   gooseberryctl get > configuration.yaml    (edit it, then:)
+///   gooseberryctl put --wait configuration.yaml
+///   gooseberryctl drain engine-a1
+///   gooseberryctl report --html report.html
+///
+/// Exit codes: 0 done, 1 failed or wrong arguments, 3 the text isn't valid,
 /// 4 another operator was first, 5 not in force everywhere yet.
+///
+/// Completions for bash: eval "$(gooseberryctl --bpaf-complete-style-bash)";
+/// likewise for zsh, fish and elvish.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub struct Arguments {
     #[bpaf(external)]
     pub target: Target,
-    /// Print JSON for programs instead of text for people
+    /// Print JSON for programs instead of tables for people
     pub json: bool,
     #[bpaf(external)]
     pub action: Action,
@@ -25,13 +35,13 @@
     /// IP address and port of the platform's services
     #[bpaf(long, env("GOOSEBERRY_PLATFORM"), argument("ADDRESS"), optional)]
     pub platform: Option<String>,
-    /// Secret that the platform asks for
+    /// Secret that the platform asks for; better given by the environment
     #[bpaf(long, env("GOOSEBERRY_PLATFORM_SECRET"), argument("SECRET"), optional)]
     pub platform_secret: Option<String>,
     /// IP address and peer port of a daemon; may be given several times
     #[bpaf(long, env("GOOSEBERRY_DAEMON"), argument("ADDRESS"))]
     pub daemon: Vec<String>,
-    /// Secret that daemons and operators share
+    /// Secret that daemons and operators share; better given by the environment
     #[bpaf(long, env("GOOSEBERRY_SECRET"), argument("SECRET"), fallback(String::new()))]
     pub secret: String,
 }
@@ -46,25 +56,16 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Put a configuration text in force
+    /// Print the schema of the configuration text
     #[bpaf(command)]
-    Put {
-        /// Revision that the edit started from; 0 for the first text
-        #[bpaf(long, argument("REVISION"))]
-        base: u64,
-        /// Name of the author, for the record
-        #[bpaf(long, env("USER"), argument("NAME"), fallback("unknown".to_owned()))]
-        author: String,
-        /// Wait until the text is in force at all named daemons
-        wait: bool,
-        /// YAML file to put
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
-    },
-    /// Print the configuration text that is recorded
+    Schema,
+    /// Show the effect of a configuration text and put it in force
+    #[bpaf(command)]
+    Put(#[bpaf(external(put_options))] PutOptions),
+    /// Print the recorded configuration text, with its revision in the first line
     #[bpaf(command)]
     Get,
-    /// Print the difference between the recorded text and a file
+    /// Print the difference between the recorded text and a file, and its effect
     #[bpaf(command)]
     Diff {
         /// YAML file to compare
@@ -73,8 +74,51 @@
     },
     /// Print the state of the named daemons
     #[bpaf(command)]
-    Status,
-    /// Print the balance of requests over the named daemons
+    Status {
+        /// Print the engines that each daemon knows, too
+        engines: bool,
+    },
+    /// Edit the recorded text so that an engine or plain server gets no new work
     #[bpaf(command)]
-    Report,
+    Drain {
+        /// Name of the author, for the record
+        #[bpaf(long, env("USER"), argument("NAME"), fallback("unknown".to_owned()))]
+        author: String,
+        /// Name of the engine or plain server
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// Print the balance of requests, for auditors
+    #[bpaf(command)]
+    Report {
+        /// Write a self-contained HTML page with plots to this file
+        #[bpaf(long, argument("FILE"), optional)]
+        html: Option<PathBuf>,
+    },
+    /// Set the level of the logs of the named daemons while they run
+    #[bpaf(command)]
+    LogLevel {
+        /// Level, such as info or gooseberry_daemon=debug
+        #[bpaf(positional("LEVEL"))]
+        level: String,
+    },
+}
+
+/// Says how to put a text in force.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PutOptions {
+    /// Revision that the edit started from, 0 for the first text; taken from
+    /// the first line that `get` printed if it isn't given
+    #[bpaf(long, argument("REVISION"), optional)]
+    pub base: Option<u64>,
+    /// Name of the author, for the record
+    #[bpaf(long, env("USER"), argument("NAME"), fallback("unknown".to_owned()))]
+    pub author: String,
+    /// Show the effect only
+    pub dry_run: bool,
+    /// Wait until the text is in force at all named daemons
+    pub wait: bool,
+    /// YAML file to put
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
 }
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,43 @@
+//! The commands, each in a file of its own.
+
+mod balance;
+mod state;
+mod text;
+
+use std::process::ExitCode;
+
+use crate::{
+    arguments::{Action, Arguments},
+    exit::CommandError,
+    output::OutputStyle,
+};
+
+/// Carries out the action and prints its result.
+pub async fn run(arguments: Arguments) -> ExitCode {
+    match act(&arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gooseberryctl: {error}");
+            error.code()
+        }
+    }
+}
+
+async fn act(arguments: &Arguments) -> Result<(), CommandError> {
+    let target = &arguments.target;
+    let style = if arguments.json { OutputStyle::Programs } else { OutputStyle::People };
+    match &arguments.action {
+        Action::Check { file } => text::check(file, style),
+        Action::Schema => {
+            print!("{}", gooseberry_wire::CONFIGURATION_SCHEMA);
+            Ok(())
+        }
+        Action::Put(options) => text::put(target, options, style).await,
+        Action::Get => text::get(target, style).await,
+        Action::Diff { file } => text::diff(target, file, style).await,
+        Action::Drain { author, name } => text::drain(target, author, name, style).await,
+        Action::Status { engines } => state::status(target, *engines, style).await,
+        Action::LogLevel { level } => state::log_level(target, level).await,
+        Action::Report { html } => balance::report(target, html.as_deref(), style).await,
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands/balance.rs
@@ -0,0 +1,34 @@
+//! The command that prints the balance for auditors.
+
+use std::{fs, path::Path};
+
+use anyhow::Context;
+
+use crate::{
+    arguments::Target,
+    daemons,
+    exit::CommandError,
+    output::OutputStyle,
+    report::{html, records, table, BalanceReport},
+};
+
+pub(super) async fn report(
+    target: &Target,
+    page: Option<&Path>,
+    style: OutputStyle,
+) -> Result<(), CommandError> {
+    let recorded = records::read(target).await?;
+    let statuses = daemons::statuses(target).await;
+    let live = statuses.into_iter().filter_map(|daemon| daemon.answer.ok());
+    let report = BalanceReport::new(recorded, live.collect());
+    if let Some(file) = page {
+        let histories = daemons::histories(target).await;
+        let histories: Vec<_> =
+            histories.into_iter().filter_map(|daemon| daemon.answer.ok()).collect();
+        fs::write(file, html::page(&report, &histories)?)
+            .with_context(|| format!("can't write {}", file.display()))?;
+        eprintln!("wrote {}", file.display());
+    }
+    style.print(&report, || table::text(&report));
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/commands/text.rs
@@ -0,0 +1,199 @@
+//! Commands on the configuration text.
+
+use std::{fs, path::Path, time::Duration};
+
+use anyhow::Context;
+use async_std::task;
+use gooseberry_config::fleet;
+use gooseberry_core::fleet::FleetTable;
+use serde_json::json;
+
+use crate::{
+    arguments::{PutOptions, Target},
+    configuration::{self, ConfigurationStore, RecordedText},
+    daemons::{self, DaemonAnswer},
+    drain,
+    effect::{self, EditEffect},
+    exit::CommandError,
+    output::OutputStyle,
+};
+
+/// Start of the line that `get` puts before the text.
+const REVISION_LINE: &str = "# gooseberrykeel revision ";
+/// Longest time that `put --wait` waits.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// Interval at which `put --wait` asks.
+const WAIT_INTERVAL: Duration = Duration::from_millis(200);
+
+pub(super) fn check(file: &Path, style: OutputStyle) -> Result<(), CommandError> {
+    let fleet = fleet::build(0, &read(file)?)?;
+    let counts = json!({
+        "services": fleet.services.len(),
+        "engines": fleet.engines.len(),
+        "plain_servers": fleet.plain_servers.len(),
+        "accounts": fleet.accounts.len(),
+    });
+    style.print(&counts, || {
+        format!(
+            "{} is valid: {} services, {} engines, {} plain servers, {} accounts",
+            file.display(),
+            fleet.services.len(),
+            fleet.engines.len(),
+            fleet.plain_servers.len(),
+            fleet.accounts.len(),
+        )
+    });
+    Ok(())
+}
+
+pub(super) async fn put(
+    target: &Target,
+    options: &PutOptions,
+    style: OutputStyle,
+) -> Result<(), CommandError> {
+    let text = read(&options.file)?;
+    // The whole file is checked, so that faults have the file's own lines.
+    let new = fleet::build(0, &text)?;
+    let (base_line, text) = split_revision_line(&text);
+    let base = options.base.or(base_line).context(
+        "name the revision that the edit started from with --base, or keep the line from `get`",
+    )?;
+    let store = ConfigurationStore::new(target)?;
+    let recorded = store.get().await?;
+    let effects = effect::effects(&recorded_fleet(recorded.as_ref()), &new);
+    if options.dry_run {
+        style.print(&effects, || describe(&effects));
+        return Ok(());
+    }
+    if style == OutputStyle::People {
+        println!("{}", describe(&effects));
+    }
+    let revision = store.put(base, &options.author, text).await?;
+    style.print(&json!({ "revision": revision, "effects": effects }), || {
+        format!("recorded as revision {revision}")
+    });
+    if options.wait {
+        wait_in_force(target, revision, style).await?;
+    }
+    Ok(())
+}
+
+pub(super) async fn get(target: &Target, style: OutputStyle) -> Result<(), CommandError> {
+    let recorded = recorded(target).await?;
+    style.print(&json!({ "revision": recorded.revision, "edit": recorded.edit }), || {
+        format!("{REVISION_LINE}{}\n{}", recorded.revision, recorded.edit.text)
+    });
+    Ok(())
+}
+
+pub(super) async fn diff(
+    target: &Target,
+    file: &Path,
+    style: OutputStyle,
+) -> Result<(), CommandError> {
+    let text = read(file)?;
+    let new = fleet::build(0, &text)?;
+    let (_, text) = split_revision_line(&text);
+    let recorded = ConfigurationStore::new(target)?.get().await?;
+    let effects = effect::effects(&recorded_fleet(recorded.as_ref()), &new);
+    let old = recorded.map_or(String::new(), |recorded| recorded.edit.text);
+    let difference = configuration::difference(&old, text);
+    style.print(&json!({ "difference": difference, "effects": effects }), || {
+        format!("{difference}\n{}", describe(&effects))
+    });
+    Ok(())
+}
+
+pub(super) async fn drain(
+    target: &Target,
+    author: &str,
+    name: &str,
+    style: OutputStyle,
+) -> Result<(), CommandError> {
+    let recorded = recorded(target).await?;
+    let text = drain::drain(&recorded.edit.text, name).map_err(anyhow::Error::from)?;
+    let store = ConfigurationStore::new(target)?;
+    let revision = store.put(recorded.revision, author, &text).await?;
+    style.print(&json!({ "revision": revision }), || {
+        format!("{name} gets no new work from revision {revision} on")
+    });
+    Ok(())
+}
+
+async fn recorded(target: &Target) -> anyhow::Result<RecordedText> {
+    let recorded = ConfigurationStore::new(target)?.get().await?;
+    recorded.context("no configuration is recorded; put the first one with --base 0")
+}
+
+/// Builds the recorded fleet; a text that is no longer valid counts as empty.
+fn recorded_fleet(recorded: Option<&RecordedText>) -> FleetTable {
+    let Some(recorded) = recorded else { return FleetTable::default() };
+    fleet::build(recorded.revision, &recorded.edit.text).unwrap_or_default()
+}
+
+fn describe(effects: &[EditEffect]) -> String {
+    if effects.is_empty() {
+        return "no service, engine, server or account changes".to_owned();
+    }
+    let lines: Vec<_> = effects.iter().map(|effect| format!("  {effect}")).collect();
+    format!("effect:\n{}", lines.join("\n"))
+}
+
+fn read(file: &Path) -> anyhow::Result<String> {
+    fs::read_to_string(file).with_context(|| format!("can't read {}", file.display()))
+}
+
+/// Takes the line that `get` put before the text off it again.
+fn split_revision_line(text: &str) -> (Option<u64>, &str) {
+    let Some((line, rest)) = text.split_once('\n') else { return (None, text) };
+    let revision = line.strip_prefix(REVISION_LINE).and_then(|number| number.trim().parse().ok());
+    match revision {
+        Some(revision) => (Some(revision), rest),
+        None => (None, text),
+    }
+}
+
+/// Waits until all named daemons have a revision in force.
+async fn wait_in_force(
+    target: &Target,
+    revision: u64,
+    style: OutputStyle,
+) -> Result<(), CommandError> {
+    let mut waited = Duration::ZERO;
+    loop {
+        let answers = daemons::statuses(target).await;
+        let lagging: Vec<_> = answers
+            .iter()
+            .filter(|daemon| {
+                !daemon.answer.as_ref().is_ok_and(|status| status.revision >= revision)
+            })
+            .map(daemon_name)
+            .collect();
+        if lagging.is_empty() {
+            style.print(&json!({ "in_force": answers.len() }), || {
+                format!("in force at all {} named daemons", answers.len())
+            });
+            return Ok(());
+        }
+        if waited >= WAIT_LIMIT {
+            return Err(CommandError::Lagging { revision, lagging: lagging.join(", ") });
+        }
+        if style == OutputStyle::People {
+            eprintln!(
+                "in force at {} of {}; lagging: {}",
+                answers.len() - lagging.len(),
+                answers.len(),
+                lagging.join(", ")
+            );
+        }
+        task::sleep(WAIT_INTERVAL).await;
+        waited += WAIT_INTERVAL;
+    }
+}
+
+fn daemon_name(daemon: &DaemonAnswer<gooseberry_wire::peer::DaemonStatus>) -> String {
+    match &daemon.answer {
+        Ok(status) => status.daemon.clone(),
+        Err(_) => format!("{} (no answer)", daemon.address),
+    }
+}
--- a/crates/ctl/src/daemons.rs
+++ b/crates/ctl/src/daemons.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use gooseberry_wire::peer::DaemonStatus;
-use jsonrpsee::{core::client::ClientT, rpc_params, ws_client::WsClientBuilder};
+use gooseberry_wire::peer::{DaemonHistory, DaemonStatus};
+use jsonrpsee::{
+    core::client::ClientT,
+    rpc_params,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use serde::de::DeserializeOwned;
 
 use crate::arguments::Target;
 
@@ -13,28 +18,47 @@
 
 /// Holds the answer of one daemon.
 #[derive(Debug)]
-pub struct DaemonAnswer {
+pub struct DaemonAnswer<T> {
     pub address: String,
-    pub status: anyhow::Result<DaemonStatus>,
+    pub answer: anyhow::Result<T>,
 }
 
 /// Asks all named daemons for their state.
-pub async fn ask_all(target: &Target) -> Vec<DaemonAnswer> {
+pub async fn statuses(target: &Target) -> Vec<DaemonAnswer<DaemonStatus>> {
+    ask_all(target, "status").await
+}
+
+/// Asks all named daemons for the samples of their work.
+pub async fn histories(target: &Target) -> Vec<DaemonAnswer<DaemonHistory>> {
+    ask_all(target, "history").await
+}
+
+async fn ask_all<T: DeserializeOwned>(target: &Target, method: &str) -> Vec<DaemonAnswer<T>> {
     let mut answers = Vec::new();
     for address in &target.daemon {
-        let status = ask(address, &target.secret).await;
-        answers.push(DaemonAnswer { address: address.clone(), status });
+        let answer = ask(address, method, &target.secret).await;
+        answers.push(DaemonAnswer { address: address.clone(), answer });
     }
     answers
 }
 
-async fn ask(address: &str, secret: &str) -> anyhow::Result<DaemonStatus> {
+async fn ask<T: DeserializeOwned>(address: &str, method: &str, secret: &str) -> anyhow::Result<T> {
+    Ok(connect(address).await?.request(method, rpc_params![secret]).await?)
+}
+
+/// Sets the level of the logs of one daemon.
+///
+/// # Errors
+///
+/// Returns an error if the daemon can't be reached or refuses the level.
+pub async fn set_log_level(address: &str, secret: &str, level: &str) -> anyhow::Result<()> {
+    Ok(connect(address).await?.request("log_level", rpc_params![secret, level]).await?)
+}
+
+async fn connect(address: &str) -> anyhow::Result<WsClient> {
     let builder = WsClientBuilder::default()
         .connection_timeout(ANSWER_TIMEOUT)
         .request_timeout(ANSWER_TIMEOUT);
-    let client = builder
-        .build(format!("ws://{address}"))
-        .await
-        .with_context(|| format!("can't reach the daemon at {address}"))?;
-    Ok(client.request("status", rpc_params![secret]).await?)
+    let client = builder.build(format!("ws://{address}")).await;
+    client.with_context(|| format!("can't reach the daemon at {address}"))
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,9 +3,9 @@
 use std::process::ExitCode;
 
 use async_std::task;
-use gooseberry_ctl::{arguments, run};
+use gooseberry_ctl::{arguments, commands};
 
 fn main() -> ExitCode {
     let arguments = arguments::arguments().run();
-    task::block_on(run::run(arguments))
+    task::block_on(commands::run(arguments))
 }
--- a/crates/daemon/src/balance.rs
+++ b/crates/daemon/src/balance.rs
@@ -1,8 +1,17 @@
 //! The balance of this daemon's requests, shared by the traffic threads.
 
-use std::sync::Arc;
+pub mod record;
 
-use gooseberry_core::balance::{BalanceKey, BalanceTable, RequestOutcome};
+use std::sync::{
+    atomic::{AtomicU64, Ordering},
+    Arc,
+};
+
+use gooseberry_core::{
+    balance::{BalanceKey, BalanceRow, BalanceTable, RequestOutcome},
+    history::HistorySample,
+    time::Timestamp,
+};
 use gooseberry_wire::peer;
 use parking_lot::Mutex;
 
@@ -12,13 +21,21 @@
 #[derive(Clone)]
 pub struct BalanceBook {
     table: Arc<Mutex<BalanceTable>>,
+    tokens: Arc<TokenTotals>,
     metrics: Arc<MetricClient>,
 }
 
+/// Counts the tokens of whole answers.
+#[derive(Debug, Default)]
+struct TokenTotals {
+    prompt: AtomicU64,
+    output: AtomicU64,
+}
+
 impl BalanceBook {
     /// Makes an empty book.
     pub fn new(metrics: Arc<MetricClient>) -> Self {
-        Self { table: Arc::default(), metrics }
+        Self { table: Arc::default(), tokens: Arc::default(), metrics }
     }
 
     /// Counts a request; the ticket must say how it ends.
@@ -45,6 +62,22 @@
             .collect()
     }
 
+    /// Samples the totals over all rows, without the engines' roles.
+    pub fn sample(&self, now: Timestamp) -> HistorySample {
+        let total =
+            self.table.lock().iter().fold(BalanceRow::default(), |sum, (_, row)| sum + *row);
+        HistorySample {
+            at: now,
+            whole: total.whole,
+            refused: total.refused,
+            unknown: total.unknown,
+            failed: total.failed,
+            prompt_tokens: self.tokens.prompt.load(Ordering::Relaxed),
+            output_tokens: self.tokens.output.load(Ordering::Relaxed),
+            ..HistorySample::default()
+        }
+    }
+
     fn end(&self, key: &BalanceKey, outcome: RequestOutcome) {
         self.table.lock().end(key, outcome);
         self.metrics.request_ended(outcome);
@@ -69,6 +102,16 @@
     }
 }
 
+impl RequestTicket {
+    /// Counts a whole completion with its tokens.
+    pub fn end_whole(self, prompt_tokens: u32, output_tokens: u32) {
+        let tokens = &self.book.tokens;
+        tokens.prompt.fetch_add(u64::from(prompt_tokens), Ordering::Relaxed);
+        tokens.output.fetch_add(u64::from(output_tokens), Ordering::Relaxed);
+        self.end(RequestOutcome::Whole);
+    }
+}
+
 impl Drop for RequestTicket {
     fn drop(&mut self) {
         if !self.ended {
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -141,7 +141,7 @@
             cached_tokens: 0,
         };
         let answer = whole_answer(text, usage, last);
-        self.ticket.end(RequestOutcome::Whole);
+        self.ticket.end_whole(self.run.prompt_tokens(), tokens);
         let mut response = Response::new(StatusCode::Ok);
         response.set_content_type(tide::http::mime::JSON);
         response.set_body(match self.style {
@@ -163,7 +163,9 @@
 
     async fn send(mut self, parts: async_channel::Sender<BodyPart>) {
         let mut next = self.first.take();
+        let mut tokens = 0;
         while let Some(chunk) = next {
+            tokens += 1;
             if parts.send(Ok(self.event(chunk))).await.is_err() {
                 // The caller left; the dropped ticket counts it as failed.
                 return;
@@ -174,7 +176,7 @@
             };
         }
         if parts.send(Ok(b"data: [DONE]\n\n".to_vec())).await.is_ok() {
-            self.ticket.end(RequestOutcome::Whole);
+            self.ticket.end_whole(self.run.prompt_tokens(), tokens);
         }
     }
 
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,7 +15,13 @@
 use parking_lot::Mutex;
 use subtle::ConstantTimeEq;
 
-use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore};
+use crate::{
+    context::DaemonContext,
+    control::ControlEvent,
+    history::HistoryBook,
+    operators::{OperatorApiServer, OperatorServer},
+    revisions::RevisionStore,
+};
 
 /// Interval of heartbeats between daemons.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,31 +104,40 @@
         context: Arc<DaemonContext>,
         revisions: Arc<RevisionStore>,
         book: Arc<PeerBook>,
+        history: Arc<HistoryBook>,
     ) -> anyhow::Result<ServerHandle> {
         let server = Server::builder().build(&context.settings.peer_listen).await?;
-        Ok(server.start(Self { context, revisions, book }.into_rpc()))
+        let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
+        let mut methods = Self { context, revisions, book }.into_rpc();
+        methods.merge(operators)?;
+        Ok(server.start(methods))
     }
+}
 
-    fn check(&self, secret: &str) -> RpcResult<()> {
-        let known = self.context.settings.peer_secret.as_bytes();
-        if bool::from(known.ct_eq(secret.as_bytes())) {
-            return Ok(());
-        }
-        Err(ErrorObjectOwned::owned(WRONG_SECRET, "the secret is wrong", None::<()>))
+/// Compares a secret with the daemon's own, in constant time.
+///
+/// # Errors
+///
+/// Returns an error for the asker if the secret is wrong.
+pub fn check_secret(context: &DaemonContext, secret: &str) -> RpcResult<()> {
+    let known = context.settings.peer_secret.as_bytes();
+    if bool::from(known.ct_eq(secret.as_bytes())) {
+        return Ok(());
     }
+    Err(ErrorObjectOwned::owned(WRONG_SECRET, "the secret is wrong", None::<()>))
 }
 
 #[async_trait]
 impl PeerApiServer for PeerServer {
     async fn hello(&self, secret: String, hello: PeerHello) -> RpcResult<PeerHello> {
-        self.check(&secret)?;
+        check_secret(&self.context, &secret)?;
         let _ = self.context.events.send(ControlEvent::Peer(hello.clone())).await;
         self.book.hear(hello, self.context.clock.now());
         Ok(own_hello(&self.context))
     }
 
     async fn revision(&self, secret: String) -> RpcResult<Option<PeerRevision>> {
-        self.check(&secret)?;
+        check_secret(&self.context, &secret)?;
         let newest = self.revisions.newest();
         Ok(newest.map(|accepted| PeerRevision {
             revision: accepted.revision,
@@ -131,12 +146,12 @@
     }
 
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus> {
-        self.check(&secret)?;
+        check_secret(&self.context, &secret)?;
         Ok(status(&self.context, &self.book))
     }
 
     async fn log_level(&self, secret: String, level: String) -> RpcResult<()> {
-        self.check(&secret)?;
+        check_secret(&self.context, &secret)?;
         let set = self.context.levels.set(&level);
         set.map_err(|error| ErrorObjectOwned::owned(BAD_VALUE, error.to_string(), None::<()>))
     }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -17,11 +17,12 @@
 use gooseberry_wire::settings::DaemonSettings;
 
 use crate::{
-    balance::BalanceBook,
+    balance::{record, BalanceBook},
     callers::app,
     claims::ClaimStore,
     context::DaemonContext,
     control::{ControlEvent, ControlState},
+    history::{self, HistoryBook},
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
@@ -46,8 +47,9 @@
     start_control(&context, events)?;
     let revisions = Arc::new(RevisionStore::default());
     let book = Arc::new(PeerBook::default());
-    start_tasks(&context, &revisions, &book);
-    let server = PeerServer::start(Arc::clone(&context), revisions, book)
+    let history = Arc::new(HistoryBook::default());
+    start_tasks(&context, &revisions, &book, &history);
+    let server = PeerServer::start(Arc::clone(&context), revisions, book, history)
         .await
         .with_context(|| format!("can't listen at {}", context.settings.peer_listen))?;
     let listen = &context.settings.listen;
@@ -67,6 +69,7 @@
     closed.give();
     serving.await;
     let cut = listener.drain(drain_limit).await;
+    record::close(&context).await;
     let _ = server.stop();
     tracing::info!(cut, balance = ?context.balance.rows(), "stopped");
     Ok(())
@@ -115,7 +118,14 @@
     Ok(())
 }
 
-fn start_tasks(context: &Arc<DaemonContext>, revisions: &Arc<RevisionStore>, book: &Arc<PeerBook>) {
+fn start_tasks(
+    context: &Arc<DaemonContext>,
+    revisions: &Arc<RevisionStore>,
+    book: &Arc<PeerBook>,
+    history: &Arc<HistoryBook>,
+) {
+    task::spawn(history::sample_forever(Arc::clone(context), Arc::clone(history)));
+    task::spawn(record::record_forever(Arc::clone(context)));
     let platform = Arc::clone(&context.platform);
     task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -98,7 +98,7 @@
 }
 
 /// Finds a program beside the test's own folder.
-fn program_path(program: &str) -> PathBuf {
+pub fn program_path(program: &str) -> PathBuf {
     let test = env::current_exe().expect("the test's own path");
     let folder = test.ancestors().nth(2).expect("the target folder");
     folder.join(program)
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -212,6 +212,12 @@
             .expect("an answer of the platform")
     }
 
+    /// Reads the revision of the recorded configuration.
+    pub fn recorded_revision(&self) -> u64 {
+        let record = task::block_on(self.platform_client().get("configuration"));
+        record.expect("an answer of the platform").map_or(0, |record| record.revision)
+    }
+
     /// Makes a client of the stand-in platform.
     pub fn platform_client(&self) -> PlatformClient {
         PlatformClient::new(HttpClient::new(Clock::system()), &self.platform.address, None)
--- /dev/null
+++ b/crates/harness/tests/audit.rs
@@ -0,0 +1,103 @@
+//! What auditors rely on: the balance, dependencies, and keys that stay secret.
+
+use std::process::Command;
+
+use gooseberry_harness::{
+    process,
+    system::{self, SystemSize, TestSystem, ACCOUNT_KEY, PEER_SECRET},
+};
+use gooseberry_wire::{
+    peer::BalanceRow,
+    problem::{ProblemDocument, RequestExecuted},
+};
+use serde::Deserialize;
+
+/// Holds the report as the operators' command prints it.
+#[derive(Debug, Deserialize)]
+struct PrintedReport {
+    rows: Vec<BalanceRow>,
+    unknown_shares: Vec<serde_json::Value>,
+}
+
+fn report(system: &TestSystem) -> PrintedReport {
+    let mut command = Command::new(process::program_path("gooseberryctl"));
+    command.args(["--json", "--platform", &system.platform.address, "--secret", PEER_SECRET]);
+    for daemon in &system.daemons {
+        command.args(["--daemon", &daemon.control]);
+    }
+    let output = command.arg("report").output().expect("the command's output");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    serde_json::from_slice(&output.stdout).expect("a report as JSON")
+}
+
+fn row<'a>(report: &'a PrintedReport, service: &str) -> &'a BalanceRow {
+    report.rows.iter().find(|row| row.service == service).expect("a row")
+}
+
+#[test]
+fn the_balance_survives_a_graceful_stop() {
+    let mut system = TestSystem::start(SystemSize { daemons: 2, ..SystemSize::default() });
+    for _ in 0..5 {
+        let call = system::completion_call(&system.daemons[0].address, "count me", 3);
+        assert_eq!(call.send().expect("an answer").status, 200);
+    }
+    let before = report(&system);
+    system.daemons[0].process.terminate();
+    assert!(system.daemons[0].process.wait().success());
+    let after = report(&system);
+    assert_eq!(row(&after, "assistant"), row(&before, "assistant"));
+    assert!(after.unknown_shares.is_empty());
+}
+
+#[test]
+fn a_killed_daemons_share_is_shown_as_unknown() {
+    let mut system = TestSystem::start(SystemSize { daemons: 2, ..SystemSize::default() });
+    system.daemons[0].process.kill();
+    assert_eq!(report(&system).unknown_shares.len(), 1);
+}
+
+#[test]
+fn a_service_whose_dependency_is_down_is_refused_early() {
+    let mut system = TestSystem::start(SystemSize::default());
+    let text = system.configuration("").replace(
+        "{name: assistant, kind: completion, model: sample}",
+        "{name: assistant, kind: completion, model: sample, depends_on: [booking]}",
+    );
+    let revision = system.recorded_revision();
+    system.put(revision, &text);
+    system.plain_servers[0].process.kill();
+    let refused = || {
+        let answer = system::completion_call(&system.daemons[0].address, "hello", 1).send().ok()?;
+        (answer.status == 503).then(|| answer.json::<ProblemDocument>())
+    };
+    process::wait_until("the dependency is missed", || refused().is_some());
+    let document = refused().expect("a refusal");
+    assert_eq!(document.dependency.as_deref(), Some("booking"));
+    assert_eq!(document.executed, RequestExecuted::No);
+}
+
+#[test]
+fn no_key_or_secret_is_ever_logged() {
+    let mut system = TestSystem::start(SystemSize::default());
+    let daemon = &system.daemons[0];
+    let level = Command::new(process::program_path("gooseberryctl"))
+        .args(["--secret", PEER_SECRET, "--daemon", &daemon.control, "log-level", "trace"])
+        .output()
+        .expect("the command's output");
+    assert!(level.status.success(), "{}", String::from_utf8_lossy(&level.stderr));
+    assert_eq!(
+        system::reservation_call(&daemon.address, "k").send().expect("an answer").status,
+        200
+    );
+    let call = system::completion_call(&daemon.address, "hello", 2);
+    assert_eq!(call.send().expect("an answer").status, 200);
+    let wrong = call.account_key("wrong-key-of-a-caller").send().expect("an answer");
+    assert_eq!(wrong.status, 401);
+    system.daemons[0].process.terminate();
+    assert!(system.daemons[0].process.wait().success());
+    let log = system.daemons[0].process.log();
+    assert!(log.contains("TRACE"), "the level was changed");
+    for secret in [ACCOUNT_KEY, PEER_SECRET, "wrong-key-of-a-caller"] {
+        assert!(!log.contains(secret), "{secret} is in the log");
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,17 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
+#[doc = "Records a part of the balance of one daemon in the key-value service."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BalanceRecord {
+    pub as_of_ms: u64,
+    #[doc = "Whether the daemon stopped gracefully, so that the record is its last word."]
+    pub closed: bool,
+    pub daemon: ::std::string::String,
+    pub incarnation: u64,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub rows: ::std::vec::Vec<BalanceRow>,
+}
 #[doc = "Accounts for the requests of one account at one service."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct BalanceRow {
@@ -15,6 +26,13 @@
     pub unknown: u64,
     pub whole: u64,
 }
+#[doc = "Lists the samples of one daemon, oldest first."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct DaemonHistory {
+    pub daemon: ::std::string::String,
+    pub incarnation: u64,
+    pub samples: ::std::vec::Vec<HistorySample>,
+}
 #[doc = "Reports the state of one daemon."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct DaemonStatus {
@@ -40,6 +58,20 @@
     pub role: ::std::string::String,
     pub running: u32,
 }
+#[doc = "Holds running totals of one daemon at one moment."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct HistorySample {
+    pub at_ms: u64,
+    pub decode_engines: u32,
+    pub failed: u64,
+    pub mixed_engines: u32,
+    pub output_tokens: u64,
+    pub prefill_engines: u32,
+    pub prompt_tokens: u64,
+    pub refused: u64,
+    pub unknown: u64,
+    pub whole: u64,
+}
 #[doc = "`PeerBorder`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,11 +85,11 @@
 ctl=("$bin/gooseberryctl" --platform 127.0.0.1:${ports}000 --secret demonstration "${daemons[@]}")
 wait_for "${ctl[@]}" put --base 0 --author demonstration "$work/configuration.yaml"
 serves_all() {
-  [ "$("${ctl[@]}" status | grep -c "6 of 6 engines reachable")" = 4 ]
+  [ "$("${ctl[@]}" status | grep -c "6 of 6 reachable")" = 4 ]
 }
 wait_for serves_all
 "${ctl[@]}" status
 echo
 "$bin/gooseberry-caller" "${callers[@]}" --key branch=branch-key --key home=home-key "$trace"
 echo
-"${ctl[@]}" report
+"${ctl[@]}" report --html "${GOOSEBERRY_REPORT:-$work/report.html}"
