Measure what control costs a daemon as the fleet grows

Cause: docs/CAPACITY.md needs slopes that a committed command gives again. Change: gooseberry-capacity runs real daemons idle beside stand-ins and counts their processor time, memory and calls of the platform.

--- /dev/null
+++ b/crates/capacity/src/fleet.rs
@@ -0,0 +1,28 @@
+//! Configurations of a given size.
+
+use std::fmt::Write;
+
+use gooseberry_harness::system::TestSystem;
+
+/// Adds engines that share the address of the system's first one.
+pub fn with_engines(system: &TestSystem, count: usize) -> String {
+    let address = &system.engines[0].address;
+    let mut entries = String::from("engines:\n");
+    for index in 0..count {
+        let _ = writeln!(
+            entries,
+            "  - {{name: many-{index}, address: \"{address}\", failure_domain: domain-0, \
+             model: sample, checks_fencing: true}}"
+        );
+    }
+    system.configuration("").replacen("engines:\n", &entries, 1)
+}
+
+/// Adds accounts, each with one key.
+pub fn with_accounts(system: &TestSystem, count: usize) -> String {
+    let mut entries = String::new();
+    for index in 0..count {
+        let _ = write!(entries, "\n  - {{name: account-{index}, key_sha256: [{index:064x}]}}");
+    }
+    system.configuration(&entries)
+}
--- /dev/null
+++ b/crates/capacity/src/sweep.rs
@@ -0,0 +1,141 @@
+//! One row for each size of what grows.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use comfy_table::{presets, Table};
+use gooseberry_config::fleet as checked;
+use gooseberry_harness::system::{self, SystemSize, TestSystem};
+use gooseberry_wire::platform::PlatformCounts;
+use serde::Serialize;
+
+use crate::{fleet, process_cost};
+
+/// Time for which a system runs before it is measured.
+const SETTLING: Duration = Duration::from_secs(4);
+const ENGINE_COUNTS: [usize; 5] = [10, 78, 200, 390, 780];
+const DAEMON_COUNTS: [usize; 4] = [2, 4, 8, 16];
+const ACCOUNT_COUNTS: [usize; 4] = [100, 1000, 5000, 23_000];
+
+/// Holds what was measured at one size.
+#[derive(Clone, Debug, Serialize)]
+pub struct SweepRow {
+    pub engines: usize,
+    pub daemons: usize,
+    pub accounts: usize,
+    /// Bytes of the configuration text.
+    pub text_bytes: usize,
+    /// Time that checking and building the text takes, in milliseconds.
+    pub build_ms: f64,
+    /// Share of one core that each daemon takes, in percent.
+    pub core_percent: f64,
+    /// Resident memory of each daemon, in MiB.
+    pub resident_mib: f64,
+    /// Calls of the platform for each daemon and second.
+    pub platform_reads: f64,
+    pub platform_watches: f64,
+    pub platform_writes: f64,
+}
+
+/// Grows the number of engines.
+pub fn engines(seconds: u64) -> Vec<SweepRow> {
+    let measure = |count| {
+        let system = start(1);
+        let text = fleet::with_engines(&system, count);
+        measure(&system, &text, Counts { engines: count, accounts: 1 }, seconds)
+    };
+    ENGINE_COUNTS.into_iter().map(measure).collect()
+}
+
+/// Grows the number of daemons.
+pub fn daemons(seconds: u64) -> Vec<SweepRow> {
+    let measure = |count| {
+        let system = start(count);
+        let text = fleet::with_engines(&system, 78);
+        measure(&system, &text, Counts { engines: 78, accounts: 1 }, seconds)
+    };
+    DAEMON_COUNTS.into_iter().map(measure).collect()
+}
+
+/// Grows the number of accounts.
+pub fn accounts(seconds: u64) -> Vec<SweepRow> {
+    let measure = |count| {
+        let system = start(1);
+        let text = fleet::with_accounts(&system, count);
+        measure(&system, &text, Counts { engines: 1, accounts: count }, seconds)
+    };
+    ACCOUNT_COUNTS.into_iter().map(measure).collect()
+}
+
+#[derive(Clone, Copy)]
+struct Counts {
+    engines: usize,
+    accounts: usize,
+}
+
+fn start(daemons: usize) -> TestSystem {
+    let size = SystemSize { daemons, engines: 1, plain_servers: 0, ..SystemSize::default() };
+    TestSystem::start(size)
+}
+
+fn measure(system: &TestSystem, text: &str, counts: Counts, seconds: u64) -> SweepRow {
+    let started = Instant::now();
+    checked::build(1, text).expect("a valid text");
+    let build_ms = started.elapsed().as_secs_f64() * 1000.0;
+    // A text that the platform refuses is measured without being in force.
+    let _ = system.try_put(system.recorded_revision(), text);
+    thread::sleep(SETTLING);
+    let pids: Vec<_> = system.daemons.iter().map(|daemon| daemon.process.id()).collect();
+    let before = system::platform_counts(system);
+    let cost = process_cost::mean_cost(&pids, Duration::from_secs(seconds));
+    let after = system::platform_counts(system);
+    let rate = |count: fn(&PlatformCounts) -> u64| {
+        (count(&after) - count(&before)) as f64 / seconds as f64 / pids.len() as f64
+    };
+    SweepRow {
+        engines: counts.engines,
+        daemons: pids.len(),
+        accounts: counts.accounts,
+        text_bytes: text.len(),
+        build_ms,
+        core_percent: cost.core_percent,
+        resident_mib: cost.resident_mib,
+        platform_reads: rate(|counts| counts.reads + counts.lists),
+        platform_watches: rate(|counts| counts.watches),
+        platform_writes: rate(|counts| counts.writes + counts.leases),
+    }
+}
+
+/// Writes the rows as a table.
+pub fn table(rows: &[SweepRow]) -> String {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN).set_header([
+        "engines",
+        "daemons",
+        "accounts",
+        "text KB",
+        "build ms",
+        "core %",
+        "MiB",
+        "reads/s",
+        "watches/s",
+        "writes/s",
+    ]);
+    for row in rows {
+        table.add_row([
+            row.engines.to_string(),
+            row.daemons.to_string(),
+            row.accounts.to_string(),
+            format!("{:.0}", row.text_bytes as f64 / 1000.0),
+            format!("{:.1}", row.build_ms),
+            format!("{:.2}", row.core_percent),
+            format!("{:.1}", row.resident_mib),
+            format!("{:.2}", row.platform_reads),
+            format!("{:.2}", row.platform_watches),
+            format!("{:.2}", row.platform_writes),
+        ]);
+    }
+    table.to_string()
+}
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -42,6 +42,11 @@
         Self { name: name.to_owned(), child, log }
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns what the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -97,11 +102,11 @@
     }
 }
 
-/// Finds a program beside the test's own folder.
+/// Finds a program of this workspace in the target folder of the running one.
 pub fn program_path(program: &str) -> PathBuf {
-    let test = env::current_exe().expect("the test's own path");
-    let folder = test.ancestors().nth(2).expect("the target folder");
-    folder.join(program)
+    let own = env::current_exe().expect("the test's own path");
+    let mut folders = own.ancestors().skip(1).take(2).map(|folder| folder.join(program));
+    folders.find(|path| path.exists()).unwrap_or_else(|| PathBuf::from(program))
 }
 
 /// Returns a loopback address that nothing listens at.
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -6,7 +6,7 @@
 use gooseberry_edges::{
     clock::Clock,
     http::HttpClient,
-    platform::{PlatformClient, PlatformEdge, PutOutcome},
+    platform::{PlatformClient, PlatformEdge, PlatformError, PutOutcome},
 };
 use gooseberry_standins::plain::{PlainCounts, PlainFaults};
 use gooseberry_wire::{
@@ -175,7 +175,8 @@
                 engine.name, engine.address
             );
         }
-        text.push_str("plain_servers:\n");
+        let heading = if self.plain_servers.is_empty() { "" } else { "plain_servers:\n" };
+        text.push_str(heading);
         for (index, server) in self.plain_servers.iter().enumerate() {
             let domain = index / self.size.plain_servers;
             let _ = writeln!(
@@ -198,7 +199,20 @@
     }
 
     /// Records a configuration text.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the platform gives no answer or refuses the call.
     pub fn put(&self, base: u64, text: &str) -> PutOutcome {
+        self.try_put(base, text).expect("an answer of the platform")
+    }
+
+    /// Records a configuration text, if the platform takes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform gives no answer or refuses the call.
+    pub fn try_put(&self, base: u64, text: &str) -> Result<PutOutcome, PlatformError> {
         let edit = ConfigurationEdit {
             edit: format!("test-{base}"),
             author: "test".to_owned(),
@@ -209,7 +223,6 @@
         let value = serde_json::to_string(&edit).expect("an edit as JSON");
         let put = KvPut { value, expected: Some(base), lease: None };
         task::block_on(self.platform_client().put("configuration", &put))
-            .expect("an answer of the platform")
     }
 
     /// Reads the revision of the recorded configuration.
