Make claims hold under lost answers, outages and dead holders

Cause: a claim's path came from a hash for which callers could make collisions; a second try wrote to the platform every 100 ms while it waited; a create whose answer was lost and whose read failed stayed recorded for ever; the final write of a claim was tried once; a claim of a dead daemon made its callers wait to their deadline; after a running claim had been seen, an outage was answered "not run"; binary answers were dropped; nothing expired.

Change: the decision is a state machine without I/O in core (ClaimAttempt, settle, may_send), which the daemon drives. Released claims are marked, not deleted, so that a delayed write fails on its revision. Final states are written in the background until the platform takes them, and callers of the same daemon learn them from memory meanwhile; a stopping daemon waits for them. Bodies are kept in base64 up to 256 KiB, above that the claim says that the call has run (410, executed: yes). A claim whose holder is proven dead reads as unknown at once. While the platform fails, claims are refused at once, one probe each 500 ms. Expired claims are deleted by random shards. The fingerprint covers the query.

Ruled out: taking a claim over after the proof of death (what the dead holder sent can't be known) and deleting on release (a delayed create would come back and hold the key with nobody to end it).

"executed: no" speaks of the try that gets it: a caller that lost the answer of an earlier try with the same key still has that one unknown.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -52,6 +52,8 @@
     ClaimUnavailable,
     #[error("whether an earlier call with this key has run isn't known")]
     OutcomeUnknown,
+    #[error("the call has run, but its answer was too large to keep")]
+    AnswerNotKept,
     #[error("the backend server failed before it gave an answer")]
     BackendFailed,
     #[error("this request crashed backend servers and isn't run again")]
@@ -80,6 +82,11 @@
         Self { reason, executed: RequestExecuted::Unknown, retry_after: None }
     }
 
+    /// Refuses a request that has run but whose answer can't be given.
+    pub fn executed(reason: RefusalReason) -> Self {
+        Self { reason, executed: RequestExecuted::Yes, retry_after: None }
+    }
+
     /// Adds the time after which the caller may come back.
     pub fn retry_after(mut self, span: Duration) -> Self {
         self.retry_after = Some(span);
@@ -95,6 +102,7 @@
             RefusalReason::WrongKey => 401,
             RefusalReason::UnknownService(_) => 404,
             RefusalReason::ClaimRunning => 409,
+            RefusalReason::AnswerNotKept => 410,
             RefusalReason::BodyTooLarge(_) => 413,
             RefusalReason::KeyReused | RefusalReason::Convicted => 422,
             RefusalReason::LimitReached => 429,
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -5,7 +5,7 @@
 use gooseberry_core::{
     arena::PlainKey,
     balance::RequestOutcome,
-    claims::{self, ClaimKey, ClaimVerdict, KeptAnswer},
+    claims::{ClaimKey, ClaimState, KeptAnswer},
     refusal::{RefusalReason, RequestRefusal},
 };
 use gooseberry_edges::http::{HttpAnswer, HttpCall, HttpError};
@@ -20,13 +20,11 @@
         refusals,
         request::{self, AcceptedRequest},
     },
-    claims::{ClaimOutcome, HeldClaim},
+    claims::store::{ClaimCall, ClaimOutcome, HeldClaim},
 };
 
 /// Header that names a call that runs at most once.
 const KEY_HEADER: &str = "idempotency-key";
-/// Interval at which a second try looks whether the running one has ended.
-const CLAIM_INTERVAL: Duration = Duration::from_millis(100);
 /// Headers that concern one connection only, and the caller's account key.
 const HOP_HEADERS: [&str; 9] = [
     "authorization",
@@ -84,7 +82,8 @@
     /// Returns a hash that differs for another call with the same key.
     fn fingerprint(&self) -> u64 {
         let method = self.call.head.method().to_string();
-        let seed = xxh3::xxh3_64(format!("{method} {}", self.path).as_bytes());
+        let query = self.call.head.url().query().unwrap_or_default();
+        let seed = xxh3::xxh3_64(format!("{method} {}?{query}", self.path).as_bytes());
         xxh3::xxh3_64_with_seed(&self.call.body, seed)
     }
 
@@ -148,38 +147,21 @@
         return Err(RequestRefusal::not_executed(RefusalReason::KeyRequired));
     };
     let fleet = &accepted.snapshot.fleet;
-    let key = ClaimKey {
-        service: fleet.services[accepted.service].name.clone(),
-        account: fleet.accounts[accepted.account].name.clone(),
-        key,
-    };
-    let fingerprint = call.fingerprint();
+    let service = &fleet.services[accepted.service];
+    let account = fleet.accounts[accepted.account].name.clone();
     let context = &accepted.context;
-    loop {
-        let claimed = context.claims.claim(&key, &context.holder, fingerprint).await;
-        match claimed {
-            Ok(ClaimOutcome::Held(held)) => return send_claimed(accepted, call, *held).await,
-            Ok(ClaimOutcome::Found { fingerprint: other, .. }) if other != fingerprint => {
-                return Err(RequestRefusal::not_executed(RefusalReason::KeyReused));
-            }
-            Ok(ClaimOutcome::Found { state, .. }) => match claims::judge(&state, "") {
-                ClaimVerdict::Answer(answer) => return Ok(kept(answer)),
-                ClaimVerdict::Unknown => {
-                    return Err(RequestRefusal::unknown(RefusalReason::OutcomeUnknown));
-                }
-                ClaimVerdict::Wait | ClaimVerdict::Send => {}
-            },
-            Err(error) => {
-                tracing::warn!(%error, "no claim");
-                let refusal = RequestRefusal::not_executed(RefusalReason::ClaimUnavailable);
-                return Err(refusal.retry_after(refusals::SHORT_RETRY));
-            }
-        }
-        if accepted.time_left() < CLAIM_INTERVAL {
-            let refusal = RequestRefusal::unknown(RefusalReason::ClaimRunning);
-            return Err(refusal.retry_after(refusals::SHORT_RETRY));
-        }
-        context.clock.sleep(CLAIM_INTERVAL).await;
+    let claim = ClaimCall {
+        key: ClaimKey { service: service.name.clone(), account, key },
+        holder: context.holder.clone(),
+        fingerprint: call.fingerprint(),
+        deadline: accepted.deadline,
+        retry_horizon: service.retry_horizon,
+    };
+    let members = || context.snapshot.load().membership.clone();
+    match context.claims.claim(&claim, members).await {
+        ClaimOutcome::Held(held) => send_claimed(accepted, call, *held).await,
+        ClaimOutcome::Answered(answer) => Ok(kept(answer)),
+        ClaimOutcome::Refused(refusal) => Err(refusal),
     }
 }
 
@@ -191,26 +173,28 @@
 ) -> Result<Response, RequestRefusal> {
     let claims = &accepted.context.claims;
     let Some(server) = choose(accepted, &[]) else {
-        let _ = claims.release(held).await;
+        claims.settle(held, ClaimState::Released);
         let name = accepted.snapshot.fleet.services[accepted.service].name.clone();
         let refusal = RequestRefusal::not_executed(RefusalReason::NoBackend(name));
         return Err(refusal.retry_after(refusals::SHORT_RETRY));
     };
+    if !claims.may_send(&held) {
+        claims.settle(held, ClaimState::Released);
+        return Err(RequestRefusal::not_executed(RefusalReason::DeadlinePassed));
+    }
     match send(accepted, call, server).await {
         Ok(answer) => {
-            if let Err(error) = claims.finish(held, &answer).await {
-                tracing::warn!(%error, "the answer of a claimed call isn't kept");
-            }
+            claims.settle(held, ClaimState::answered(&answer));
             Ok(respond(answer))
         }
         Err(error) if error.is_unsent() => {
-            let _ = claims.release(held).await;
+            claims.settle(held, ClaimState::Released);
             let refusal = RequestRefusal::not_executed(RefusalReason::BackendFailed);
             Err(refusal.retry_after(refusals::SHORT_RETRY))
         }
         Err(error) => {
             tracing::warn!(%error, "the answer of a claimed call is lost");
-            let _ = claims.lose(held).await;
+            claims.settle(held, ClaimState::Lost);
             Err(RequestRefusal::unknown(RefusalReason::OutcomeUnknown))
         }
     }
--- /dev/null
+++ b/crates/daemon/src/claims/store.rs
@@ -0,0 +1,256 @@
+//! Makes claims, and settles them in the background.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use gooseberry_core::{
+    claims::{
+        self, ClaimAttempt, ClaimKey, ClaimRow, ClaimState, ClaimStep, KeptAnswer, SettleStep,
+        StoreAnswer, CLAIM_INTERVAL,
+    },
+    membership::MembershipTable,
+    outage::OutageGate,
+    refusal::RequestRefusal,
+    time::Timestamp,
+};
+use gooseberry_edges::{
+    clock::Clock,
+    platform::{PlatformEdge, PlatformError, PutOutcome},
+};
+use gooseberry_wire::platform::{KvPut, KvRecord};
+use parking_lot::Mutex;
+use smol_str::{format_smolstr, SmolStr};
+
+use crate::claims::{local::LocalClaims, record};
+
+/// First pause before the final state of a claim is written again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause before the final state of a claim is written again.
+const SETTLE_PAUSE_LIMIT: Duration = Duration::from_secs(5);
+/// Status with which the platform limits the rate of calls.
+const TOO_MANY_CALLS: u16 = 429;
+
+/// Reads and writes claims.
+#[derive(Clone)]
+pub struct ClaimStore {
+    platform: Arc<dyn PlatformEdge>,
+    clock: Clock,
+    gate: Arc<Mutex<OutageGate>>,
+    local: LocalClaims,
+}
+
+/// Describes a call that runs at most once.
+#[derive(Clone, Debug)]
+pub struct ClaimCall {
+    pub key: ClaimKey,
+    /// Process that asks, as VM/INCARNATION.
+    pub holder: SmolStr,
+    /// Hash of the method, path, query and body.
+    pub fingerprint: u64,
+    pub deadline: Timestamp,
+    /// Time for which callers may come back.
+    pub retry_horizon: Duration,
+}
+
+/// Names a claim that this daemon holds.
+#[derive(Clone, Debug)]
+pub struct HeldClaim {
+    path: SmolStr,
+    revision: u64,
+    row: ClaimRow,
+    claimed: Timestamp,
+    deadline: Timestamp,
+}
+
+/// Says how an attempt to claim ended.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// This daemon holds the claim and may send the call, once.
+    Held(Box<HeldClaim>),
+    /// An earlier try has run; its answer is kept.
+    Answered(KeptAnswer),
+    Refused(RequestRefusal),
+}
+
+impl ClaimStore {
+    /// Makes a store on the platform's key-value service.
+    pub fn new(platform: Arc<dyn PlatformEdge>, clock: Clock) -> Self {
+        Self { platform, clock, gate: Arc::default(), local: LocalClaims::default() }
+    }
+
+    /// Returns the claims whose final state the platform hasn't taken.
+    pub fn local(&self) -> &LocalClaims {
+        &self.local
+    }
+
+    /// Claims a key, or finds out how the call of its holder ended.
+    pub async fn claim(
+        &self,
+        call: &ClaimCall,
+        members: impl Fn() -> MembershipTable,
+    ) -> ClaimOutcome {
+        let path = record::claim_path(&call.key);
+        let claimed = self.clock.now();
+        let row = ClaimRow {
+            claim: format_smolstr!("{}/{:016x}", call.holder, rand::random::<u64>()),
+            holder: call.holder.clone(),
+            fingerprint: call.fingerprint,
+            state: ClaimState::Running,
+            expires: claimed + call.retry_horizon,
+        };
+        let mut attempt = ClaimAttempt::new(row.claim.clone(), call.fingerprint, call.deadline);
+        let mut step = ClaimStep::Write { expected: 0 };
+        if let Some(answer) = self.look_locally(&path) {
+            step = attempt.after_read(answer, &members(), claimed);
+        }
+        loop {
+            step = match step {
+                ClaimStep::Write { expected } => {
+                    let answer = self.write(&path, &row, expected, call.deadline).await;
+                    attempt.after_write(answer, &members(), self.clock.now())
+                }
+                ClaimStep::Read => {
+                    let answer = self.read(&path, call.deadline).await;
+                    attempt.after_read(answer, &members(), self.clock.now())
+                }
+                ClaimStep::Wait => {
+                    self.clock.sleep(CLAIM_INTERVAL).await;
+                    let answer = match self.look_locally(&path) {
+                        Some(answer) => answer,
+                        None => self.read(&path, call.deadline).await,
+                    };
+                    attempt.after_read(answer, &members(), self.clock.now())
+                }
+                ClaimStep::Send { revision } => {
+                    self.local.note(path.clone(), row.clone());
+                    let deadline = call.deadline;
+                    let held = HeldClaim { path, revision, row, claimed, deadline };
+                    return ClaimOutcome::Held(Box::new(held));
+                }
+                ClaimStep::Answer(answer) => return ClaimOutcome::Answered(answer),
+                ClaimStep::Refuse(refusal) => return ClaimOutcome::Refused(refusal),
+                ClaimStep::Abandon { refusal, expected } => {
+                    let held = HeldClaim {
+                        path,
+                        revision: expected,
+                        row,
+                        claimed,
+                        deadline: call.deadline,
+                    };
+                    self.settle(held, ClaimState::Released);
+                    return ClaimOutcome::Refused(refusal);
+                }
+            };
+        }
+    }
+
+    /// Tells whether a claim may still be used for sending.
+    pub fn may_send(&self, held: &HeldClaim) -> bool {
+        claims::may_send(held.claimed, held.deadline, self.clock.now())
+    }
+
+    /// Records the final state of a claim in the background, for as long as it
+    /// takes; until then callers of this daemon learn it from memory.
+    pub fn settle(&self, held: HeldClaim, state: ClaimState) {
+        let row = ClaimRow { state, ..held.row };
+        // What may be recorded for another try must not be hidden by this one.
+        if row.state != ClaimState::Released {
+            self.local.note(held.path.clone(), row.clone());
+        }
+        let store = self.clone();
+        task::spawn(async move { store.settle_row(held.path, held.revision, row).await });
+    }
+
+    async fn settle_row(&self, path: SmolStr, revision: u64, row: ClaimRow) {
+        let mut expected = revision;
+        let mut pause = SETTLE_PAUSE;
+        loop {
+            let answer = self.put(&path, &row, expected).await;
+            match claims::settle(&row.claim, expected, &answer) {
+                SettleStep::Write { expected: revision } => expected = revision,
+                SettleStep::Retry { expected: revision } => {
+                    expected = revision;
+                    self.clock.sleep(pause).await;
+                    pause = (pause * 2).min(SETTLE_PAUSE_LIMIT);
+                }
+                SettleStep::Done => break,
+            }
+        }
+        self.local.settled(&path, &row.claim);
+    }
+
+    /// Returns a claim that this process holds, as a read would.
+    fn look_locally(&self, path: &str) -> Option<StoreAnswer> {
+        let row = self.local.get(path)?;
+        Some(StoreAnswer::Found { revision: 0, row })
+    }
+
+    /// Writes a claim unless the platform is known to be down.
+    async fn write(
+        &self,
+        path: &str,
+        row: &ClaimRow,
+        expected: u64,
+        deadline: Timestamp,
+    ) -> StoreAnswer {
+        if !self.gate.lock().admit(self.clock.now()) {
+            return StoreAnswer::Failed;
+        }
+        let left = deadline.since(self.clock.now());
+        let written = self.clock.timeout(left, self.put(path, row, expected)).await;
+        written.unwrap_or(StoreAnswer::Unknown)
+    }
+
+    async fn read(&self, path: &str, deadline: Timestamp) -> StoreAnswer {
+        let left = deadline.since(self.clock.now());
+        match self.clock.timeout(left, self.platform.get(path)).await {
+            Ok(Ok(found)) => self.to_answer(found),
+            Ok(Err(error)) => {
+                self.failed(&error);
+                self.gate.lock().failed(self.clock.now());
+                StoreAnswer::Unknown
+            }
+            Err(_) => StoreAnswer::Unknown,
+        }
+    }
+
+    async fn put(&self, path: &str, row: &ClaimRow, expected: u64) -> StoreAnswer {
+        let record = record::to_record(row, self.clock.now());
+        let value = serde_json::to_string(&record).expect("border types are valid JSON");
+        let put = KvPut { value, expected: Some(expected), lease: None };
+        match self.platform.put(path, &put).await {
+            Ok(PutOutcome::Written(revision)) => {
+                self.gate.lock().succeeded();
+                StoreAnswer::Written(revision)
+            }
+            Ok(PutOutcome::Conflict(found)) => self.to_answer(found),
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    fn to_answer(&self, found: Option<KvRecord>) -> StoreAnswer {
+        self.gate.lock().succeeded();
+        let Some(found) = found else { return StoreAnswer::Absent };
+        let row = serde_json::from_str(&found.value).ok().map(record::to_row);
+        match row {
+            Some(Ok(row)) => StoreAnswer::Found { revision: found.revision, row },
+            _ => {
+                tracing::error!(key = found.key, "the record of a claim can't be read");
+                StoreAnswer::Failed
+            }
+        }
+    }
+
+    /// Notes a failed call. A limit on the rate and a single lost answer don't
+    /// show that the platform is down; the read after a lost answer does.
+    fn failed(&self, error: &PlatformError) -> StoreAnswer {
+        tracing::warn!(%error, "a claim can't be read or written");
+        if !error.is_without_effect() {
+            return StoreAnswer::Unknown;
+        }
+        if !matches!(error, PlatformError::Refused(TOO_MANY_CALLS)) {
+            self.gate.lock().failed(self.clock.now());
+        }
+        StoreAnswer::Failed
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,7 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::ClaimStore, control::ControlEvent, logs::LogLevels,
+    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, logs::LogLevels,
     metrics::MetricClient, snapshot::FleetSnapshot,
 };
 
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -19,7 +19,7 @@
 use crate::{
     balance::BalanceBook,
     callers::app,
-    claims::ClaimStore,
+    claims::{prune, store::ClaimStore},
     context::DaemonContext,
     control::{ControlEvent, ControlState},
     logs::LogLevels,
@@ -33,6 +33,8 @@
 /// Time for which a stopping daemon answers new requests with a refusal, so
 /// that the balancer notices before the listener closes.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
+/// Longest time that a stop waits until the platform has all claims.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Runs a daemon until it is stopped.
 ///
@@ -67,8 +69,9 @@
     closed.give();
     serving.await;
     let cut = listener.drain(drain_limit).await;
+    let unsettled = context.claims.local().drain(&context.clock, SETTLE_LIMIT).await;
     let _ = server.stop();
-    tracing::info!(cut, balance = ?context.balance.rows(), "stopped");
+    tracing::info!(cut, unsettled, balance = ?context.balance.rows(), "stopped");
     Ok(())
 }
 
@@ -119,6 +122,7 @@
     let platform = Arc::clone(&context.platform);
     task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
+    task::spawn(prune::run(Arc::clone(context)));
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
         task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -41,6 +41,8 @@
     Running,
     #[serde(rename = "done")]
     Done,
+    #[serde(rename = "executed")]
+    Executed,
     #[serde(rename = "lost")]
     Lost,
     #[serde(rename = "released")]
@@ -51,6 +53,7 @@
         match *self {
             Self::Running => f.write_str("running"),
             Self::Done => f.write_str("done"),
+            Self::Executed => f.write_str("executed"),
             Self::Lost => f.write_str("lost"),
             Self::Released => f.write_str("released"),
         }
@@ -62,6 +65,7 @@
         match value {
             "running" => Ok(Self::Running),
             "done" => Ok(Self::Done),
+            "executed" => Ok(Self::Executed),
             "lost" => Ok(Self::Lost),
             "released" => Ok(Self::Released),
             _ => Err("invalid value".into()),
@@ -86,11 +90,13 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct ClaimRecord {
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub body: ::std::option::Option<::std::string::String>,
+    pub body_base64: ::std::option::Option<::std::string::String>,
     #[doc = "Identifier of the claim, unique for each try."]
     pub claim: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub content_type: ::std::option::Option<::std::string::String>,
+    #[doc = "End of the callers' retry horizon."]
+    pub expires_at_ms: u64,
     #[doc = "Hash of the method, path and body."]
     pub fingerprint: u64,
     #[doc = "Daemon and incarnation that may send the call."]
