Let two daemons of a domain watch the platform and push changes to peers

Cause: every daemon waited on the platform (a waiting watch costs a call); a change reached other daemons with the next heartbeat only; a daemon that was restarted put the first offer in force, which may be lower than what its VM had before (a resumed peer, a platform that lost its data); a platform with a lower revision went unnoticed; kept connections that had gone silent together were tried one after the other.

Change: core/revisions.rs decides who watches (two by rank of those that reach the platform, everybody who hears nobody), what is accepted and when a starting daemon puts something in force: after all its peers were asked, or after twenty steps of 100 ms for peers that give no answer. An accepted revision is offered to the peers at once. A watch waits 1 s, then the record is compared, and a lower one is refused and logged.

Ruled out: a wait by time. Steps are counted now.

Conclusion: a restart can't go below what a reachable peer has. If the only peers that had more are unreachable for the whole start and the platform is down, what is reachable is put in force; nothing higher can be known then.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outage;
 pub mod prefix;
 pub mod refusal;
+pub mod revisions;
 pub mod roles;
 pub mod routing;
 pub mod stream;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -1,6 +1,9 @@
 //! What the traffic threads share.
 
-use std::sync::Arc;
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Arc,
+};
 
 use arc_swap::ArcSwap;
 use gooseberry_edges::{
@@ -26,6 +29,8 @@
     pub snapshot: ArcSwap<FleetSnapshot>,
     pub events: async_channel::Sender<ControlEvent>,
     pub platform: Arc<dyn PlatformEdge>,
+    /// Whether the platform answered the last time it was asked.
+    pub platform_reachable: AtomicBool,
     pub engines: Arc<dyn EngineEdge>,
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
@@ -35,6 +40,11 @@
 }
 
 impl DaemonContext {
+    /// Tells whether the platform answered the last time it was asked.
+    pub fn is_platform_reachable(&self) -> bool {
+        self.platform_reachable.load(Ordering::Relaxed)
+    }
+
     /// Tells whether this daemon takes new requests.
     pub fn is_ready(&self) -> bool {
         !self.stop.is_given() && self.snapshot.load().fleet.revision > 0
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -23,6 +23,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause before a lost connection is opened again.
 const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
+/// The same while this daemon starts and its peers may be starting too.
+const START_PAUSE: Duration = Duration::from_millis(100);
 /// Age at which a peer that says nothing is no longer listed.
 const PEER_EXPIRY: Duration = Duration::from_secs(5);
 /// Code of the error for a wrong secret.
@@ -41,6 +43,10 @@
     #[method(name = "revision")]
     async fn revision(&self, secret: String) -> RpcResult<Option<PeerRevision>>;
 
+    /// Offers a configuration that this daemon may not have yet.
+    #[method(name = "offer")]
+    async fn offer(&self, secret: String, offered: PeerRevision) -> RpcResult<()>;
+
     /// Reports the state of this daemon.
     #[method(name = "status")]
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus>;
@@ -123,11 +129,13 @@
 
     async fn revision(&self, secret: String) -> RpcResult<Option<PeerRevision>> {
         self.check(&secret)?;
-        let newest = self.revisions.newest();
-        Ok(newest.map(|accepted| PeerRevision {
-            revision: accepted.revision,
-            text: accepted.text.to_string(),
-        }))
+        Ok(self.revisions.newest().map(PeerRevision::from))
+    }
+
+    async fn offer(&self, secret: String, offered: PeerRevision) -> RpcResult<()> {
+        self.check(&secret)?;
+        self.revisions.offer(&self.context, offered.revision, &offered.text).await;
+        Ok(())
     }
 
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus> {
@@ -148,6 +156,7 @@
         failure_domain: context.settings.failure_domain.clone(),
         incarnation: context.incarnation,
         revision: context.snapshot.load().fleet.revision,
+        platform_reachable: context.is_platform_reachable(),
     }
 }
 
@@ -176,7 +185,7 @@
     }
 }
 
-/// Keeps a connection to one peer: heartbeats, and revisions that it has.
+/// Keeps a connection to one peer: heartbeats, and revisions either way.
 pub async fn follow(
     context: Arc<DaemonContext>,
     revisions: Arc<RevisionStore>,
@@ -187,7 +196,8 @@
         if let Err(error) = follow_once(&context, &revisions, &book, &address).await {
             tracing::debug!(peer = address, %error, "lost a peer");
         }
-        context.clock.sleep(RECONNECT_PAUSE).await;
+        let pause = if revisions.is_starting() { START_PAUSE } else { RECONNECT_PAUSE };
+        context.clock.sleep(pause).await;
     }
 }
 
@@ -202,6 +212,8 @@
         .request_timeout(ANSWER_TIMEOUT);
     let client = builder.build(format!("ws://{address}")).await?;
     let secret = &context.settings.peer_secret;
+    let changes = revisions.changes();
+    let mut told = 0;
     loop {
         let hello: PeerHello =
             client.request("hello", rpc_params![secret, own_hello(context)]).await?;
@@ -215,6 +227,15 @@
                 revisions.offer(context, newest.revision, &newest.text).await;
             }
         }
-        context.clock.sleep(HEARTBEAT_INTERVAL).await;
+        revisions.peer_asked(context, address).await;
+        let newest = revisions.newest().filter(|newest| newest.revision > offered.max(told));
+        if let Some(newest) = newest {
+            // A peer that refuses a text isn't offered it again and again.
+            told = newest.revision;
+            let newest = PeerRevision::from(newest);
+            let () = client.request("offer", rpc_params![secret, newest]).await?;
+        }
+        // A change is told at once and not with the next heartbeat.
+        let _ = context.clock.timeout(HEARTBEAT_INTERVAL, changes.recv()).await;
     }
 }
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -1,6 +1,9 @@
 //! Tasks that ask backend servers and the platform how they are.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{atomic::Ordering, Arc},
+    time::Duration,
+};
 
 use async_std::task;
 use gooseberry_edges::http::HttpCall;
@@ -76,7 +79,9 @@
 /// Reads the platform's list of VMs for ever.
 pub async fn read_vms(context: Arc<DaemonContext>) {
     loop {
-        if let Ok(listing) = context.platform.vms().await {
+        let listing = context.platform.vms().await;
+        context.platform_reachable.store(listing.is_ok(), Ordering::Relaxed);
+        if let Ok(listing) = listing {
             let _ = context.events.send(ControlEvent::Vms(listing)).await;
         }
         context.clock.sleep(VM_INTERVAL).await;
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -1,6 +1,10 @@
 //! Starts the parts of a daemon and stops them in order.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::{atomic::AtomicBool, Arc},
+    thread,
+    time::Duration,
+};
 
 use anyhow::Context;
 use arc_swap::ArcSwap;
@@ -46,7 +50,7 @@
     let drain_limit = Duration::from_secs(settings.drain_s);
     let (context, events) = context(settings, levels, stop.clone())?;
     start_control(&context, events)?;
-    let revisions = Arc::new(RevisionStore::default());
+    let revisions = Arc::new(RevisionStore::new(&context.settings.peers));
     let book = Arc::new(PeerBook::default());
     start_tasks(&context, &revisions, &book);
     let server = PeerServer::start(Arc::clone(&context), revisions, book)
@@ -96,6 +100,7 @@
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
         platform,
+        platform_reachable: AtomicBool::new(true),
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
@@ -119,8 +124,9 @@
 }
 
 fn start_tasks(context: &Arc<DaemonContext>, revisions: &Arc<RevisionStore>, book: &Arc<PeerBook>) {
-    let platform = Arc::clone(&context.platform);
-    task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
+    let (store, peers) = (Arc::clone(revisions), Arc::clone(book));
+    task::spawn(revisions::watch_platform(Arc::clone(context), store, peers));
+    task::spawn(revisions::end_start(Arc::clone(context), Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
     task::spawn(prune::run(Arc::clone(context)));
     for address in &context.settings.peers {
--- a/crates/daemon/src/revisions.rs
+++ b/crates/daemon/src/revisions.rs
@@ -5,23 +5,34 @@
 use std::{sync::Arc, time::Duration};
 
 use gooseberry_config::fleet;
-use gooseberry_edges::platform::PlatformEdge;
-use gooseberry_wire::{edit::ConfigurationEdit, platform::KvRecord};
+use gooseberry_core::{
+    fleet::FleetTable,
+    revisions::{self, RevisionTable, RevisionVerdict, WatchCandidate, START_TICK, WATCH_WAIT},
+};
+use gooseberry_edges::platform::PlatformError;
+use gooseberry_wire::{edit::ConfigurationEdit, peer::PeerRevision, platform::KvRecord};
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 
-use crate::{context::DaemonContext, control::ControlEvent};
+use crate::{context::DaemonContext, control::ControlEvent, peers::PeerBook};
 
 /// Key of the configuration text in the key-value service.
 pub const CONFIGURATION_KEY: &str = "configuration";
-/// Time for which one watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Pause after a failed watch.
+/// Pause after a failed watch, and of a daemon that leaves it to its peers.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Holds the newest accepted text, for peers that ask.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RevisionStore {
-    newest: Mutex<Option<AcceptedText>>,
+    state: Mutex<RevisionState>,
+}
+
+#[derive(Debug)]
+struct RevisionState {
+    table: RevisionTable,
+    newest: Option<(AcceptedText, Arc<FleetTable>)>,
+    /// Tasks that tell peers of a change.
+    listeners: Vec<async_channel::Sender<()>>,
 }
 
 /// Holds a text that was checked.
@@ -31,38 +42,101 @@
     pub text: Arc<str>,
 }
 
+impl From<AcceptedText> for PeerRevision {
+    fn from(accepted: AcceptedText) -> Self {
+        Self { revision: accepted.revision, text: accepted.text.to_string() }
+    }
+}
+
 impl RevisionStore {
+    /// Makes the store of a daemon that starts now and has these peers.
+    pub fn new(peers: &[String]) -> Self {
+        let table = RevisionTable::new(peers.iter().map(SmolStr::new));
+        let state = RevisionState { table, newest: None, listeners: Vec::new() };
+        Self { state: Mutex::new(state) }
+    }
+
     /// Returns the newest accepted text.
     pub fn newest(&self) -> Option<AcceptedText> {
-        self.newest.lock().clone()
+        self.state.lock().newest.as_ref().map(|(accepted, _)| accepted.clone())
     }
 
     /// Returns the newest accepted revision, or 0.
     pub fn revision(&self) -> u64 {
-        self.newest.lock().as_ref().map_or(0, |accepted| accepted.revision)
+        self.state.lock().table.newest()
+    }
+
+    /// Returns a receiver that gets a message after each accepted revision.
+    pub fn changes(&self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut state = self.state.lock();
+        state.listeners.retain(|listener| !listener.is_closed());
+        state.listeners.push(sender);
+        receiver
     }
 
     /// Takes a text if it is valid and its revision is higher.
     pub async fn offer(&self, context: &DaemonContext, revision: u64, text: &str) {
-        if revision <= self.revision() {
+        let newest = self.revision();
+        if revision < newest {
+            tracing::warn!(revision, newest, "a lower configuration revision is refused");
+        }
+        if revision <= newest {
             return;
         }
         let fleet = match fleet::build(revision, text) {
-            Ok(fleet) => fleet,
+            Ok(fleet) => Arc::new(fleet),
             Err(faults) => {
                 tracing::error!(revision, %faults, "the configuration isn't valid and is ignored");
                 return;
             }
         };
-        {
-            let mut newest = self.newest.lock();
-            if newest.as_ref().is_some_and(|accepted| accepted.revision >= revision) {
-                return;
-            }
-            *newest = Some(AcceptedText { revision, text: text.into() });
+        self.accept(AcceptedText { revision, text: text.into() }, fleet);
+        self.apply(context).await;
+    }
+
+    fn accept(&self, accepted: AcceptedText, fleet: Arc<FleetTable>) {
+        let mut state = self.state.lock();
+        if state.table.offer(accepted.revision) != RevisionVerdict::Accepted {
+            return;
         }
-        let _ = context.events.send(ControlEvent::Fleet(Arc::new(fleet))).await;
+        state.newest = Some((accepted, fleet));
+        for listener in &state.listeners {
+            let _ = listener.try_send(());
+        }
+    }
+
+    /// Tells whether this daemon still waits for peers.
+    pub fn is_starting(&self) -> bool {
+        self.state.lock().table.is_starting()
+    }
+
+    /// Notes that a peer has offered what it has.
+    pub async fn peer_asked(&self, context: &DaemonContext, address: &str) {
+        self.state.lock().table.peer_asked(address);
+        self.apply(context).await;
     }
+
+    /// Puts the newest revision in force if it is due.
+    async fn apply(&self, context: &DaemonContext) {
+        let due = {
+            let mut state = self.state.lock();
+            let due = state.table.take_due();
+            due.and_then(|_| state.newest.as_ref().map(|(_, fleet)| Arc::clone(fleet)))
+        };
+        if let Some(fleet) = due {
+            let _ = context.events.send(ControlEvent::Fleet(fleet)).await;
+        }
+    }
+}
+
+/// Counts the wait for silent peers and puts in force what is known at its end.
+pub async fn end_start(context: Arc<DaemonContext>, store: Arc<RevisionStore>) {
+    while store.is_starting() {
+        context.clock.sleep(START_TICK).await;
+        store.state.lock().table.tick();
+    }
+    store.apply(&context).await;
 }
 
 async fn offer_record(context: &DaemonContext, store: &RevisionStore, record: &KvRecord) {
@@ -75,27 +149,70 @@
     }
 }
 
-/// Waits on the platform for new revisions for ever.
+/// Waits on the platform for new revisions for ever, while it is this daemon's
+/// turn.
 pub async fn watch_platform(
     context: Arc<DaemonContext>,
-    platform: Arc<dyn PlatformEdge>,
     store: Arc<RevisionStore>,
+    book: Arc<PeerBook>,
 ) {
+    let mut watched = false;
     loop {
-        let after = store.revision();
-        match platform.watch(CONFIGURATION_KEY, after, WATCH_WAIT).await {
-            Ok(Some(record)) => {
-                offer_record(&context, &store, &record).await;
-                if store.revision() < record.revision {
-                    // An invalid text would be handed out again at once.
-                    context.clock.sleep(RETRY_PAUSE).await;
-                }
-            }
-            Ok(None) => {}
-            Err(error) => {
-                tracing::warn!(%error, "can't watch the configuration");
-                context.clock.sleep(RETRY_PAUSE).await;
-            }
+        let watches = is_watcher(&context, &book);
+        if watches != std::mem::replace(&mut watched, watches) {
+            tracing::info!(watches, "whether this daemon waits on the platform has changed");
+        }
+        if !watches {
+            context.clock.sleep(RETRY_PAUSE).await;
+            continue;
         }
+        if let Err(error) = watch_once(&context, &store).await {
+            tracing::warn!(%error, "can't watch the configuration");
+            context.clock.sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+fn is_watcher(context: &DaemonContext, book: &PeerBook) -> bool {
+    let live = book.live(context.clock.now());
+    let domain = &context.settings.failure_domain;
+    let peers = live.iter().filter(|peer| peer.failure_domain == *domain);
+    let own = WatchCandidate {
+        name: &context.settings.name,
+        platform_reachable: context.is_platform_reachable(),
+    };
+    let peers = peers.map(|peer| WatchCandidate {
+        name: &peer.daemon,
+        platform_reachable: peer.platform_reachable,
+    });
+    revisions::watches(own, peers)
+}
+
+async fn watch_once(context: &DaemonContext, store: &RevisionStore) -> Result<(), PlatformError> {
+    let after = store.revision();
+    let watched = context.platform.watch(CONFIGURATION_KEY, after, WATCH_WAIT).await?;
+    let Some(record) = watched else {
+        return check_platform(context, after).await;
+    };
+    offer_record(context, store, &record).await;
+    if store.revision() < record.revision {
+        // An invalid text would be handed out again at once.
+        context.clock.sleep(RETRY_PAUSE).await;
+    }
+    Ok(())
+}
+
+/// Looks whether the platform has lost an accepted revision, of which a watch
+/// for higher ones says nothing.
+async fn check_platform(context: &DaemonContext, accepted: u64) -> Result<(), PlatformError> {
+    let found = context.platform.get(CONFIGURATION_KEY).await?;
+    let recorded = found.map_or(0, |record| record.revision);
+    if recorded < accepted {
+        tracing::error!(
+            recorded,
+            accepted,
+            "the platform offers a lower configuration revision, which is refused"
+        );
     }
+    Ok(())
 }
--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -151,7 +151,11 @@
         match answered {
             Ok(Ok(response)) => Ok(HttpAnswer { response, stream, address, client: self.clone() }),
             Ok(Err(error)) => Err(HttpError::AnswerLost { address, detail: error.to_string() }),
-            Err(_) => Err(HttpError::Silent { address }),
+            Err(_) => {
+                // The other kept connections may have gone silent with this one.
+                self.idle.lock().remove(&address);
+                Err(HttpError::Silent { address })
+            }
         }
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -66,6 +66,9 @@
     pub daemon: ::std::string::String,
     pub failure_domain: ::std::string::String,
     pub incarnation: u64,
+    #[doc = "Whether the platform answered this daemon lately."]
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub platform_reachable: bool,
     #[doc = "Configuration revision in force."]
     pub revision: u64,
 }
@@ -75,6 +78,12 @@
     pub revision: u64,
     pub text: ::std::string::String,
 }
+#[doc = " Generation of default values for serde."]
+pub mod defaults {
+    pub(super) fn default_bool<const V: bool>() -> bool {
+        V
+    }
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
