Keep the history of edits and prove the configuration's rules with processes

Change: an edit carries its number and its difference. A put that finds another edit looks itself up there. "gooseberryctl history" prints it. put refuses with exit code 6 while a daemon has a higher revision than the platform. The harness can run the command.

Ruled out: records written by the daemons, because an edit that is replaced within a second might be seen by none of them.

How operators bring a platform that lost its data above the revision in force is still open.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -7,7 +7,8 @@
 /// Operates gooseberrykeel
 ///
 /// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 the text isn't valid,
-/// 4 another operator was first, 5 not in force everywhere yet.
+/// 4 another operator was first, 5 not in force everywhere yet,
+/// 6 the platform has lost data.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub struct Arguments {
@@ -71,6 +72,9 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Print who changed the configuration, when and how
+    #[bpaf(command)]
+    History,
     /// Print the state of the named daemons
     #[bpaf(command)]
     Status,
--- a/crates/ctl/src/configuration.rs
+++ b/crates/ctl/src/configuration.rs
@@ -12,7 +12,7 @@
 };
 use similar::TextDiff;
 
-use crate::{arguments::Target, exit::CommandError};
+use crate::{arguments::Target, exit::CommandError, history::EditHistory};
 
 /// Key of the configuration in the key-value service.
 const CONFIGURATION_KEY: &str = "configuration";
@@ -54,43 +54,93 @@
         self.platform.get(CONFIGURATION_KEY).await?.map(parse).transpose()
     }
 
+    /// Returns the history of accepted edits.
+    pub fn history(&self) -> EditHistory<'_> {
+        EditHistory::new(&self.platform)
+    }
+
     /// Records a text if the recorded revision is still the base.
     ///
     /// An answer that is lost is neither success nor failure: the record is
-    /// read back and recognised by the edit's identifier.
+    /// read back and recognised by the edit's identifier, or by the history if
+    /// the next edit has replaced it already.
     ///
     /// # Errors
     ///
     /// Returns the difference if another operator was first.
     pub async fn put(&self, base: u64, author: &str, text: &str) -> Result<u64, CommandError> {
-        let edit = ConfigurationEdit {
-            edit: format!("{:032x}", rand::random::<u128>()),
-            author: author.to_owned(),
-            made_at_ms: self.clock.now().as_millis(),
-            base,
-            text: text.to_owned(),
-        };
+        let replaced = self.get().await.context("nothing was recorded")?;
+        if replaced.as_ref().map_or(0, |recorded| recorded.revision) != base {
+            return Err(conflict(replaced, text));
+        }
+        if let Some(replaced) = &replaced {
+            // An edit is replaced only once the history has it.
+            self.history().keep(replaced).await.context("nothing was recorded")?;
+        }
+        let edit = self.edit(replaced.as_ref(), author, text);
         let value = serde_json::to_string(&edit).context("the edit can't be written as JSON")?;
         let put = KvPut { value, expected: Some(base), lease: None };
         let found = match self.platform.put(CONFIGURATION_KEY, &put).await {
-            Ok(PutOutcome::Written(revision)) => return Ok(revision),
+            Ok(PutOutcome::Written(revision)) => {
+                Some(RecordedText { revision, edit: edit.clone() })
+            }
             Ok(PutOutcome::Conflict(found)) => found.map(parse).transpose()?,
             Err(error) if error.is_without_effect() => {
                 return Err(anyhow::Error::from(error).context("nothing was recorded").into());
             }
             Err(_) => self.get().await.context("whether the text was recorded isn't known")?,
         };
+        self.recognise(found, &edit).await
+    }
+
+    fn edit(&self, base: Option<&RecordedText>, author: &str, text: &str) -> ConfigurationEdit {
+        let base_text = base.map_or("", |base| base.edit.text.as_str());
+        ConfigurationEdit {
+            edit: format!("{:032x}", rand::random::<u128>()),
+            author: author.to_owned(),
+            made_at_ms: self.clock.now().as_millis(),
+            base: base.map_or(0, |base| base.revision),
+            text: text.to_owned(),
+            sequence: base.map_or(0, |base| base.edit.sequence + 1),
+            difference: difference(base_text, text),
+        }
+    }
+
+    /// Tells from the present record whether an edit was accepted.
+    async fn recognise(
+        &self,
+        found: Option<RecordedText>,
+        edit: &ConfigurationEdit,
+    ) -> Result<u64, CommandError> {
         match found {
-            Some(recorded) if recorded.edit.edit == edit.edit => Ok(recorded.revision),
-            Some(recorded) => Err(CommandError::Conflict {
-                revision: recorded.revision,
-                difference: difference(&recorded.edit.text, text),
-            }),
-            None => Err(anyhow::anyhow!("no text is recorded; put it with --base 0").into()),
+            Some(recorded) if recorded.edit.edit == edit.edit => {
+                if let Err(error) = self.history().keep(&recorded).await {
+                    eprintln!("recorded; the next edit will add it to the history: {error:#}");
+                }
+                Ok(recorded.revision)
+            }
+            found => {
+                let kept = self.history().find(edit.sequence).await;
+                let kept = kept.context("whether the text was recorded isn't known")?;
+                match kept.filter(|kept| kept.edit == edit.edit) {
+                    Some(kept) => Ok(kept.revision),
+                    None => Err(conflict(found, &edit.text)),
+                }
+            }
         }
     }
 }
 
+fn conflict(found: Option<RecordedText>, text: &str) -> CommandError {
+    match found {
+        Some(recorded) => CommandError::Conflict {
+            revision: recorded.revision,
+            difference: difference(&recorded.edit.text, text),
+        },
+        None => anyhow::anyhow!("no text is recorded; put it with --base 0").into(),
+    }
+}
+
 fn parse(record: KvRecord) -> anyhow::Result<RecordedText> {
     let edit = serde_json::from_str(&record.value).context("the record can't be read")?;
     Ok(RecordedText { revision: record.revision, edit })
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -13,6 +13,11 @@
     Conflict { revision: u64, difference: String },
     #[error("revision {revision} isn't in force at: {lagging}")]
     Lagging { revision: u64, lagging: String },
+    #[error(
+        "{daemon} has revision {revision} in force but the platform only {recorded}: \
+         the platform has lost data, and daemons refuse lower revisions"
+    )]
+    DataLost { daemon: String, revision: u64, recorded: u64 },
     #[error("{0:#}")]
     Failed(#[from] anyhow::Error),
 }
@@ -25,6 +30,7 @@
             Self::InvalidText(_) => ExitCode::from(3),
             Self::Conflict { .. } => ExitCode::from(4),
             Self::Lagging { .. } => ExitCode::from(5),
+            Self::DataLost { .. } => ExitCode::from(6),
         }
     }
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod configuration;
 pub mod daemons;
 pub mod exit;
+pub mod history;
 pub mod report;
 pub mod run;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use async_std::task;
 use gooseberry_config::fleet;
+use gooseberry_wire::{edit::HistoryRecord, peer::DaemonStatus};
 use serde_json::json;
 
 use crate::{
@@ -38,6 +39,7 @@
         Action::Put { base, author, wait, file } => {
             let text = read(file)?;
             fleet::build(0, &text)?;
+            check_platform(target).await?;
             let revision = ConfigurationStore::new(target)?.put(*base, author, &text).await?;
             print(arguments.json, json!({ "revision": revision }), || {
                 format!("recorded as revision {revision}")
@@ -54,6 +56,7 @@
             print!("{}", configuration::difference(&recorded, &read(file)?));
             Ok(())
         }
+        Action::History => history(target, arguments.json).await,
         Action::Status => status(target, arguments.json).await,
         Action::Report => report(target, arguments.json).await,
     }
@@ -95,6 +98,38 @@
     Ok(())
 }
 
+async fn history(target: &Target, as_json: bool) -> Result<(), CommandError> {
+    let store = ConfigurationStore::new(target)?;
+    if let Some(present) = store.get().await? {
+        store.history().keep(&present).await?;
+    }
+    let records = store.history().list().await?;
+    print(as_json, json!(records), || {
+        let lines = records.iter().map(|record| {
+            let HistoryRecord { revision, base, author, made_at_ms, difference, .. } = record;
+            format!("revision {revision} from {base} by {author} at {made_at_ms} ms\n{difference}")
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    Ok(())
+}
+
+/// Refuses an edit while daemons have a higher revision than the platform,
+/// because they would never put it in force.
+async fn check_platform(target: &Target) -> Result<(), CommandError> {
+    let answers = daemons::ask_all(target).await;
+    let recorded = ConfigurationStore::new(target)?.get().await?;
+    let recorded = recorded.map_or(0, |recorded| recorded.revision);
+    let statuses = answers.into_iter().filter_map(|answer| answer.status.ok());
+    let highest = statuses.max_by_key(|status| status.revision);
+    match highest.filter(|status| status.revision > recorded) {
+        Some(DaemonStatus { daemon, revision, .. }) => {
+            Err(CommandError::DataLost { daemon, revision, recorded })
+        }
+        None => Ok(()),
+    }
+}
+
 /// Waits until all named daemons have a revision in force.
 async fn wait_in_force(target: &Target, revision: u64) -> Result<(), CommandError> {
     let mut waited = Duration::ZERO;
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -5,7 +5,7 @@
     fs::File,
     net::TcpListener,
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, Command, ExitStatus, Output, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -97,6 +97,11 @@
     }
 }
 
+/// Runs a program of this workspace to its end.
+pub fn run(program: &str, arguments: &[&str]) -> Output {
+    Command::new(program_path(program)).args(arguments).output().expect("a program that ends")
+}
+
 /// Finds a program beside the test's own folder.
 fn program_path(program: &str) -> PathBuf {
     let test = env::current_exe().expect("the test's own path");
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -1,6 +1,6 @@
 //! A small system: platform, engines, plain servers, daemons.
 
-use std::{fmt::Write, fs};
+use std::{fmt::Write, fs, process::Output};
 
 use async_std::task;
 use gooseberry_edges::{
@@ -205,6 +205,8 @@
             made_at_ms: 0,
             base,
             text: text.to_owned(),
+            sequence: 0,
+            difference: String::new(),
         };
         let value = serde_json::to_string(&edit).expect("an edit as JSON");
         let put = KvPut { value, expected: Some(base), lease: None };
@@ -212,6 +214,16 @@
             .expect("an answer of the platform")
     }
 
+    /// Runs the operators' command against the platform and all daemons.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        let mut all = vec!["--platform", &self.platform.address, "--secret", PEER_SECRET];
+        for daemon in &self.daemons {
+            all.extend(["--daemon", &daemon.control]);
+        }
+        all.extend(arguments);
+        process::run("gooseberryctl", &all)
+    }
+
     /// Makes a client of the stand-in platform.
     pub fn platform_client(&self) -> PlatformClient {
         PlatformClient::new(HttpClient::new(Clock::system()), &self.platform.address, None)
--- a/crates/wire/src/edit.rs
+++ b/crates/wire/src/edit.rs
@@ -9,9 +9,15 @@
     pub author: ::std::string::String,
     #[doc = "Revision that the operator started from."]
     pub base: u64,
+    #[doc = "Difference from the text of the base."]
+    #[serde(default)]
+    pub difference: ::std::string::String,
     #[doc = "Identifier that the operator's command made, to recognise its own write."]
     pub edit: ::std::string::String,
     pub made_at_ms: u64,
+    #[doc = "Number of this edit, one above that of its base."]
+    #[serde(default)]
+    pub sequence: u64,
     pub text: ::std::string::String,
 }
 #[doc = "`EditBorder`"]
@@ -34,6 +40,17 @@
         Self(value)
     }
 }
+#[doc = "Keeps who changed what, for auditors."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct HistoryRecord {
+    pub author: ::std::string::String,
+    pub base: u64,
+    pub difference: ::std::string::String,
+    pub edit: ::std::string::String,
+    pub made_at_ms: u64,
+    pub revision: u64,
+    pub sequence: u64,
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
