--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -14,7 +14,8 @@
 ///   gooseberryctl report --html report.html
 ///
 /// Exit codes: 0 done, 1 failed or wrong arguments, 3 the text isn't valid,
-/// 4 another operator was first, 5 not in force everywhere yet.
+/// 4 another operator was first, 5 not in force everywhere yet,
+/// 6 the platform has lost data.
 ///
 /// Completions for bash: eval "$(gooseberryctl --bpaf-complete-style-bash)";
 /// likewise for zsh, fish and elvish.
@@ -72,6 +73,9 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Print who changed the configuration, when and how
+    #[bpaf(command)]
+    History,
     /// Print the state of the named daemons
     #[bpaf(command)]
     Status {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -35,6 +35,7 @@
         Action::Put(options) => text::put(target, options, style).await,
         Action::Get => text::get(target, style).await,
         Action::Diff { file } => text::diff(target, file, style).await,
+        Action::History => text::history(target, style).await,
         Action::Drain { author, name } => text::drain(target, author, name, style).await,
         Action::Status { engines } => state::status(target, *engines, style).await,
         Action::LogLevel { level } => state::log_level(target, level).await,
--- a/crates/ctl/src/commands/text.rs
+++ b/crates/ctl/src/commands/text.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use gooseberry_config::fleet;
 use gooseberry_core::fleet::FleetTable;
+use gooseberry_wire::{edit::HistoryRecord, peer::DaemonStatus};
 use serde_json::json;
 
 use crate::{
@@ -61,6 +62,7 @@
     let store = ConfigurationStore::new(target)?;
     let recorded = store.get().await?;
     let effects = effect::effects(&recorded_fleet(recorded.as_ref()), &new);
+    check_platform(target, recorded.as_ref()).await?;
     if options.dry_run {
         style.print(&effects, || describe(&effects));
         return Ok(());
@@ -120,6 +122,41 @@
     Ok(())
 }
 
+/// Prints who changed the configuration, when and how.
+pub(super) async fn history(target: &Target, style: OutputStyle) -> Result<(), CommandError> {
+    let store = ConfigurationStore::new(target)?;
+    if let Some(present) = store.get().await? {
+        store.history().keep(&present).await?;
+    }
+    let records = store.history().list().await?;
+    style.print(&records, || {
+        let lines = records.iter().map(|record| {
+            let HistoryRecord { revision, base, author, made_at_ms, difference, .. } = record;
+            format!("revision {revision} from {base} by {author} at {made_at_ms} ms\n{difference}")
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    Ok(())
+}
+
+/// Refuses an edit while daemons have a higher revision than the platform,
+/// because they would never put it in force.
+async fn check_platform(
+    target: &Target,
+    recorded: Option<&RecordedText>,
+) -> Result<(), CommandError> {
+    let recorded = recorded.map_or(0, |recorded| recorded.revision);
+    let answers = daemons::statuses(target).await;
+    let statuses = answers.into_iter().filter_map(|daemon| daemon.answer.ok());
+    let highest = statuses.max_by_key(|status| status.revision);
+    match highest.filter(|status| status.revision > recorded) {
+        Some(DaemonStatus { daemon, revision, .. }) => {
+            Err(CommandError::DataLost { daemon, revision, recorded })
+        }
+        None => Ok(()),
+    }
+}
+
 async fn recorded(target: &Target) -> anyhow::Result<RecordedText> {
     let recorded = ConfigurationStore::new(target)?.get().await?;
     recorded.context("no configuration is recorded; put the first one with --base 0")
@@ -191,7 +228,7 @@
     }
 }
 
-fn daemon_name(daemon: &DaemonAnswer<gooseberry_wire::peer::DaemonStatus>) -> String {
+fn daemon_name(daemon: &DaemonAnswer<DaemonStatus>) -> String {
     match &daemon.answer {
         Ok(status) => status.daemon.clone(),
         Err(_) => format!("{} (no answer)", daemon.address),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod drain;
 pub mod effect;
 pub mod exit;
+pub mod history;
 pub mod output;
 pub mod report;
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -1,6 +1,10 @@
 //! Starts the parts of a daemon and stops them in order.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::{atomic::AtomicBool, Arc},
+    thread,
+    time::Duration,
+};
 
 use anyhow::Context;
 use arc_swap::ArcSwap;
@@ -19,7 +23,7 @@
 use crate::{
     balance::{record, BalanceBook},
     callers::app,
-    claims::ClaimStore,
+    claims::{prune, store::ClaimStore},
     context::DaemonContext,
     control::{ControlEvent, ControlState},
     history::{self, HistoryBook},
@@ -34,6 +38,8 @@
 /// Time for which a stopping daemon answers new requests with a refusal, so
 /// that the balancer notices before the listener closes.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
+/// Longest time that a stop waits until the platform has all claims.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Runs a daemon until it is stopped.
 ///
@@ -45,7 +51,7 @@
     let drain_limit = Duration::from_secs(settings.drain_s);
     let (context, events) = context(settings, levels, stop.clone())?;
     start_control(&context, events)?;
-    let revisions = Arc::new(RevisionStore::default());
+    let revisions = Arc::new(RevisionStore::new(&context.settings.peers));
     let book = Arc::new(PeerBook::default());
     let history = Arc::new(HistoryBook::default());
     start_tasks(&context, &revisions, &book, &history);
@@ -69,9 +75,10 @@
     closed.give();
     serving.await;
     let cut = listener.drain(drain_limit).await;
+    let unsettled = context.claims.local().drain(&context.clock, SETTLE_LIMIT).await;
     record::close(&context).await;
     let _ = server.stop();
-    tracing::info!(cut, balance = ?context.balance.rows(), "stopped");
+    tracing::info!(cut, unsettled, balance = ?context.balance.rows(), "stopped");
     Ok(())
 }
 
@@ -96,6 +103,7 @@
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
         platform,
+        platform_reachable: AtomicBool::new(true),
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
@@ -126,9 +134,11 @@
 ) {
     task::spawn(history::sample_forever(Arc::clone(context), Arc::clone(history)));
     task::spawn(record::record_forever(Arc::clone(context)));
-    let platform = Arc::clone(&context.platform);
-    task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
+    let (store, peers) = (Arc::clone(revisions), Arc::clone(book));
+    task::spawn(revisions::watch_platform(Arc::clone(context), store, peers));
+    task::spawn(revisions::end_start(Arc::clone(context), Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
+    task::spawn(prune::run(Arc::clone(context)));
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
         task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -5,7 +5,7 @@
     fs::File,
     net::TcpListener,
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, Command, ExitStatus, Output, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -109,6 +109,11 @@
     folders.find(|path| path.exists()).unwrap_or_else(|| PathBuf::from(program))
 }
 
+/// Runs a program of this workspace to its end.
+pub fn run(program: &str, arguments: &[&str]) -> Output {
+    Command::new(program_path(program)).args(arguments).output().expect("a program that ends")
+}
+
 /// Returns a loopback address that nothing listens at.
 pub fn free_address() -> String {
     let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
