Fix the shape of routing and admission

Cause: the replay of traces is built on routing::choose and the admission API, so their names and signatures have to stand early.

The daemon doesn't call admission yet, and the speeds are still the defaults.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! Functions take the time as an argument and tables as values, so that tests
 //! can replay any interleaving under a clock of their own.
 
+pub mod admission;
 pub mod arena;
 pub mod balance;
 pub mod claims;
@@ -14,5 +15,6 @@
 pub mod refusal;
 pub mod roles;
 pub mod routing;
+pub mod speed;
 pub mod stream;
 pub mod time;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -32,6 +32,8 @@
     DeadlinePassed,
     #[error("the deadline can't be met now")]
     DeadlineUnmeetable,
+    #[error("the engines are overloaded and this account holds its share")]
+    Overloaded,
     #[error("the account has used up its limit")]
     LimitReached,
     #[error("the daemon is shutting down")]
@@ -100,6 +102,7 @@
             RefusalReason::LimitReached => 429,
             RefusalReason::BackendFailed | RefusalReason::OutcomeUnknown => 502,
             RefusalReason::DeadlineUnmeetable
+            | RefusalReason::Overloaded
             | RefusalReason::ShuttingDown
             | RefusalReason::NotConfigured
             | RefusalReason::NoBackend(_)
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -10,7 +10,7 @@
     arena::{EngineKey, ModelKey},
     prefix,
     refusal::{RefusalReason, RequestRefusal},
-    routing::{self, RouteDecision, RouteRequest},
+    routing::{self, RouteDecision, RoutePhase, RouteRequest},
     stream::{AttemptNumber, StreamAssembler, TokenVerdict},
     time::Timestamp,
 };
@@ -172,8 +172,11 @@
         let snapshot = if same_revision { &newest } else { &self.snapshot };
         let request = RouteRequest {
             model: self.model,
+            phase: RoutePhase::Whole,
             prompt_tokens: self.prompt_tokens,
-            output_tokens: self.request.max_tokens,
+            output_tokens: self.request.max_tokens.saturating_sub(self.request.resume_from),
+            time_left: self.deadline.since(self.context.clock.now()),
+            bytes: self.request.prompt.len() as u64,
         };
         let excluded = |engine| self.excluded.contains(&engine);
         let decision = routing::choose(&request, snapshot.engine_views(), |_| 0, excluded)?;
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -4,8 +4,9 @@
 
 use gooseberry_core::{
     arena::{Arena, DomainKey, EngineKey, PlainKey},
-    fleet::{EngineRow, PlainRow},
-    routing::EngineView,
+    fleet::{EngineRow, LinkRow, PlainRow},
+    routing::{EnginePlace, EngineView},
+    speed::EngineSpeed,
     time::Timestamp,
 };
 use gooseberry_wire::engine::EngineState;
@@ -60,11 +61,15 @@
                 model,
                 role: role.unwrap_or(row.role),
                 open: serving && !leaving,
+                place: self.place(domain, row.domain),
                 latency: self.latency(domain, row.domain),
+                price_per_gb: self.price(domain, row.domain),
+                speed: EngineSpeed::default(),
                 running: report.map_or(0, |report| report.running),
                 queued: report.map_or(0, |report| report.queued),
                 backlog_tokens: report.map_or(0, |report| report.prefill_backlog_tokens),
                 outstanding: 0,
+                unreported_requests: 0,
                 unreported_tokens: 0,
             },
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
@@ -84,9 +89,28 @@
 
     /// Returns the one-way latency between two failure domains.
     fn latency(&self, from: Option<DomainKey>, to: DomainKey) -> Duration {
-        let Some(from) = from else { return Duration::ZERO };
-        let regions = (self.fleet.domains[from].region, self.fleet.domains[to].region);
-        let link = self.fleet.link(regions.0, regions.1);
-        link.map_or(Duration::ZERO, |link| link.latency)
+        self.link(from, to).map_or(Duration::ZERO, |link| link.latency)
+    }
+
+    /// Returns the price for each gigabyte between two failure domains.
+    fn price(&self, from: Option<DomainKey>, to: DomainKey) -> f64 {
+        self.link(from, to).map_or(0.0, |link| link.price_per_gb)
+    }
+
+    fn link(&self, from: Option<DomainKey>, to: DomainKey) -> Option<&LinkRow> {
+        let from = self.fleet.domains[from?].region;
+        self.fleet.link(from, self.fleet.domains[to].region)
+    }
+
+    /// Returns where a failure domain stands, seen from another.
+    fn place(&self, from: Option<DomainKey>, to: DomainKey) -> EnginePlace {
+        let Some(from) = from else { return EnginePlace::Home };
+        if from == to {
+            EnginePlace::Home
+        } else if self.fleet.domains[from].region == self.fleet.domains[to].region {
+            EnginePlace::SameRegion
+        } else {
+            EnginePlace::OtherRegion
+        }
     }
 }
