--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -4,18 +4,24 @@
 //! gets its final answer now. Three rules apply, in this order.
 //!
 //! 1. A request that can't end before its deadline is refused.
-//! 2. Batch work is refused as soon as the wait nears the objective.
-//! 3. Beyond the objective, an account may hold no more than its weighted
-//!    share of the work that is in progress. The room between the objective and
-//!    the deadlines is thus kept for accounts below their share.
+//! 2. Batch work is refused as soon as the queue nears the objective.
+//! 3. A request whose first token would come later than the objective is let in
+//!    only if most engines are free, or if its account holds no more than its
+//!    weighted share of the work in progress. The room between the objective
+//!    and the deadlines is thus kept for accounts below their share.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use smol_str::SmolStr;
 
 use crate::{
     fleet::AccountPriority,
     refusal::{RefusalReason, RequestRefusal},
+    routing::RouteDecision,
+    time::Timestamp,
 };
 
 /// Share of the objective beyond which batch work is refused.
@@ -24,6 +30,10 @@
 const LEAST_RETRY: Duration = Duration::from_secs(1);
 /// Longest time after which a refused caller is told to come back.
 const LONGEST_RETRY: Duration = Duration::from_secs(60);
+/// Times over which the returns of refused callers are spread.
+const RETRY_SLOTS: u32 = 8;
+/// Time after its last request for which an account keeps its share.
+const ACTIVE_TIME: Duration = Duration::from_secs(10);
 /// Weight of an output token against a prompt token: it takes a step, of which
 /// a prompt token takes only a small part.
 const OUTPUT_WEIGHT: u64 = 16;
@@ -60,12 +70,29 @@
 /// States what the best engine can offer a request.
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionOffer {
+    /// Estimated time until the engine begins with the request.
+    pub queue: Duration,
     /// Estimated time to the first token.
-    pub wait: Duration,
+    pub first_token: Duration,
     /// Estimated time to the last token.
     pub finish: Duration,
     /// Time to the first token that the deployment aims for.
     pub objective: Duration,
+    /// Whether most engines would begin with a request almost at once.
+    pub mostly_free: bool,
+}
+
+impl AdmissionOffer {
+    /// Makes the offer of a chosen engine.
+    pub fn new(decision: &RouteDecision, objective: Duration) -> Self {
+        Self {
+            queue: decision.queue,
+            first_token: decision.wait,
+            finish: decision.finish,
+            objective,
+            mostly_free: decision.free * 2 > decision.candidates,
+        }
+    }
 }
 
 /// Names an admission that has to be given back.
@@ -78,12 +105,15 @@
 
 /// Holds the work in progress of each account at one daemon.
 ///
-/// Its size follows the requests in progress, not the accounts that exist.
+/// Its size follows the accounts that were active lately.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionTable {
     accounts: HashMap<SmolStr, AccountWork>,
+    /// Accounts without work, by the time at which they may be forgotten.
+    idle: VecDeque<(Timestamp, SmolStr)>,
     total: u64,
     weights: u64,
+    refused: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +121,8 @@
     work: u64,
     requests: u32,
     weight: u64,
+    /// Time of the last request.
+    asked_at: Timestamp,
 }
 
 impl AdmissionTable {
@@ -103,51 +135,61 @@
         &mut self,
         request: &AdmissionRequest,
         offer: &AdmissionOffer,
+        now: Timestamp,
     ) -> Result<AdmissionGrant, RequestRefusal> {
+        self.forget_idle(now);
+        self.note(request, now);
         if offer.finish > request.time_left {
-            return Err(refuse(
-                RefusalReason::DeadlineUnmeetable,
-                offer.finish - request.time_left,
-            ));
+            let span = offer.finish - request.time_left;
+            return Err(self.refuse(RefusalReason::DeadlineUnmeetable, span));
         }
-        if offer.wait > self.wait_limit(request, offer) {
-            return Err(refuse(RefusalReason::Overloaded, offer.wait));
+        if !self.allows(request, offer) {
+            return Err(self.refuse(RefusalReason::Overloaded, offer.queue));
         }
         Ok(self.enter(request))
     }
 
-    /// Returns the longest wait for which a request is let in.
-    fn wait_limit(&self, request: &AdmissionRequest, offer: &AdmissionOffer) -> Duration {
-        match request.priority() {
-            AccountPriority::Batch => offer.objective.mul_f64(BATCH_SHARE),
-            AccountPriority::Normal | AccountPriority::Urgent if self.is_within_share(request) => {
-                Duration::MAX
-            }
-            AccountPriority::Normal | AccountPriority::Urgent => offer.objective,
+    /// Applies the rules on batch work and on shares.
+    fn allows(&self, request: &AdmissionRequest, offer: &AdmissionOffer) -> bool {
+        let batch = request.priority() == AccountPriority::Batch;
+        let limit = if batch { offer.objective.mul_f64(BATCH_SHARE) } else { offer.objective };
+        if batch && offer.queue > limit {
+            return false;
         }
+        offer.first_token <= limit || offer.mostly_free || self.is_within_share(&request.account)
     }
 
-    /// Tells whether an account stays within its share of the work.
+    /// Tells whether an account holds no more than its share of the work.
     ///
-    /// An account without work in progress always does, so that no request is
-    /// too large to be let in alone.
-    fn is_within_share(&self, request: &AdmissionRequest) -> bool {
-        let Some(account) = self.accounts.get(&request.account) else { return true };
-        let held = u128::from(account.work + request.work()) * u128::from(self.weights);
-        held <= u128::from(self.total) * u128::from(account.weight)
+    /// The request that asks isn't counted: else two accounts with large
+    /// requests would each wait for the other to hold more.
+    fn is_within_share(&self, account: &str) -> bool {
+        self.accounts.get(account).is_none_or(|account| {
+            let held = u128::from(account.work) * u128::from(self.weights);
+            held <= u128::from(self.total) * u128::from(account.weight)
+        })
     }
 
-    fn enter(&mut self, request: &AdmissionRequest) -> AdmissionGrant {
-        let work = request.work();
+    /// Counts the account as active.
+    fn note(&mut self, request: &AdmissionRequest, now: Timestamp) {
         let weight = weight(request.priority());
-        let weights = &mut self.weights;
         let account = self.accounts.entry(request.account.clone()).or_insert_with(|| {
-            *weights += weight;
-            AccountWork { work: 0, requests: 0, weight }
+            self.weights += weight;
+            self.idle.push_back((now + ACTIVE_TIME, request.account.clone()));
+            AccountWork { work: 0, requests: 0, weight, asked_at: now }
         });
-        account.work += work;
-        account.requests += 1;
-        self.total += work;
+        self.weights = self.weights - account.weight + weight;
+        account.weight = weight;
+        account.asked_at = now;
+    }
+
+    fn enter(&mut self, request: &AdmissionRequest) -> AdmissionGrant {
+        let work = request.work();
+        if let Some(account) = self.accounts.get_mut(&request.account) {
+            account.work += work;
+            account.requests += 1;
+            self.total += work;
+        }
         AdmissionGrant { account: request.account.clone(), work }
     }
 
@@ -157,18 +199,40 @@
         account.work -= grant.work;
         account.requests -= 1;
         self.total -= grant.work;
-        if account.requests == 0 {
-            self.weights -= account.weight;
-            self.accounts.remove(&grant.account);
+    }
+
+    /// Drops accounts that have been idle for long.
+    ///
+    /// Each account stands once in the queue; one that is still active when
+    /// its turn comes goes to the end.
+    fn forget_idle(&mut self, now: Timestamp) {
+        while self.idle.front().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, name)) = self.idle.pop_front() else { return };
+            let Some(account) = self.accounts.get(&name).copied() else { continue };
+            if account.requests > 0 || now.since(account.asked_at) < ACTIVE_TIME {
+                self.idle.push_back((now + ACTIVE_TIME, name));
+            } else {
+                self.weights -= account.weight;
+                self.accounts.remove(&name);
+            }
         }
     }
 
+    /// Refuses a request, with times that differ from one caller to the next,
+    /// so that they don't come back all together.
+    fn refuse(&mut self, reason: RefusalReason, span: Duration) -> RequestRefusal {
+        self.refused = self.refused.wrapping_add(1);
+        let spread = 1.0 + f64::from(self.refused % RETRY_SLOTS) / f64::from(RETRY_SLOTS);
+        let span = span.clamp(LEAST_RETRY, LONGEST_RETRY).mul_f64(spread);
+        RequestRefusal::not_executed(reason).retry_after(span)
+    }
+
     /// Returns the work in progress of an account, in prompt tokens.
     pub fn work(&self, account: &str) -> u64 {
         self.accounts.get(account).map_or(0, |account| account.work)
     }
 
-    /// Returns the number of accounts with work in progress.
+    /// Returns the number of accounts that were active lately.
     pub fn accounts(&self) -> usize {
         self.accounts.len()
     }
@@ -191,8 +255,3 @@
         AccountPriority::Urgent => 2,
     }
 }
-
-fn refuse(reason: RefusalReason, span: Duration) -> RequestRefusal {
-    let span = span.clamp(LEAST_RETRY, LONGEST_RETRY);
-    RequestRefusal::not_executed(reason).retry_after(span)
-}
--- /dev/null
+++ b/crates/core/src/bucket.rs
@@ -0,0 +1,85 @@
+//! Token buckets: a rate with a bounded burst.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// Allows amounts at a rate; its level is bounded by the burst.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TokenBucket {
+    /// Units for each second.
+    rate: f64,
+    /// Seconds of the rate that may be saved up.
+    burst: Duration,
+    level: f64,
+    filled_at: Timestamp,
+}
+
+impl TokenBucket {
+    /// Makes an empty bucket, which fills from now on.
+    pub fn empty(rate: f64, burst: Duration, now: Timestamp) -> Self {
+        Self { rate, burst, level: 0.0, filled_at: now }
+    }
+
+    /// Makes a full bucket.
+    pub fn full(rate: f64, burst: Duration, now: Timestamp) -> Self {
+        Self { rate, burst, level: rate * burst.as_secs_f64(), filled_at: now }
+    }
+
+    /// Changes the rate from now on; what exceeds the new burst is lost.
+    pub fn set_rate(&mut self, rate: f64, now: Timestamp) {
+        self.fill(now);
+        self.rate = rate;
+        self.level = self.level.min(self.capacity());
+    }
+
+    /// Takes an amount if the level allows it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the amount could be taken.
+    pub fn take(&mut self, amount: f64, now: Timestamp) -> Result<(), Duration> {
+        self.fill(now);
+        if self.level >= amount {
+            self.level -= amount;
+            return Ok(());
+        }
+        Err(self.time_until(amount))
+    }
+
+    /// Takes an amount in any case; the level may become negative.
+    pub fn charge(&mut self, amount: f64, now: Timestamp) {
+        self.fill(now);
+        self.level = (self.level - amount).min(self.capacity());
+    }
+
+    /// Tells whether the bucket isn't in debt.
+    pub fn has_room(&mut self, now: Timestamp) -> bool {
+        self.fill(now);
+        self.level > 0.0
+    }
+
+    /// Returns the rate in units for each second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    fn time_until(&self, amount: f64) -> Duration {
+        if self.rate <= 0.0 {
+            return Duration::MAX;
+        }
+        let seconds = (amount - self.level) / self.rate;
+        Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
+    }
+
+    fn capacity(&self) -> f64 {
+        self.rate * self.burst.as_secs_f64()
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let gained = self.rate * now.since(self.filled_at).as_secs_f64();
+        // A clock that steps back must not fill the same time twice.
+        self.filled_at = self.filled_at.max(now);
+        self.level = (self.level + gained).min(self.capacity());
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,13 +8,17 @@
 pub mod admission;
 pub mod arena;
 pub mod balance;
+pub mod bucket;
 pub mod claims;
 pub mod fleet;
 pub mod membership;
 pub mod prefix;
+pub mod prefix_table;
 pub mod refusal;
 pub mod roles;
 pub mod routing;
+pub mod sends;
 pub mod speed;
+pub mod stall;
 pub mod stream;
 pub mod time;
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -133,12 +133,18 @@
     pub engine: EngineKey,
     pub reason: RouteReason,
     pub place: EnginePlace,
+    /// Estimated time until the engine begins with the request.
+    pub queue: Duration,
     /// Estimated time to the first token.
     pub wait: Duration,
     /// Estimated time to the last token.
     pub finish: Duration,
     /// Prompt tokens believed to be in the engine's cache.
     pub cached_tokens: u32,
+    /// Engines that could have been chosen.
+    pub candidates: u32,
+    /// Those of them that would begin with a request almost at once.
+    pub free: u32,
     pub runner_up: Option<EngineKey>,
 }
 
@@ -146,6 +152,8 @@
 pub const WAIT_PER_REQUEST: Duration = Duration::from_millis(2);
 /// How much longer a phase takes on an engine whose role is the other one.
 const OFF_ROLE_FACTOR: u64 = 3;
+/// Longest queue of an engine that counts as free.
+const FREE_QUEUE: Duration = Duration::from_millis(50);
 /// Nanoseconds of wait that one unit of money outweighs.
 const NANOS_PER_PRICE: f64 = 1e12;
 /// Bytes of a gigabyte.
@@ -206,22 +214,29 @@
         engine: best.engine,
         reason,
         place: best.place,
+        queue: Duration::from_nanos(best.queue),
         wait: Duration::from_nanos(best.wait),
         finish: Duration::from_nanos(best.finish),
         cached_tokens: best.hit,
+        candidates: chosen.offered,
+        free: chosen.free,
         runner_up,
     })
 }
 
-/// Keeps the two best of the scores that are offered.
+/// Keeps the two best of the scores that are offered, and counts them.
 #[derive(Clone, Copy, Default)]
 struct BestPair {
     best: Option<EngineScore>,
     second: Option<EngineScore>,
+    offered: u32,
+    free: u32,
 }
 
 impl BestPair {
     fn offer(&mut self, score: EngineScore) {
+        self.offered += 1;
+        self.free += u32::from(score.queue <= nanos(FREE_QUEUE));
         match self.best {
             Some(best) if best.total <= score.total => {
                 if self.second.is_none_or(|second| score.total < second.total) {
@@ -242,6 +257,8 @@
     engine: EngineKey,
     place: EnginePlace,
     hit: u32,
+    /// Time until the engine begins with the request.
+    queue: u64,
     /// Time to the first token.
     wait: u64,
     /// Time to the last token.
@@ -262,11 +279,12 @@
             RoutePhase::Decode => 0,
             RoutePhase::Whole | RoutePhase::Prefill => u64::from(request.prompt_tokens - hit),
         };
-        let tokens = view.backlog_tokens.saturating_add(view.unreported_tokens).saturating_add(own);
+        let before = view.backlog_tokens.saturating_add(view.unreported_tokens);
         let per_token = nanos(view.speed.prefill_per_token) * prefill_factor;
-        let prefill = tokens.saturating_mul(per_token);
-        let queue = nanos(WAIT_PER_REQUEST) * u64::from(view.requests());
-        let wait = (nanos(view.latency) * 2).saturating_add(prefill).saturating_add(queue);
+        let turns = nanos(WAIT_PER_REQUEST) * u64::from(view.requests());
+        let queue = before.saturating_mul(per_token).saturating_add(turns);
+        let prefill = own.saturating_mul(per_token);
+        let wait = (nanos(view.latency) * 2).saturating_add(queue).saturating_add(prefill);
         let output = match request.phase {
             RoutePhase::Prefill => 0,
             RoutePhase::Whole | RoutePhase::Decode => u64::from(request.output_tokens),
@@ -278,6 +296,7 @@
             engine: view.engine,
             place: view.place,
             hit,
+            queue,
             wait,
             finish: wait.saturating_add(decode).saturating_add(off_role),
             total: wait.saturating_add(off_role).saturating_add(price as u64),
