Route by cache hints, learned speed and place; refuse what can't be in time

Cause: the daemon scored engines with two constants, reset its own work on each report, trusted an idle report from a stuck engine, knew no cache hints, sent work that couldn't meet its deadline and never left its failure domain on purpose.

Change: the daemon reads cache events of its home engines once a second and learns from its own sends; own sends count until a report made after them; an engine whose step counter stands still with work outstanding is closed; speeds are learned from tokens; admission weighs the first decision before anything is sent; a request that home can't finish in time goes over a link that isn't in debt, and prompt and answer are charged to the link. Plain calls count as before (gauge.start lost its unused argument).

Conclusion: nothing is spilled over a link without bytes_per_second, nor between regions without a link.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod routing;
 pub mod sends;
 pub mod speed;
+pub mod spill;
 pub mod stall;
 pub mod stream;
 pub mod time;
--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -1,10 +1,12 @@
 //! What callers reach: completions, chats, plain services and health.
 
+pub mod admission;
 pub mod app;
 pub mod attempts;
 pub mod chat;
 pub mod completion;
 pub mod identity;
+pub mod placement;
 pub mod plain;
 pub mod refusals;
 pub mod request;
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -10,7 +10,7 @@
     arena::{EngineKey, ModelKey},
     prefix,
     refusal::{RefusalReason, RequestRefusal},
-    routing::{self, RouteDecision, RoutePhase, RouteRequest},
+    routing::{RouteDecision, RoutePhase},
     stream::{AttemptNumber, StreamAssembler, TokenVerdict},
     time::Timestamp,
 };
@@ -19,9 +19,13 @@
 use smol_str::SmolStr;
 
 use crate::{
-    callers::refusals,
+    callers::{
+        placement::{self, PlacedSend, PlacementQuery},
+        refusals,
+    },
     context::DaemonContext,
-    snapshot::{FleetSnapshot, OutstandingGuard},
+    routing::AdmissionGuard,
+    snapshot::FleetSnapshot,
 };
 
 /// Time without a token or heartbeat after which an attempt is given up.
@@ -35,6 +39,11 @@
     deadline: Timestamp,
     request: CompletionRequest,
     prompt_tokens: u32,
+    /// Hashes of the prompt's cache pieces.
+    pieces: Vec<u64>,
+    /// Decision that admission was weighed with, for the first attempt.
+    planned: Option<RouteDecision>,
+    admission: Option<AdmissionGuard>,
     assembler: StreamAssembler,
     current: Option<RunningAttempt>,
     attempts: u32,
@@ -48,7 +57,7 @@
     number: AttemptNumber,
     engine: EngineKey,
     stream: Box<dyn TokenStream>,
-    _outstanding: OutstandingGuard,
+    placed: PlacedSend,
 }
 
 impl CompletionRun {
@@ -62,6 +71,9 @@
     ) -> Self {
         Self {
             prompt_tokens: prefix::count_tokens(&request.prompt),
+            pieces: placement::pieces(&snapshot, model, &request.prompt),
+            planned: None,
+            admission: None,
             context,
             snapshot,
             model,
@@ -80,6 +92,22 @@
         self.prompt_tokens
     }
 
+    /// Returns the number of output tokens that are asked for.
+    pub fn output_tokens(&self) -> u32 {
+        self.request.max_tokens
+    }
+
+    /// Decides on the first attempt, so that admission can weigh it.
+    pub fn plan(&mut self) -> Option<RouteDecision> {
+        self.planned = self.route();
+        self.planned
+    }
+
+    /// Keeps an admission until the completion ends.
+    pub fn hold(&mut self, admission: AdmissionGuard) {
+        self.admission = Some(admission);
+    }
+
     /// Waits for the next token; nothing once the answer is whole.
     ///
     /// # Errors
@@ -102,7 +130,12 @@
             };
             match attempt.stream.next().await {
                 Ok(Some(chunk)) => match self.assembler.accept(attempt.number, chunk.position) {
-                    TokenVerdict::Deliver => return Ok(Some(chunk)),
+                    TokenVerdict::Deliver => {
+                        let entry = &self.snapshot.engines[attempt.engine];
+                        let bytes = chunk.choices.first().map_or(0, |choice| choice.text.len());
+                        attempt.placed.token(&self.context, entry, &self.pieces, bytes);
+                        return Ok(Some(chunk));
+                    }
                     TokenVerdict::Duplicate | TokenVerdict::Foreign => {}
                     TokenVerdict::Gap { expected } => {
                         tracing::warn!(expected, found = chunk.position, "gap in a stream");
@@ -132,7 +165,7 @@
         if self.attempts >= self.snapshot.fleet.limits.attempts {
             return Err(self.refuse(RefusalReason::BackendFailed));
         }
-        let Some(decision) = self.route() else {
+        let Some(decision) = self.planned.take().or_else(|| self.route()) else {
             let reason = if self.attempts == 0 {
                 RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
             } else {
@@ -142,7 +175,7 @@
         };
         self.attempts += 1;
         let engine = decision.engine;
-        let outstanding = self.snapshot.engines[engine].gauge.start(self.prompt_tokens);
+        let placed = self.begin(&decision);
         let address = self.snapshot.fleet.engines[engine].address.clone();
         self.request.resume_from = self.assembler.next_position();
         let context = Arc::clone(&self.context);
@@ -150,7 +183,7 @@
             Ok(stream) => {
                 self.sent = true;
                 let number = self.assembler.start_attempt();
-                let attempt = RunningAttempt { number, engine, stream, _outstanding: outstanding };
+                let attempt = RunningAttempt { number, engine, stream, placed };
                 self.current = Some(attempt);
             }
             Err(error) => {
@@ -170,26 +203,35 @@
         let newest = self.context.snapshot.load_full();
         let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
         let snapshot = if same_revision { &newest } else { &self.snapshot };
-        let request = RouteRequest {
+        let query = PlacementQuery {
             model: self.model,
             phase: RoutePhase::Whole,
             prompt_tokens: self.prompt_tokens,
             output_tokens: self.request.max_tokens.saturating_sub(self.request.resume_from),
             time_left: self.deadline.since(self.context.clock.now()),
+            pieces: &self.pieces,
             bytes: self.request.prompt.len() as u64,
+            excluded: &self.excluded,
         };
-        let excluded = |engine| self.excluded.contains(&engine);
-        let decision = routing::choose(&request, snapshot.engine_views(), |_| 0, excluded)?;
+        let decision = placement::choose(&self.context, snapshot, &query)?;
         self.log(&decision);
         Some(decision)
     }
 
+    fn begin(&self, decision: &RouteDecision) -> PlacedSend {
+        let entry = &self.snapshot.engines[decision.engine];
+        let bytes = self.request.prompt.len() as u64;
+        placement::begin(&self.context, entry, decision, self.prompt_tokens, bytes)
+    }
+
     fn log(&self, decision: &RouteDecision) {
         let name = |engine: EngineKey| &self.snapshot.fleet.engines[engine].name;
         tracing::info!(
             request = self.request.stream_id.as_deref(),
             engine = %name(decision.engine),
             reason = %decision.reason,
+            place = %decision.place,
+            cached = decision.cached_tokens,
             wait_ms = decision.wait.as_millis() as u64,
             runner_up = decision.runner_up.map(|engine| name(engine).as_str()),
             attempt = self.attempts + 1,
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -17,6 +17,7 @@
 use crate::{
     balance::RequestTicket,
     callers::{
+        admission,
         app::CallerRequest,
         attempts::{self, CompletionRun},
         chat, refusals, request,
@@ -88,9 +89,13 @@
     wanted.stream = true;
     wanted.model = snapshot.fleet.models[model].name.to_string();
     wanted.stream_id = Some(attempts::stream_name(&context).to_string());
+    admission::set_priority(&accepted, &mut wanted);
     let started = context.clock.now();
     let mut run =
         CompletionRun::new(Arc::clone(&context), snapshot, model, accepted.deadline, wanted);
+    if let Err(refusal) = admission::admit(&accepted, &mut run) {
+        return Err(accepted.refuse(refusal));
+    }
     // The head of the answer goes out with the first token, so that a request
     // that can't be run gets its refusal as a status.
     let first = match run.next().await {
--- /dev/null
+++ b/crates/daemon/src/callers/placement.rs
@@ -0,0 +1,113 @@
+//! Where a completion goes: the newest view of the engines, cache hints and
+//! the links that may be used.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    arena::{EngineKey, ModelKey},
+    prefix,
+    routing::{self, RouteDecision, RoutePhase, RouteRequest},
+    spill::LinkUse,
+    time::Timestamp,
+};
+
+use crate::{
+    context::DaemonContext,
+    gauge::EngineSend,
+    routing::SpillMeter,
+    snapshot::{EngineEntry, FleetSnapshot},
+};
+
+/// Bytes that carry one token besides its text.
+const CHUNK_OVERHEAD: u64 = 160;
+
+/// Describes what is to be placed.
+pub struct PlacementQuery<'a> {
+    pub model: ModelKey,
+    pub phase: RoutePhase,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    /// Hashes of the prompt's pieces.
+    pub pieces: &'a [u64],
+    pub time_left: Duration,
+    /// Volume of the prompt.
+    pub bytes: u64,
+    pub excluded: &'a [EngineKey],
+}
+
+/// Chooses an engine for a query.
+pub fn choose(
+    context: &DaemonContext,
+    snapshot: &FleetSnapshot,
+    query: &PlacementQuery<'_>,
+) -> Option<RouteDecision> {
+    let hits = context.desk.lookup(query.pieces);
+    let links = context.desk.open_links(context.clock.now());
+    let request = RouteRequest {
+        model: query.model,
+        phase: query.phase,
+        prompt_tokens: query.prompt_tokens,
+        output_tokens: query.output_tokens,
+        time_left: query.time_left,
+        bytes: query.bytes,
+    };
+    let cached = |engine: EngineKey| {
+        let entry = &snapshot.engines[engine];
+        hits.pieces(entry.cache) * entry.piece_tokens
+    };
+    let excluded = |engine: EngineKey| {
+        query.excluded.contains(&engine) || !links.allow(snapshot.engines[engine].link)
+    };
+    routing::choose(&request, snapshot.engine_views(), cached, excluded)
+}
+
+/// Returns the hashes of a prompt's pieces, as the engines of a model cut them.
+pub fn pieces(snapshot: &FleetSnapshot, model: ModelKey, prompt: &str) -> Vec<u64> {
+    let mut entries = snapshot.engines.iter().map(|(_, entry)| entry);
+    let serving = entries.find(|entry| entry.view.model == model && entry.view.open);
+    serving.map_or_else(Vec::new, |entry| prefix::piece_hashes(prompt, entry.piece_tokens.max(1)))
+}
+
+/// Follows one send: what it tells of the engine, and what it carries.
+pub struct PlacedSend {
+    send: EngineSend,
+    meter: Option<SpillMeter>,
+}
+
+/// Counts a request that is about to be sent to the engine of a decision.
+pub fn begin(
+    context: &DaemonContext,
+    entry: &EngineEntry,
+    decision: &RouteDecision,
+    prompt_tokens: u32,
+    bytes: u64,
+) -> PlacedSend {
+    let now = context.clock.now();
+    let computed = prompt_tokens.saturating_sub(decision.cached_tokens);
+    let send = entry.gauge.send(prompt_tokens, computed, decision.queue, now);
+    let meter = match entry.link {
+        LinkUse::Paid(link) => Some(context.desk.spill(link, bytes, now)),
+        LinkUse::Local | LinkUse::Closed => None,
+    };
+    PlacedSend { send, meter }
+}
+
+impl PlacedSend {
+    /// Notes a token of the answer; the first one shows that the engine has
+    /// the prompt in its cache.
+    pub fn token(
+        &mut self,
+        context: &DaemonContext,
+        entry: &EngineEntry,
+        pieces: &[u64],
+        text_bytes: usize,
+    ) {
+        let now: Timestamp = context.clock.now();
+        if self.send.token(now) {
+            context.desk.learn(entry.cache, pieces);
+        }
+        if let Some(meter) = &self.meter {
+            meter.carry(text_bytes as u64 + CHUNK_OVERHEAD, now);
+        }
+    }
+}
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -238,7 +238,7 @@
     server: PlainKey,
 ) -> Result<KeptAnswer, HttpError> {
     let address = accepted.snapshot.fleet.plain_servers[server].address.clone();
-    let _outstanding = accepted.snapshot.plain_servers[server].gauge.start(0);
+    let _outstanding = accepted.snapshot.plain_servers[server].gauge.start();
     let call = call.towards(&address);
     let plain = Arc::clone(&accepted.context.plain);
     let answer = plain.forward(&address, &call, accepted.time_left()).await?;
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,6 +3,8 @@
 //! Tasks on other threads send events; the control thread applies them to its
 //! tables, runs its systems each tick and publishes a snapshot.
 
+mod daemons;
+mod links;
 mod view;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -10,6 +12,7 @@
 use gooseberry_core::{
     fleet::FleetTable,
     membership::{ListedVm, MembershipTable, ProcessIncarnation},
+    stall::{ProgressReport, StallDetector},
     time::Timestamp,
 };
 use gooseberry_wire::{
@@ -19,7 +22,7 @@
 };
 use smol_str::SmolStr;
 
-use crate::{context::DaemonContext, pollers, snapshot::EngineGauge};
+use crate::{context::DaemonContext, control::daemons::DaemonTable, gauge::EngineGauge, pollers};
 
 /// Interval of the systems.
 const TICK: Duration = Duration::from_millis(20);
@@ -48,6 +51,9 @@
     engines: HashMap<SmolStr, EngineStatus>,
     plain_servers: HashMap<SmolStr, PlainStatus>,
     membership: MembershipTable,
+    daemons: DaemonTable,
+    /// Revision and number of daemons that the shares of links were made for.
+    links_made_for: (u64, usize),
     changed: bool,
 }
 
@@ -57,6 +63,7 @@
     report: Option<LoadReport>,
     received: Timestamp,
     gauge: Arc<EngineGauge>,
+    stall: StallDetector,
     polled: bool,
 }
 
@@ -76,6 +83,8 @@
             engines: HashMap::new(),
             plain_servers: HashMap::new(),
             membership: MembershipTable::default(),
+            daemons: DaemonTable::default(),
+            links_made_for: (0, 0),
             changed: false,
         }
     }
@@ -97,16 +106,14 @@
         match event {
             ControlEvent::Fleet(fleet) => self.change_fleet(fleet),
             ControlEvent::Report { engine, report } => {
-                let status = self.engines.entry(engine).or_default();
-                status.report = Some(*report);
-                status.received = now;
-                status.gauge.reported();
+                self.observe_report(engine, *report, now);
             }
             ControlEvent::ReportMissing { .. } => {}
             ControlEvent::PlainHealth { server, healthy } => {
                 self.plain_servers.entry(server).or_default().healthy = healthy;
             }
             ControlEvent::Peer(hello) => {
+                self.daemons.hear(&hello.daemon, &hello.failure_domain, now);
                 let vm = SmolStr::new(hello.daemon);
                 let process = ProcessIncarnation { vm, incarnation: hello.incarnation };
                 self.membership.observe_process(&process, now);
@@ -116,6 +123,39 @@
         self.changed = true;
     }
 
+    /// Notes a load report; one that came before shows nothing new.
+    fn observe_report(&mut self, engine: SmolStr, report: LoadReport, now: Timestamp) {
+        let cache = self.context.desk.cache(&engine);
+        let status = self.engines.entry(engine).or_default();
+        if let Some(last) = &status.report {
+            if last.incarnation == report.incarnation && last.sequence >= report.sequence {
+                return;
+            }
+            if last.incarnation != report.incarnation || last.model != report.model {
+                self.context.desk.reset_cache(cache);
+            }
+        }
+        let made_at = Timestamp::from_millis(report.made_at_ms).min(now);
+        let was_stuck = status.stall.is_stuck(now);
+        status.stall.observe(
+            ProgressReport {
+                incarnation: report.incarnation,
+                steps: report.steps,
+                made_at,
+                outstanding: status.gauge.outstanding(),
+            },
+            now,
+        );
+        match (was_stuck, status.stall.is_stuck(now)) {
+            (false, true) => tracing::warn!(engine = report.engine, "the engine is stuck"),
+            (true, false) => tracing::info!(engine = report.engine, "the engine steps again"),
+            (true, true) | (false, false) => {}
+        }
+        status.gauge.reported(made_at);
+        status.received = now;
+        status.report = Some(report);
+    }
+
     /// Puts a higher revision in force; a lower one is never applied.
     fn change_fleet(&mut self, fleet: Arc<FleetTable>) {
         if fleet.revision <= self.fleet.revision {
@@ -127,6 +167,9 @@
             let status = self.engines.entry(engine.name.clone()).or_default();
             if !std::mem::replace(&mut status.polled, true) {
                 pollers::spawn_engine(&self.context, engine.name.clone());
+                if fleet.domains[engine.domain].name == self.context.settings.failure_domain {
+                    pollers::spawn_cache(&self.context, engine.name.clone());
+                }
             }
         }
         for (_, server) in fleet.plain_servers.iter() {
@@ -156,6 +199,7 @@
     }
 
     fn tick(&mut self, now: Timestamp) {
+        self.share_links(now);
         // Reports expire with time, so the view may change without an event.
         if self.changed || !self.engines.is_empty() {
             self.context.snapshot.store(Arc::new(self.view(now)));
--- /dev/null
+++ b/crates/daemon/src/control/daemons.rs
@@ -0,0 +1,36 @@
+//! The daemons that have introduced themselves, with their failure domains.
+
+use std::{collections::HashMap, time::Duration};
+
+use gooseberry_core::time::Timestamp;
+use smol_str::SmolStr;
+
+/// Age at which a daemon that says nothing is forgotten.
+const DAEMON_MEMORY: Duration = Duration::from_secs(600);
+
+/// Holds the other daemons.
+#[derive(Clone, Debug, Default)]
+pub struct DaemonTable {
+    rows: HashMap<SmolStr, DaemonRow>,
+}
+
+#[derive(Clone, Debug)]
+struct DaemonRow {
+    domain: SmolStr,
+    heard: Timestamp,
+}
+
+impl DaemonTable {
+    /// Notes that a daemon has introduced itself.
+    pub fn hear(&mut self, daemon: &str, domain: &str, now: Timestamp) {
+        self.rows.retain(|_, row| now.since(row.heard) < DAEMON_MEMORY);
+        let row = DaemonRow { domain: SmolStr::new(domain), heard: now };
+        self.rows.insert(SmolStr::new(daemon), row);
+    }
+
+    /// Counts the other daemons of a failure domain that were heard of at all,
+    /// which is what bounds are divided by: a silent daemon may go on.
+    pub fn known(&self, domain: &str) -> usize {
+        self.rows.values().filter(|row| row.domain == domain).count()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/links.rs
@@ -0,0 +1,62 @@
+//! This daemon's share of the links between regions.
+
+use gooseberry_core::{
+    arena::DomainKey,
+    fleet::LinkRow,
+    spill::{LinkUse, LINK_LIMIT},
+    time::Timestamp,
+};
+use smol_str::{format_smolstr, SmolStr};
+
+use crate::control::ControlState;
+
+impl ControlState {
+    /// Divides the rate of each link between the daemons that may use it.
+    ///
+    /// The rate is split evenly between the failure domains of both regions,
+    /// and in a domain between its daemons, so that all together keep to it.
+    pub(super) fn share_links(&mut self, now: Timestamp) {
+        let daemons = self.daemons.known(&self.context.settings.failure_domain) + 1;
+        let made_for = (self.fleet.revision, daemons);
+        if self.links_made_for == made_for {
+            return;
+        }
+        self.links_made_for = made_for;
+        let links: Vec<(SmolStr, f64)> = self
+            .fleet
+            .links
+            .iter()
+            .map(|link| (self.link_name(link), self.link_rate(link) / daemons as f64))
+            .collect();
+        self.context.desk.configure_links(&links, now);
+    }
+
+    fn link_name(&self, link: &LinkRow) -> SmolStr {
+        let (from, to) = (&self.fleet.regions[link.from], &self.fleet.regions[link.to]);
+        format_smolstr!("{from}-{to}")
+    }
+
+    /// Returns the rate of one failure domain.
+    fn link_rate(&self, link: &LinkRow) -> f64 {
+        let ends = [link.from, link.to];
+        let domains = self.fleet.domains.iter();
+        let sharing = domains.filter(|(_, row)| ends.contains(&row.region)).count().max(1);
+        link.bytes_per_second.unwrap_or(0) as f64 / sharing as f64
+    }
+
+    /// Returns over what a failure domain is reached from another.
+    pub(super) fn link_use(&self, from: Option<DomainKey>, to: DomainKey) -> LinkUse {
+        let Some(from) = from else { return LinkUse::Local };
+        let regions = (self.fleet.domains[from].region, self.fleet.domains[to].region);
+        if regions.0 == regions.1 {
+            return LinkUse::Local;
+        }
+        let joins = |link: &LinkRow| {
+            [(link.from, link.to), (link.to, link.from)].contains(&regions)
+                && link.bytes_per_second.is_some()
+        };
+        let position = self.fleet.links.iter().position(joins);
+        let position = position.filter(|position| *position < LINK_LIMIT);
+        position.map_or(LinkUse::Closed, |position| LinkUse::Paid(position as u8))
+    }
+}
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -60,7 +60,7 @@
                 engine,
                 model,
                 role: role.unwrap_or(row.role),
-                open: serving && !leaving,
+                open: serving && !leaving && !status.stall.is_stuck(now),
                 place: self.place(domain, row.domain),
                 latency: self.latency(domain, row.domain),
                 price_per_gb: self.price(domain, row.domain),
@@ -73,6 +73,8 @@
                 unreported_tokens: 0,
             },
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
+            cache: self.context.desk.cache(&row.name),
+            link: self.link_use(domain, row.domain),
             gauge: Arc::clone(&status.gauge),
         }
     }
--- /dev/null
+++ b/crates/daemon/src/gauge.rs
@@ -0,0 +1,145 @@
+//! Counts of this daemon's own work at one backend server.
+
+use std::{
+    sync::{
+        atomic::{AtomicU32, AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use gooseberry_core::{
+    sends::{SendNumber, SendRing},
+    speed::{EngineSpeed, SpeedEstimator},
+    time::Timestamp,
+};
+use parking_lot::Mutex;
+
+/// Counts this daemon's own work at one backend server.
+#[derive(Debug, Default)]
+pub struct EngineGauge {
+    outstanding: AtomicU32,
+    sends: Mutex<SendRing>,
+    /// Copies of the ring's sums, which decisions read without its lock.
+    unreported_requests: AtomicU32,
+    unreported_tokens: AtomicU64,
+    estimator: SpeedEstimator,
+}
+
+impl EngineGauge {
+    /// Counts a call of a plain service until the guard is dropped.
+    pub fn start(self: &Arc<Self>) -> OutstandingGuard {
+        self.outstanding.fetch_add(1, Ordering::Relaxed);
+        OutstandingGuard { gauge: Arc::clone(self) }
+    }
+
+    /// Counts a request to an engine until the send is dropped.
+    ///
+    /// `queue` is the time for which the request is expected to wait there,
+    /// and `computed` the prompt tokens that are not in the engine's cache.
+    pub fn send(
+        self: &Arc<Self>,
+        prompt_tokens: u32,
+        computed: u32,
+        queue: Duration,
+        now: Timestamp,
+    ) -> EngineSend {
+        let number = self.change_sends(|sends| sends.push(prompt_tokens, now));
+        let per_token = self.estimator.speed().prefill_per_token.as_nanos().max(1);
+        let before = (queue.as_nanos() / per_token) as u64;
+        EngineSend {
+            number,
+            sent_at: now,
+            work: u64::from(computed) + before,
+            first_at: None,
+            last_at: now,
+            tokens: 0,
+            outstanding: self.start(),
+        }
+    }
+
+    /// Returns the requests that haven't ended.
+    pub fn outstanding(&self) -> u32 {
+        self.outstanding.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests sent since the last report was made.
+    pub fn unreported_requests(&self) -> u32 {
+        self.unreported_requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the prompt tokens sent since the last report was made.
+    pub fn unreported_tokens(&self) -> u64 {
+        self.unreported_tokens.load(Ordering::Relaxed)
+    }
+
+    /// Returns the speed that was learned.
+    pub fn speed(&self) -> EngineSpeed {
+        self.estimator.speed()
+    }
+
+    /// Notes a report, which counts what was sent before it was made.
+    pub fn reported(&self, made_at: Timestamp) {
+        self.change_sends(|sends| sends.reported(made_at));
+    }
+
+    fn change_sends<T>(&self, change: impl FnOnce(&mut SendRing) -> T) -> T {
+        let mut sends = self.sends.lock();
+        let changed = change(&mut sends);
+        self.unreported_requests.store(sends.requests(), Ordering::Relaxed);
+        self.unreported_tokens.store(sends.tokens(), Ordering::Relaxed);
+        changed
+    }
+}
+
+/// Counts one request as outstanding while it lives.
+#[derive(Debug)]
+pub struct OutstandingGuard {
+    gauge: Arc<EngineGauge>,
+}
+
+impl Drop for OutstandingGuard {
+    fn drop(&mut self) {
+        self.gauge.outstanding.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Follows one request at an engine and learns the engine's speed from it.
+#[derive(Debug)]
+pub struct EngineSend {
+    number: SendNumber,
+    sent_at: Timestamp,
+    /// Prompt tokens to be computed before the first token, with those of the
+    /// requests before this one.
+    work: u64,
+    first_at: Option<Timestamp>,
+    last_at: Timestamp,
+    tokens: u32,
+    outstanding: OutstandingGuard,
+}
+
+impl EngineSend {
+    /// Notes a token and tells whether it is the first one.
+    pub fn token(&mut self, now: Timestamp) -> bool {
+        self.tokens += 1;
+        self.last_at = now;
+        if self.first_at.is_some() {
+            return false;
+        }
+        self.first_at = Some(now);
+        let gauge = &self.outstanding.gauge;
+        gauge.change_sends(|sends| sends.finish(self.number));
+        gauge.estimator.observe_first_token(self.work, now.since(self.sent_at));
+        true
+    }
+}
+
+impl Drop for EngineSend {
+    fn drop(&mut self) {
+        let gauge = &self.outstanding.gauge;
+        gauge.change_sends(|sends| sends.finish(self.number));
+        if let Some(first_at) = self.first_at {
+            gauge.estimator.observe_output(self.tokens, self.last_at.since(first_at));
+        }
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -40,6 +40,19 @@
         self.client.count_with_tags("requests", 1).with_tag("outcome", &outcome.to_string()).send();
     }
 
+    /// Counts a request that admission refused.
+    pub fn refused(&self, reason: &str) {
+        self.client.count_with_tags("refusals", 1).with_tag("reason", reason).send();
+    }
+
+    /// Counts requests and bytes that were spilled over a link.
+    pub fn spilled(&self, link: &str, requests: i64, bytes: u64) {
+        if requests > 0 {
+            self.client.count_with_tags("spilled_requests", requests).with_tag("link", link).send();
+        }
+        self.client.count_with_tags("spilled_bytes", bytes).with_tag("link", link).send();
+    }
+
     /// Notes the time to the first token.
     pub fn first_token(&self, span: Duration) {
         let _ = self.client.time("first_token", span);
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -11,6 +11,8 @@
 
 /// Interval of load reports and health checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval of reads of cache events, which are hints and may be late.
+const CACHE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time for the answer to a health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval of reads of the platform's list of VMs.
@@ -37,6 +39,24 @@
     });
 }
 
+/// Starts to read the cache events of an engine of the home failure domain,
+/// until it leaves the configuration.
+pub fn spawn_cache(context: &Arc<DaemonContext>, engine: SmolStr) {
+    let context = Arc::clone(context);
+    let cache = context.desk.cache(&engine);
+    task::spawn(async move {
+        loop {
+            context.clock.sleep(CACHE_INTERVAL).await;
+            let Some(address) = engine_address(&context, &engine) else { return };
+            let after = context.desk.last_sequence(cache);
+            match context.engines.cache_events(&address, after).await {
+                Ok(events) => context.desk.observe_cache(cache, &events),
+                Err(error) => tracing::debug!(%engine, %error, "no cache events"),
+            }
+        }
+    });
+}
+
 fn engine_address(context: &DaemonContext, engine: &str) -> Option<SmolStr> {
     let snapshot = context.snapshot.load();
     // The snapshot that names the engine may be published after this starts.
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -27,6 +27,7 @@
     peers::{self, PeerBook, PeerServer},
     pollers,
     revisions::{self, RevisionStore},
+    routing::RoutingDesk,
     snapshot::FleetSnapshot,
 };
 
@@ -96,6 +97,7 @@
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
+        desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
         metrics,
         levels,
         clock,
--- /dev/null
+++ b/crates/daemon/src/routing.rs
@@ -0,0 +1,148 @@
+//! What the traffic threads share to route and admit requests.
+//!
+//! Each part has a lock of its own that is held for microseconds. Nothing here
+//! decides who may order an engine, so it needn't live on the control thread.
+
+use std::{collections::HashMap, sync::Arc};
+
+use gooseberry_core::{
+    admission::{AdmissionGrant, AdmissionOffer, AdmissionRequest, AdmissionTable},
+    prefix_table::{CacheChange, CacheKey, PrefixHits, PrefixTable},
+    refusal::RequestRefusal,
+    spill::{OpenLinks, SpillTable},
+    time::Timestamp,
+};
+use gooseberry_wire::engine::CacheEvents;
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+use crate::metrics::MetricClient;
+
+/// Pieces in each generation of the prefix table.
+const PREFIX_CAPACITY: usize = 65_536;
+/// Pieces that are learned under one hold of the lock.
+const LEARN_CHUNK: usize = 256;
+
+/// Holds the hints, the work in progress and the volume of one daemon.
+pub struct RoutingDesk {
+    prefixes: Mutex<PrefixTable>,
+    caches: Mutex<HashMap<SmolStr, CacheKey>>,
+    admission: Mutex<AdmissionTable>,
+    spill: Mutex<SpillTable>,
+    metrics: Arc<MetricClient>,
+}
+
+impl RoutingDesk {
+    /// Makes the desk of a daemon that has routed nothing.
+    pub fn new(metrics: Arc<MetricClient>) -> Self {
+        Self {
+            prefixes: Mutex::new(PrefixTable::new(PREFIX_CAPACITY)),
+            caches: Mutex::default(),
+            admission: Mutex::default(),
+            spill: Mutex::default(),
+            metrics,
+        }
+    }
+
+    /// Returns the key of an engine's cache, over all revisions.
+    pub fn cache(&self, engine: &SmolStr) -> CacheKey {
+        let mut caches = self.caches.lock();
+        *caches.entry(engine.clone()).or_insert_with(|| self.prefixes.lock().add_cache())
+    }
+
+    /// Forgets the hints of an engine that has begun anew.
+    pub fn reset_cache(&self, cache: CacheKey) {
+        self.prefixes.lock().reset(cache);
+    }
+
+    /// Returns the sequence number of an engine's last cache event.
+    pub fn last_sequence(&self, cache: CacheKey) -> u64 {
+        self.prefixes.lock().last_sequence(cache)
+    }
+
+    /// Applies cache events.
+    pub fn observe_cache(&self, cache: CacheKey, events: &CacheEvents) {
+        for chunk in events.events.chunks(LEARN_CHUNK) {
+            let mut prefixes = self.prefixes.lock();
+            for event in chunk {
+                let (sequence, piece, stored) = (event.sequence, event.piece, event.stored);
+                prefixes.observe(cache, CacheChange { sequence, piece, stored });
+            }
+        }
+    }
+
+    /// Notes that an engine has computed a prompt of ours.
+    pub fn learn(&self, cache: CacheKey, pieces: &[u64]) {
+        for chunk in pieces.chunks(LEARN_CHUNK) {
+            self.prefixes.lock().learn(cache, chunk);
+        }
+    }
+
+    /// Finds the caches that hold the first pieces of a prompt.
+    pub fn lookup(&self, pieces: &[u64]) -> PrefixHits {
+        self.prefixes.lock().lookup(pieces)
+    }
+
+    /// Lets a request in, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with the time to come back.
+    pub fn admit(
+        self: &Arc<Self>,
+        request: &AdmissionRequest,
+        offer: &AdmissionOffer,
+        now: Timestamp,
+    ) -> Result<AdmissionGuard, RequestRefusal> {
+        let grant = self.admission.lock().admit(request, offer, now)?;
+        Ok(AdmissionGuard { desk: Arc::clone(self), grant })
+    }
+
+    /// Sets this daemon's share of each link between regions.
+    pub fn configure_links(&self, links: &[(SmolStr, f64)], now: Timestamp) {
+        self.spill.lock().configure(links, now);
+    }
+
+    /// Returns the links over which something may be spilled now.
+    pub fn open_links(&self, now: Timestamp) -> OpenLinks {
+        self.spill.lock().open_links(now)
+    }
+
+    /// Counts a request that is spilled over a link.
+    pub fn spill(self: &Arc<Self>, link: u8, bytes: u64, now: Timestamp) -> SpillMeter {
+        let mut spill = self.spill.lock();
+        spill.send(link, bytes, now);
+        let name = spill.name(link).cloned().unwrap_or_default();
+        let volume = spill.volume(link);
+        tracing::info!(link = %name, bytes, total = volume.bytes, "spilled");
+        self.metrics.spilled(&name, 1, bytes);
+        SpillMeter { desk: Arc::clone(self), link, name }
+    }
+}
+
+/// Counts the work of a request that was let in, until it ends.
+pub struct AdmissionGuard {
+    desk: Arc<RoutingDesk>,
+    grant: AdmissionGrant,
+}
+
+impl Drop for AdmissionGuard {
+    fn drop(&mut self) {
+        self.desk.admission.lock().leave(&self.grant);
+    }
+}
+
+/// Counts the answer of a spilled request.
+pub struct SpillMeter {
+    desk: Arc<RoutingDesk>,
+    link: u8,
+    name: SmolStr,
+}
+
+impl SpillMeter {
+    /// Charges a part of the answer.
+    pub fn carry(&self, bytes: u64, now: Timestamp) {
+        self.desk.spill.lock().carry(self.link, bytes, now);
+        self.desk.metrics.spilled(&self.name, 0, bytes);
+    }
+}
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -1,20 +1,18 @@
 //! What traffic threads know: an immutable view that the control thread makes.
 
-use std::{
-    sync::{
-        atomic::{AtomicU32, AtomicU64, Ordering},
-        Arc,
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use gooseberry_core::{
     arena::{Arena, DomainKey, EngineKey, PlainKey, ServiceKey},
     fleet::{FleetTable, ServiceKind},
     membership::MembershipTable,
+    prefix_table::CacheKey,
     routing::EngineView,
+    spill::LinkUse,
 };
 
+use crate::gauge::EngineGauge;
+
 /// Holds the view of one moment.
 #[derive(Clone, Debug)]
 pub struct FleetSnapshot {
@@ -34,6 +32,9 @@
     pub view: EngineView,
     /// Tokens in each piece of the engine's cache.
     pub piece_tokens: u32,
+    pub cache: CacheKey,
+    /// Link over which the engine is reached.
+    pub link: LinkUse,
     pub gauge: Arc<EngineGauge>,
 }
 
@@ -46,49 +47,6 @@
     pub gauge: Arc<EngineGauge>,
 }
 
-/// Counts this daemon's own work at one backend server.
-#[derive(Debug, Default)]
-pub struct EngineGauge {
-    outstanding: AtomicU32,
-    unreported_tokens: AtomicU64,
-}
-
-impl EngineGauge {
-    /// Counts a request until the guard is dropped.
-    pub fn start(self: &Arc<Self>, prompt_tokens: u32) -> OutstandingGuard {
-        self.outstanding.fetch_add(1, Ordering::Relaxed);
-        self.unreported_tokens.fetch_add(u64::from(prompt_tokens), Ordering::Relaxed);
-        OutstandingGuard { gauge: Arc::clone(self) }
-    }
-
-    /// Returns the requests that haven't ended.
-    pub fn outstanding(&self) -> u32 {
-        self.outstanding.load(Ordering::Relaxed)
-    }
-
-    /// Returns the prompt tokens sent since the last report.
-    pub fn unreported_tokens(&self) -> u64 {
-        self.unreported_tokens.load(Ordering::Relaxed)
-    }
-
-    /// Notes that a report has come, which counts what was sent before.
-    pub fn reported(&self) {
-        self.unreported_tokens.store(0, Ordering::Relaxed);
-    }
-}
-
-/// Counts one request as outstanding while it lives.
-#[derive(Debug)]
-pub struct OutstandingGuard {
-    gauge: Arc<EngineGauge>,
-}
-
-impl Drop for OutstandingGuard {
-    fn drop(&mut self) {
-        self.gauge.outstanding.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl FleetSnapshot {
     /// Makes the view of a daemon that has no configuration yet.
     pub fn empty() -> Self {
@@ -104,7 +62,9 @@
     /// Visits the views of all engines, with this daemon's own work counted in.
     pub fn engine_views(&self) -> impl Iterator<Item = EngineView> + '_ {
         self.engines.iter().map(|(_, entry)| EngineView {
+            speed: entry.gauge.speed(),
             outstanding: entry.gauge.outstanding(),
+            unreported_requests: entry.gauge.unreported_requests(),
             unreported_tokens: entry.gauge.unreported_tokens(),
             ..entry.view
         })
