--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -53,6 +53,15 @@
         self.level = (self.level - amount).min(self.capacity());
     }
 
+    /// Returns the time after which the bucket is no longer in debt.
+    pub fn time_to_room(&mut self, now: Timestamp) -> Duration {
+        if self.has_room(now) {
+            return Duration::ZERO;
+        }
+        // An empty bucket has room only after some time, however short.
+        self.time_until(0.0).max(Duration::from_millis(1))
+    }
+
     /// Tells whether the bucket isn't in debt.
     pub fn has_room(&mut self, now: Timestamp) -> bool {
         self.fill(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod bucket;
 pub mod claims;
 pub mod fleet;
+pub mod limits;
 pub mod membership;
 pub mod prefix;
 pub mod prefix_table;
