Keep accounts to their limits over all daemons

Change: each daemon takes completions and repeatable plain calls out of its share and asks the homes of its active accounts once a second, one call to each home. The limit is split evenly between the failure domains. The harness's account gets a limit that tests can't reach, since those tests aren't about limits.

Left: calls that may run at most once aren't limited, since a refusal before the look at the claim would call a retry of a call that has run not executed.

--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -93,7 +93,10 @@
     let started = context.clock.now();
     let mut run =
         CompletionRun::new(Arc::clone(&context), snapshot, model, accepted.deadline, wanted);
-    if let Err(refusal) = admission::admit(&accepted, &mut run) {
+    let tokens = run.prompt_tokens().saturating_add(run.output_tokens());
+    if let Err(refusal) =
+        accepted.check_limit(tokens).and_then(|()| admission::admit(&accepted, &mut run))
+    {
         return Err(accepted.refuse(refusal));
     }
     // The head of the answer goes out with the first token, so that a request
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -117,6 +117,7 @@
     accepted: &AcceptedRequest,
     call: &PlainCall,
 ) -> Result<Response, RequestRefusal> {
+    accepted.check_limit(0)?;
     let mut tried = Vec::new();
     let attempts = accepted.snapshot.fleet.limits.attempts;
     while (tried.len() as u32) < attempts {
--- a/crates/daemon/src/callers/request.rs
+++ b/crates/daemon/src/callers/request.rs
@@ -6,6 +6,7 @@
 use gooseberry_core::{
     arena::{AccountKey, ServiceKey},
     balance::{BalanceKey, RequestOutcome},
+    limits::AccountLimit,
     refusal::{RefusalReason, RequestExecuted, RequestRefusal},
     time::Timestamp,
 };
@@ -122,6 +123,21 @@
         Err(refusal.retry_after(super::refusals::SHORT_RETRY))
     }
 
+    /// Takes the request out of its account's limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with the time to come back.
+    pub fn check_limit(&self, tokens: u32) -> Result<(), RequestRefusal> {
+        let account = &self.snapshot.fleet.accounts[self.account];
+        let limit = AccountLimit {
+            requests_per_second: account.requests_per_second,
+            tokens_per_second: account.tokens_per_second,
+        };
+        let limit = limit.split(self.snapshot.fleet.domains.len());
+        self.context.limits.take(&account.name, limit, tokens, self.context.clock.now())
+    }
+
     /// Counts the end of a refused request and passes the refusal on.
     pub fn refuse(self, refusal: RequestRefusal) -> RequestRefusal {
         self.ticket.end(outcome(&refusal));
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,8 +10,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::ClaimStore, control::ControlEvent, logs::LogLevels,
-    metrics::MetricClient, routing::RoutingDesk, snapshot::FleetSnapshot,
+    balance::BalanceBook, claims::ClaimStore, control::ControlEvent, limits::LimitDesk,
+    logs::LogLevels, metrics::MetricClient, routing::RoutingDesk, snapshot::FleetSnapshot,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -31,6 +31,7 @@
     pub claims: ClaimStore,
     pub balance: BalanceBook,
     pub desk: Arc<RoutingDesk>,
+    pub limits: LimitDesk,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -4,7 +4,7 @@
 //! tables, runs its systems each tick and publishes a snapshot.
 
 mod daemons;
-mod links;
+mod shares;
 mod view;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -200,6 +200,7 @@
 
     fn tick(&mut self, now: Timestamp) {
         self.share_links(now);
+        self.context.limits.observe(self.domain_view(now), now);
         // Reports expire with time, so the view may change without an event.
         if self.changed || !self.engines.is_empty() {
             self.context.snapshot.store(Arc::new(self.view(now)));
--- a/crates/daemon/src/control/daemons.rs
+++ b/crates/daemon/src/control/daemons.rs
@@ -5,6 +5,8 @@
 use gooseberry_core::time::Timestamp;
 use smol_str::SmolStr;
 
+/// Age at which a daemon that says nothing no longer counts as live.
+const DAEMON_EXPIRY: Duration = Duration::from_secs(5);
 /// Age at which a daemon that says nothing is forgotten.
 const DAEMON_MEMORY: Duration = Duration::from_secs(600);
 
@@ -33,4 +35,20 @@
     pub fn known(&self, domain: &str) -> usize {
         self.rows.values().filter(|row| row.domain == domain).count()
     }
+
+    /// Counts all daemons that were heard of, in any failure domain.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Lists the other daemons of a failure domain that were heard lately.
+    pub fn live<'a>(
+        &'a self,
+        domain: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'a SmolStr> + 'a {
+        let live =
+            move |row: &DaemonRow| row.domain == domain && now.since(row.heard) < DAEMON_EXPIRY;
+        self.rows.iter().filter(move |(_, row)| live(row)).map(|(name, _)| name)
+    }
 }
--- a/crates/daemon/src/control/links.rs
+++ b/crates/daemon/src/control/shares.rs
@@ -1,8 +1,9 @@
-//! This daemon's share of the links between regions.
+//! What this daemon shares with the others: links between regions, limits.
 
 use gooseberry_core::{
     arena::DomainKey,
     fleet::LinkRow,
+    limits::DomainView,
     spill::{LinkUse, LINK_LIMIT},
     time::Timestamp,
 };
@@ -31,6 +32,20 @@
         self.context.desk.configure_links(&links, now);
     }
 
+    /// Returns what is known of the daemons of this failure domain.
+    ///
+    /// A peer of the settings that was never heard of counts as one of them,
+    /// so that no daemon takes more than its part.
+    pub(super) fn domain_view(&self, now: Timestamp) -> DomainView {
+        let settings = &self.context.settings;
+        let domain = &settings.failure_domain;
+        let unheard = settings.peers.len().saturating_sub(self.daemons.len());
+        let mut live: Vec<SmolStr> = self.daemons.live(domain, now).cloned().collect();
+        live.push(SmolStr::new(&settings.name));
+        live.sort_unstable();
+        DomainView { live, known: (self.daemons.known(domain) + 1 + unheard) as u32 }
+    }
+
     fn link_name(&self, link: &LinkRow) -> SmolStr {
         let (from, to) = (&self.fleet.regions[link.from], &self.fleet.regions[link.to]);
         format_smolstr!("{from}-{to}")
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod context;
 pub mod control;
 pub mod gauge;
+pub mod limits;
 pub mod logs;
 pub mod metrics;
 pub mod peers;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,7 +15,12 @@
 use parking_lot::Mutex;
 use subtle::ConstantTimeEq;
 
-use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore};
+use crate::{
+    context::DaemonContext,
+    control::ControlEvent,
+    limits::{QuotaApiServer, QuotaServer},
+    revisions::RevisionStore,
+};
 
 /// Interval of heartbeats between daemons.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -100,7 +105,10 @@
         book: Arc<PeerBook>,
     ) -> anyhow::Result<ServerHandle> {
         let server = Server::builder().build(&context.settings.peer_listen).await?;
-        Ok(server.start(Self { context, revisions, book }.into_rpc()))
+        let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
+        let mut methods = Self { context, revisions, book }.into_rpc();
+        methods.merge(quota)?;
+        Ok(server.start(methods))
     }
 
     fn check(&self, secret: &str) -> RpcResult<()> {
@@ -206,6 +214,7 @@
         let hello: PeerHello =
             client.request("hello", rpc_params![secret, own_hello(context)]).await?;
         let offered = hello.revision;
+        context.limits.locate(&hello.daemon, address);
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
         book.hear(hello, context.clock.now());
         if offered > revisions.revision() {
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -22,6 +22,7 @@
     claims::ClaimStore,
     context::DaemonContext,
     control::{ControlEvent, ControlState},
+    limits::{self, LimitDesk},
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
@@ -97,6 +98,7 @@
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
+        limits: LimitDesk::default(),
         desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
         metrics,
         levels,
@@ -121,6 +123,7 @@
     let platform = Arc::clone(&context.platform);
     task::spawn(revisions::watch_platform(Arc::clone(context), platform, Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
+    task::spawn(limits::ask_homes(Arc::clone(context)));
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
         task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -191,7 +191,8 @@
             "services:\n  - {{name: assistant, kind: completion, model: sample}}\n  \
              - name: booking\n    kind: plain\n    prefix: /booking\n    unrepeatable:\n      \
              - {{method: POST, path: /reservations}}\n\
-             accounts:\n  - {{name: {ACCOUNT}, key_sha256: [{digest}]}}"
+             accounts:\n  - {{name: {ACCOUNT}, key_sha256: [{digest}], \
+             requests_per_second: 1000000, tokens_per_second: 1000000000}}"
         );
         text.push_str(extra);
         text
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod platform;
 pub mod problem;
+pub mod quota;
 pub mod settings;
 pub mod trace;
 
