--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,17 +5,25 @@
 //! Functions take the time as an argument and tables as values, so that tests
 //! can replay any interleaving under a clock of their own.
 
+pub mod admission;
 pub mod arena;
 pub mod balance;
+pub mod bucket;
 pub mod claims;
 pub mod fleet;
 pub mod history;
+pub mod limits;
 pub mod membership;
 pub mod outage;
 pub mod prefix;
+pub mod prefix_table;
 pub mod refusal;
 pub mod revisions;
 pub mod roles;
 pub mod routing;
+pub mod sends;
+pub mod speed;
+pub mod spill;
+pub mod stall;
 pub mod stream;
 pub mod time;
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -116,6 +116,7 @@
     accepted: &AcceptedRequest,
     call: &PlainCall,
 ) -> Result<Response, RequestRefusal> {
+    accepted.check_limit(0)?;
     let mut tried = Vec::new();
     let attempts = accepted.snapshot.fleet.limits.attempts;
     while (tried.len() as u32) < attempts {
@@ -222,7 +223,7 @@
     server: PlainKey,
 ) -> Result<KeptAnswer, HttpError> {
     let address = accepted.snapshot.fleet.plain_servers[server].address.clone();
-    let _outstanding = accepted.snapshot.plain_servers[server].gauge.start(0);
+    let _outstanding = accepted.snapshot.plain_servers[server].gauge.start();
     let call = call.towards(&address);
     let plain = Arc::clone(&accepted.context.plain);
     let answer = plain.forward(&address, &call, accepted.time_left()).await?;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,8 +13,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, logs::LogLevels,
-    metrics::MetricClient, snapshot::FleetSnapshot,
+    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, limits::LimitDesk,
+    logs::LogLevels, metrics::MetricClient, routing::RoutingDesk, snapshot::FleetSnapshot,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -35,6 +35,8 @@
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
     pub balance: BalanceBook,
+    pub desk: Arc<RoutingDesk>,
+    pub limits: LimitDesk,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -19,6 +19,7 @@
     context::DaemonContext,
     control::ControlEvent,
     history::HistoryBook,
+    limits::{QuotaApiServer, QuotaServer},
     operators::{OperatorApiServer, OperatorServer},
     revisions::RevisionStore,
 };
@@ -114,8 +115,10 @@
     ) -> anyhow::Result<ServerHandle> {
         let server = Server::builder().build(&context.settings.peer_listen).await?;
         let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
+        let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
         let mut methods = Self { context, revisions, book }.into_rpc();
         methods.merge(operators)?;
+        methods.merge(quota)?;
         Ok(server.start(methods))
     }
 }
@@ -233,6 +236,7 @@
         let hello: PeerHello =
             client.request("hello", rpc_params![secret, own_hello(context)]).await?;
         let offered = hello.revision;
+        context.limits.locate(&hello.daemon, address);
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
         book.hear(hello, context.clock.now());
         if offered > revisions.revision() {
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -27,11 +27,13 @@
     context::DaemonContext,
     control::{ControlEvent, ControlState},
     history::{self, HistoryBook},
+    limits::{self, LimitDesk},
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
     pollers,
     revisions::{self, RevisionStore},
+    routing::RoutingDesk,
     snapshot::FleetSnapshot,
 };
 
@@ -107,6 +109,8 @@
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
+        limits: LimitDesk::default(),
+        desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
         metrics,
         levels,
         clock,
@@ -139,6 +143,7 @@
     task::spawn(revisions::end_start(Arc::clone(context), Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
     task::spawn(prune::run(Arc::clone(context)));
+    task::spawn(limits::ask_homes(Arc::clone(context)));
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
         task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
