Replay traces through the decision core, with role policies and a generator

Cause: roles never changed, and no way to measure a policy existed. Change: role planner (static, greedy, adaptive), replay command with fakes of engines, trace generator, configurations of both users, fleet events in traces.

--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -1,13 +1,35 @@
 //! Which engine changes its role, and when a change pays.
+//!
+//! Decisions rest on the demand that the daemons count themselves. The load
+//! that engines report only chooses between engines of one role, so a report
+//! that lags or lies costs a longer drain at worst.
 
-use std::time::Duration;
+pub mod demand;
+pub mod gain;
+
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     arena::{DomainKey, EngineKey, ModelKey},
     fleet::{EngineRole, ObjectiveWeight},
+    roles::{
+        demand::DemandTrack,
+        gain::{PhaseCosts, RoleSplit, StepShape, TokenDemand},
+    },
     time::Timestamp,
 };
 
+/// Roles in the order in which changes to them are tried: a mixed engine keeps
+/// both phases served while others change.
+const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+/// Weight of the short window in a forecast; the long window or the kept
+/// samples have the rest.
+const SHORT_WEIGHT: f64 = 0.7;
+/// Weight of the short window where role changes weigh more than goodput.
+const CAUTIOUS_SHORT_WEIGHT: f64 = 0.3;
+/// Share by which two utilities may differ and still count as equal.
+const EQUAL_UTILITY: f64 = 0.001;
+
 /// Holds what a role decision reads of one engine.
 #[derive(Clone, Copy, Debug)]
 pub struct RoleView {
@@ -53,6 +75,56 @@
     pub weight: ObjectiveWeight,
     /// Time for which a change takes an engine away.
     pub change_time: Duration,
+    /// Time that an engine takes to finish what it runs before a change.
+    pub drain_time: Duration,
+    /// Time for which a shift of the mix is expected to last.
+    pub expected_shift: Duration,
+    /// Engine time for tokens of each phase.
+    pub costs: PhaseCosts,
+}
+
+impl RoleSettings {
+    /// Makes settings with the usual drain, shift and costs.
+    pub fn new(policy: RolePolicy, weight: ObjectiveWeight, change_time: Duration) -> Self {
+        Self {
+            policy,
+            weight,
+            change_time,
+            drain_time: Duration::from_secs(10),
+            expected_shift: Duration::from_secs(60),
+            costs: PhaseCosts::of_step(&StepShape::default()),
+        }
+    }
+
+    /// Returns the factor by which the gain must exceed the cost of a change.
+    fn margin(&self) -> f64 {
+        match self.weight {
+            ObjectiveWeight::Goodput => 1.2,
+            ObjectiveWeight::RoleChanges => 4.0,
+        }
+    }
+
+    /// Returns the least gain, as a share of the output that is asked for.
+    fn least_gain(&self) -> f64 {
+        match self.weight {
+            ObjectiveWeight::Goodput => 0.03,
+            ObjectiveWeight::RoleChanges => 0.08,
+        }
+    }
+
+    /// Returns the least time between two changes of one model and domain.
+    pub fn pause(&self) -> Duration {
+        match self.weight {
+            ObjectiveWeight::Goodput => Duration::from_secs(5),
+            ObjectiveWeight::RoleChanges => Duration::from_secs(60),
+        }
+    }
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        Self::new(RolePolicy::Adaptive, ObjectiveWeight::Goodput, Duration::from_secs(3))
+    }
 }
 
 /// Names a role change that pays.
@@ -66,23 +138,199 @@
 #[derive(Clone, Debug)]
 pub struct RolePlanner {
     settings: RoleSettings,
+    tracks: BTreeMap<ModelKey, DemandTrack>,
+    changed_at: BTreeMap<GroupKey, Timestamp>,
 }
 
+/// Names the engines of one model in one failure domain.
+type GroupKey = (DomainKey, ModelKey);
+
+/// Holds the open engines of a group that no order holds back.
+struct EngineGroup<'a> {
+    engines: Vec<&'a RoleView>,
+    split: RoleSplit,
+    /// Whether an order for one of the group's engines is not settled.
+    ordered: bool,
+}
+
+/// Holds demands with their weights; the weights sum to 1.
+type WeightedDemand = Vec<(f64, TokenDemand)>;
+
 impl RolePlanner {
     /// Makes a planner that has seen no demand yet.
     pub fn new(settings: RoleSettings) -> Self {
-        Self { settings }
+        Self { settings, tracks: BTreeMap::new(), changed_at: BTreeMap::new() }
     }
 
     /// Returns the change to make now, if one pays.
     pub fn plan(
         &mut self,
-        _now: Timestamp,
-        _demand: &[ModelDemand],
-        _engines: &[RoleView],
+        now: Timestamp,
+        demand: &[ModelDemand],
+        engines: &[RoleView],
     ) -> Option<RoleChange> {
-        match self.settings.policy {
-            RolePolicy::Static | RolePolicy::Greedy | RolePolicy::Adaptive => None,
+        for row in demand {
+            self.tracks.entry(row.model).or_default().observe(now, row.tokens());
+        }
+        let groups = group(engines);
+        let (key, change) = groups.iter().find_map(|(key, group)| {
+            let change = match self.settings.policy {
+                RolePolicy::Static => None,
+                RolePolicy::Greedy => self.plan_greedy(key.1, demand, group),
+                RolePolicy::Adaptive => self.plan_adaptive(now, *key, group),
+            };
+            change.map(|change| (*key, change))
+        })?;
+        self.changed_at.insert(key, now);
+        Some(change)
+    }
+
+    /// Returns the change that serves most of the demand of this moment.
+    fn plan_greedy(
+        &self,
+        model: ModelKey,
+        demand: &[ModelDemand],
+        group: &EngineGroup<'_>,
+    ) -> Option<RoleChange> {
+        let demand = demand.iter().find(|row| row.model == model)?;
+        let forecast = vec![(1.0, demand.tokens())];
+        let mut best = (self.utility(group.split, &forecast), None);
+        for (from, to) in group.safe_changes() {
+            let value = self.utility(group.split.changed(from, to), &forecast);
+            if value > best.0 {
+                best = (value, Some((from, to)));
+            }
+        }
+        let (from, to) = best.1?;
+        group.pick(from, to)
+    }
+
+    /// Returns the first change towards the best split, if the whole way pays.
+    fn plan_adaptive(
+        &self,
+        now: Timestamp,
+        key: GroupKey,
+        group: &EngineGroup<'_>,
+    ) -> Option<RoleChange> {
+        let pausing =
+            self.changed_at.get(&key).is_some_and(|at| now.since(*at) < self.settings.pause());
+        if group.ordered || pausing {
+            return None;
+        }
+        let forecast = self.forecast(self.tracks.get(&key.1)?);
+        let target = self.best_split(group.split, &forecast)?;
+        if !self.pays(group.split, target, &forecast) {
+            return None;
+        }
+        let (from, to) = group.step_towards(target)?;
+        group.pick(from, to)
+    }
+
+    /// Returns the demand to plan for.
+    fn forecast(&self, track: &DemandTrack) -> WeightedDemand {
+        match self.settings.weight {
+            ObjectiveWeight::Goodput => {
+                vec![(SHORT_WEIGHT, track.short()), (1.0 - SHORT_WEIGHT, track.long())]
+            }
+            ObjectiveWeight::RoleChanges => {
+                let weight = (1.0 - CAUTIOUS_SHORT_WEIGHT) / track.samples().len().max(1) as f64;
+                let samples = track.samples().map(|sample| (weight, sample));
+                samples.chain([(CAUTIOUS_SHORT_WEIGHT, track.short())]).collect()
+            }
+        }
+    }
+
+    fn utility(&self, split: RoleSplit, forecast: &WeightedDemand) -> f64 {
+        let costs = &self.settings.costs;
+        forecast.iter().map(|(weight, demand)| weight * split.utility(*demand, costs)).sum()
+    }
+
+    /// Returns the split of the most useful output, the closest of equals.
+    fn best_split(&self, split: RoleSplit, forecast: &WeightedDemand) -> Option<RoleSplit> {
+        let engines = split.prefill + split.mixed + split.decode;
+        let mut best: Option<(f64, RoleSplit)> = None;
+        for candidate in RoleSplit::all(engines) {
+            let value = self.utility(candidate, forecast);
+            let better = best.is_none_or(|(most, held)| {
+                let closer = candidate.distance(&split) < held.distance(&split);
+                value > most * (1.0 + EQUAL_UTILITY)
+                    || (value >= most * (1.0 - EQUAL_UTILITY) && closer)
+            });
+            if better {
+                best = Some((value, candidate));
+            }
+        }
+        best.map(|(_, candidate)| candidate)
+    }
+
+    /// Tells whether the gain over the expected shift exceeds the output lost.
+    fn pays(&self, split: RoleSplit, target: RoleSplit, forecast: &WeightedDemand) -> bool {
+        let asked: f64 = forecast.iter().map(|(weight, demand)| weight * demand.output).sum();
+        let now = self.utility(split, forecast);
+        let gain = self.utility(target, forecast) - now;
+        if gain <= asked * self.settings.least_gain() {
+            return false;
+        }
+        let changes = split.distance(&target);
+        // An engine that drains still works on what it runs: half its time is lost.
+        let lost_time = self.settings.change_time + self.settings.drain_time / 2;
+        let way = lost_time * changes;
+        let useful_time = self.settings.expected_shift.saturating_sub(way);
+        let engines = f64::from(split.prefill + split.mixed + split.decode);
+        let lost = now / engines * way.as_secs_f64();
+        gain * useful_time.as_secs_f64() > lost * self.settings.margin()
+    }
+}
+
+impl ModelDemand {
+    fn tokens(&self) -> TokenDemand {
+        TokenDemand {
+            prompt: self.prompt_tokens_per_second.max(0.0),
+            output: self.output_tokens_per_second.max(0.0),
+        }
+    }
+}
+
+impl EngineGroup<'_> {
+    /// Returns the changes that leave both phases served while an engine is away.
+    fn safe_changes(&self) -> impl Iterator<Item = (EngineRole, EngineRole)> + '_ {
+        let from = ROLES.into_iter().filter(|role| self.split.count(*role) > 0);
+        from.filter(|role| self.split.without(*role).serves_both())
+            .flat_map(|from| ROLES.into_iter().map(move |to| (from, to)))
+            .filter(|(from, to)| from != to)
+    }
+
+    /// Returns a safe change that comes closer to a split.
+    fn step_towards(&self, target: RoleSplit) -> Option<(EngineRole, EngineRole)> {
+        let distance = self.split.distance(&target);
+        let closer = |from, to| self.split.changed(from, to).distance(&target) < distance;
+        self.safe_changes()
+            .filter(|(from, to)| closer(*from, *to))
+            .min_by_key(|(_, to)| ROLES.iter().position(|role| role == to))
+    }
+
+    /// Returns the change of the engine of a role that has least to finish.
+    fn pick(&self, from: EngineRole, to: EngineRole) -> Option<RoleChange> {
+        let able = self.engines.iter().filter(|view| view.role == from);
+        let view = able.min_by_key(|view| (view.running + view.queued, view.engine))?;
+        Some(RoleChange { engine: view.engine, role: to })
+    }
+}
+
+/// Sorts the engines into groups.
+fn group(engines: &[RoleView]) -> BTreeMap<GroupKey, EngineGroup<'_>> {
+    let mut groups = BTreeMap::new();
+    for view in engines {
+        let group = groups.entry((view.domain, view.model)).or_insert_with(|| EngineGroup {
+            engines: Vec::new(),
+            split: RoleSplit::default(),
+            ordered: false,
+        });
+        group.ordered |= view.ordered;
+        if view.open && !view.ordered {
+            group.engines.push(view);
+            group.split.add(view.role);
         }
     }
+    groups
 }
--- /dev/null
+++ b/crates/core/src/roles/gain.rs
@@ -0,0 +1,182 @@
+//! What a split of engines over the roles serves of a demand.
+
+use std::time::Duration;
+
+use crate::fleet::EngineRole;
+
+/// Share of the demand above which more capacity adds nothing to the utility.
+///
+/// A split that serves exactly the mean demand still builds queues, so some
+/// headroom counts as useful output.
+const USEFUL_HEADROOM: f64 = 1.15;
+/// Halvings that find the served share to within a millionth.
+const BISECTION_STEPS: u32 = 30;
+/// Served share that the search doesn't exceed.
+const MAX_SHARE: f64 = 16.0;
+
+/// Holds the demand for one model, in tokens a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TokenDemand {
+    pub prompt: f64,
+    pub output: f64,
+}
+
+/// Holds engine time for one token of each phase, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PhaseCosts {
+    /// Prompt token on a prefill engine.
+    pub prompt_dedicated: f64,
+    /// Prompt token on a mixed engine.
+    pub prompt_mixed: f64,
+    /// Output token on a decode engine.
+    pub output_dedicated: f64,
+    /// Output token on a mixed engine.
+    pub output_mixed: f64,
+}
+
+/// Describes a step of an engine that does both phases.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StepShape {
+    pub base: Duration,
+    pub per_sequence: Duration,
+    pub per_prompt_token: Duration,
+    /// Prompt tokens that one step computes.
+    pub prefill_chunk: u32,
+    /// Sequences that run together.
+    pub batch: u32,
+    /// Factor on the time of an engine's own phase in a dedicated role.
+    pub dedicated_factor: f64,
+}
+
+impl Default for StepShape {
+    fn default() -> Self {
+        Self {
+            base: Duration::from_micros(2000),
+            per_sequence: Duration::from_micros(30),
+            per_prompt_token: Duration::from_micros(20),
+            prefill_chunk: 512,
+            batch: 64,
+            dedicated_factor: 0.6,
+        }
+    }
+}
+
+impl PhaseCosts {
+    /// Works out the costs of tokens in full steps.
+    pub fn of_step(step: &StepShape) -> Self {
+        let prompt_base = step.base.as_secs_f64() / f64::from(step.prefill_chunk);
+        let output_base = step.base.as_secs_f64() / f64::from(step.batch);
+        let prompt = step.per_prompt_token.as_secs_f64();
+        let output = step.per_sequence.as_secs_f64();
+        Self {
+            prompt_dedicated: prompt_base + prompt * step.dedicated_factor,
+            prompt_mixed: prompt_base + prompt,
+            output_dedicated: output_base + output * step.dedicated_factor,
+            output_mixed: output_base + output,
+        }
+    }
+}
+
+/// Counts the engines of each role.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoleSplit {
+    pub prefill: u32,
+    pub mixed: u32,
+    pub decode: u32,
+}
+
+impl RoleSplit {
+    /// Returns the number of engines of a role.
+    pub fn count(&self, role: EngineRole) -> u32 {
+        match role {
+            EngineRole::Prefill => self.prefill,
+            EngineRole::Mixed => self.mixed,
+            EngineRole::Decode => self.decode,
+        }
+    }
+
+    /// Adds an engine of a role.
+    pub fn add(&mut self, role: EngineRole) {
+        *self.slot(role) += 1;
+    }
+
+    /// Returns the split with one engine less of a role.
+    pub fn without(mut self, role: EngineRole) -> Self {
+        let slot = self.slot(role);
+        *slot = slot.saturating_sub(1);
+        self
+    }
+
+    /// Returns the split after one engine changed its role.
+    pub fn changed(self, from: EngineRole, to: EngineRole) -> Self {
+        let mut split = self.without(from);
+        split.add(to);
+        split
+    }
+
+    /// Tells whether some engine prefills and some engine decodes.
+    pub fn serves_both(&self) -> bool {
+        self.prefill + self.mixed > 0 && self.decode + self.mixed > 0
+    }
+
+    /// Returns the number of changes that lead to another split.
+    pub fn distance(&self, other: &Self) -> u32 {
+        let apart = self.prefill.abs_diff(other.prefill)
+            + self.mixed.abs_diff(other.mixed)
+            + self.decode.abs_diff(other.decode);
+        apart / 2
+    }
+
+    /// Returns every split of a number of engines that serves both phases.
+    pub fn all(engines: u32) -> impl Iterator<Item = Self> {
+        (0..=engines)
+            .flat_map(move |prefill| {
+                (0..=engines - prefill).map(move |decode| Self {
+                    prefill,
+                    mixed: engines - prefill - decode,
+                    decode,
+                })
+            })
+            .filter(Self::serves_both)
+    }
+
+    /// Returns the share of a demand that the split serves; above 1 it has headroom.
+    pub fn served_share(&self, demand: TokenDemand, costs: &PhaseCosts) -> f64 {
+        let mut low = 0.0;
+        let mut high = MAX_SHARE;
+        for _ in 0..BISECTION_STEPS {
+            let middle = (low + high) / 2.0;
+            if self.carries(demand, middle, costs) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        low
+    }
+
+    /// Returns the useful output of the split under a demand, in tokens a second.
+    pub fn utility(&self, demand: TokenDemand, costs: &PhaseCosts) -> f64 {
+        let share = self.served_share(demand, costs).min(USEFUL_HEADROOM);
+        demand.output * share / USEFUL_HEADROOM
+    }
+
+    /// Tells whether the split carries a multiple of a demand.
+    fn carries(&self, demand: TokenDemand, share: f64, costs: &PhaseCosts) -> bool {
+        let prompt_work = demand.prompt * share * costs.prompt_dedicated;
+        let output_work = demand.output * share * costs.output_dedicated;
+        let prompt_rest = (prompt_work - f64::from(self.prefill)).max(0.0);
+        let output_rest = (output_work - f64::from(self.decode)).max(0.0);
+        let prompt_mixed = prompt_rest * costs.prompt_mixed / costs.prompt_dedicated;
+        let output_mixed = output_rest * costs.output_mixed / costs.output_dedicated;
+        prompt_mixed + output_mixed <= f64::from(self.mixed)
+    }
+
+    fn slot(&mut self, role: EngineRole) -> &mut u32 {
+        match role {
+            EngineRole::Prefill => &mut self.prefill,
+            EngineRole::Mixed => &mut self.mixed,
+            EngineRole::Decode => &mut self.decode,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/report.rs
@@ -0,0 +1,195 @@
+//! The result of a replay.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::requests::{ReplayRequest, RequestEnd};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Collects figures while a replay runs.
+#[derive(Debug)]
+pub struct ReplayTally {
+    pub first_token_us: Histogram<u64>,
+    pub between_tokens_us: Histogram<u64>,
+    pub role_changes: Vec<RoleRow>,
+    pub prompt_tokens: u64,
+    pub cached_tokens: u64,
+    pub cross_region_bytes: u64,
+    pub ejected_after_ms: Option<u64>,
+    pub false_ejections: u64,
+}
+
+impl Default for ReplayTally {
+    fn default() -> Self {
+        let histogram = || Histogram::new(DIGITS).expect("the digits are valid");
+        Self {
+            first_token_us: histogram(),
+            between_tokens_us: histogram(),
+            role_changes: Vec::new(),
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            cross_region_bytes: 0,
+            ejected_after_ms: None,
+            false_ejections: 0,
+        }
+    }
+}
+
+/// Describes one role change of a replay.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RoleRow {
+    pub at_ms: u64,
+    pub engine: String,
+    pub from: String,
+    pub to: String,
+}
+
+/// Holds percentiles of a span, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct SpanSummary {
+    pub p50_ms: f64,
+    pub p95_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// Holds the result of a replay.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ReplayReport {
+    pub policy: String,
+    pub objective: String,
+    pub seed: u64,
+    pub sent: u64,
+    /// Whole answers within their deadline.
+    pub whole: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub unaccounted: u64,
+    pub refusals: BTreeMap<String, u64>,
+    pub failures: BTreeMap<String, u64>,
+    /// Output tokens of whole answers within their deadline.
+    pub useful_tokens: u64,
+    pub goodput_tokens_per_second: f64,
+    pub goodput_requests_per_second: f64,
+    pub role_changes: u64,
+    pub first_token: SpanSummary,
+    pub between_tokens: SpanSummary,
+    /// Share of prompt tokens that were cached.
+    pub prefix_hit_rate: f64,
+    pub cross_region_bytes: u64,
+    /// Time from a bad version to the first engine that was kept out for it.
+    pub ejected_after_ms: Option<u64>,
+    /// Times that an engine without a bad version was kept out.
+    pub false_ejections: u64,
+    pub role_orders: Vec<RoleRow>,
+}
+
+/// Names a run.
+#[derive(Clone, Debug)]
+pub struct RunName {
+    pub policy: String,
+    pub objective: String,
+    pub seed: u64,
+}
+
+impl ReplayReport {
+    /// Sums up a replay; the rates are over the span of arrivals.
+    pub fn new(name: RunName, requests: &[ReplayRequest], tally: &ReplayTally) -> Self {
+        let span_us = requests.last().map_or(0, |request| request.at_us);
+        let seconds = (span_us as f64 / 1e6).max(1.0);
+        let mut report = Self {
+            policy: name.policy,
+            objective: name.objective,
+            seed: name.seed,
+            sent: requests.len() as u64,
+            whole: 0,
+            refused: 0,
+            failed: 0,
+            unaccounted: 0,
+            refusals: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            useful_tokens: 0,
+            goodput_tokens_per_second: 0.0,
+            goodput_requests_per_second: 0.0,
+            role_changes: tally.role_changes.len() as u64,
+            role_orders: tally.role_changes.clone(),
+            first_token: summarise(&tally.first_token_us),
+            between_tokens: summarise(&tally.between_tokens_us),
+            prefix_hit_rate: tally.cached_tokens as f64 / tally.prompt_tokens.max(1) as f64,
+            cross_region_bytes: tally.cross_region_bytes,
+            ejected_after_ms: tally.ejected_after_ms,
+            false_ejections: tally.false_ejections,
+        };
+        for request in requests {
+            report.add(request);
+        }
+        report.goodput_tokens_per_second = report.useful_tokens as f64 / seconds;
+        report.goodput_requests_per_second = report.whole as f64 / seconds;
+        report
+    }
+
+    fn add(&mut self, request: &ReplayRequest) {
+        match request.end {
+            Some(RequestEnd::Whole) => {
+                self.whole += 1;
+                self.useful_tokens += u64::from(request.useful_tokens());
+            }
+            Some(RequestEnd::Refused(kind)) => {
+                self.refused += 1;
+                *self.refusals.entry(kind.to_string()).or_default() += 1;
+            }
+            Some(RequestEnd::Failed(kind)) => {
+                self.failed += 1;
+                *self.failures.entry(kind.to_string()).or_default() += 1;
+            }
+            None => self.unaccounted += 1,
+        }
+    }
+
+    /// Returns the result for people.
+    pub fn to_text(&self) -> String {
+        let mut text = format!(
+            "policy {}, objective {}, seed {}\n\
+             sent {} = whole {} + refused {} + failed {} (unaccounted {})\n\
+             goodput {:.1} tokens/s, {:.2} requests/s; role changes {}\n",
+            self.policy,
+            self.objective,
+            self.seed,
+            self.sent,
+            self.whole,
+            self.refused,
+            self.failed,
+            self.unaccounted,
+            self.goodput_tokens_per_second,
+            self.goodput_requests_per_second,
+            self.role_changes,
+        );
+        for (name, span) in
+            [("first token", &self.first_token), ("between tokens", &self.between_tokens)]
+        {
+            text += &format!(
+                "{name:<15} p50 {:.0} ms, p95 {:.0} ms, p99 {:.0} ms\n",
+                span.p50_ms, span.p95_ms, span.p99_ms
+            );
+        }
+        text += &format!(
+            "prefix hit rate {:.3}, cross-region bytes {}\n",
+            self.prefix_hit_rate, self.cross_region_bytes
+        );
+        for (reason, count) in self.refusals.iter().chain(&self.failures) {
+            text += &format!("  {count} x {reason}\n");
+        }
+        for row in &self.role_orders {
+            text += &format!("  {} ms: {} {} -> {}\n", row.at_ms, row.engine, row.from, row.to);
+        }
+        text
+    }
+}
+
+fn summarise(histogram: &Histogram<u64>) -> SpanSummary {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    SpanSummary { p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+}
--- /dev/null
+++ b/crates/replay/src/run.rs
@@ -0,0 +1,399 @@
+//! The replay itself: events in order of time under a manual clock.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use gooseberry_core::{
+    arena::{ArenaKey, EngineKey, ModelKey},
+    fleet::{EngineRole, FleetTable, ObjectiveWeight},
+    roles::{
+        gain::{PhaseCosts, StepShape},
+        RolePolicy, RoleSettings,
+    },
+};
+use gooseberry_wire::trace::FleetEventKind;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    engine::{EngineSequence, EngineShape, FakeEngine, SequenceEvent},
+    health::{EngineHealth, HealthSignal},
+    report::{ReplayReport, ReplayTally, RoleRow, RunName},
+    requests::{
+        self, FailureKind, RefusalKind, ReplayRequest, RequestEnd, RequestKey, RequestTarget,
+    },
+    router::{LoadRow, ReplayRouter},
+    steward::{DemandSource, RoleSteward},
+    trace::ReplayTrace,
+};
+
+/// Time between two load reports of an engine.
+const REPORT_INTERVAL_US: u64 = 100_000;
+/// Age of load reports when they arrive.
+const REPORT_LAG_US: u64 = 200_000;
+/// Time between two decisions on roles.
+const TICK_US: u64 = 1_000_000;
+/// Time of a call to a plain service.
+const PLAIN_CALL_US: u64 = 20_000;
+/// Time that a KV cache takes to another engine.
+const IMPORT_BASE_US: u64 = 2_000;
+const IMPORT_US_PER_TOKEN: u64 = 2;
+
+/// Holds the settings of a replay.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplayOptions {
+    pub policy: RolePolicy,
+    pub objective: ObjectiveWeight,
+    pub seed: u64,
+    pub shape: EngineShape,
+    pub source: DemandSource,
+    pub signal: HealthSignal,
+}
+
+impl ReplayOptions {
+    /// Makes options with the usual engines.
+    pub fn new(policy: RolePolicy, objective: ObjectiveWeight, seed: u64) -> Self {
+        Self {
+            policy,
+            objective,
+            seed,
+            shape: usual_engine(),
+            source: DemandSource::Arrived,
+            signal: HealthSignal::None,
+        }
+    }
+}
+
+/// Returns an engine with steps ten times as long as the stand-in's, as a
+/// large model has them.
+pub fn usual_engine() -> EngineShape {
+    EngineShape {
+        step: StepShape {
+            base: Duration::from_millis(20),
+            per_sequence: Duration::from_micros(300),
+            per_prompt_token: Duration::from_micros(200),
+            ..StepShape::default()
+        },
+        pieces: 16_384,
+        change_us: 3_000_000,
+    }
+}
+
+/// Names what happens next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ReplayEvent {
+    Arrival(u32),
+    Fleet(u32),
+    Submit { engine: u32, sequence: u32 },
+    StepEnd(u32),
+    ChangeEnd(u32),
+    PlainEnd(u32),
+    Report,
+    Tick,
+}
+
+/// Holds the state of a running replay.
+struct ReplayRun<'a> {
+    options: ReplayOptions,
+    fleet: &'a FleetTable,
+    trace: &'a ReplayTrace,
+    now_us: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<(u64, u64, ReplayEvent)>>,
+    requests: Vec<ReplayRequest>,
+    open_requests: usize,
+    engines: Vec<FakeEngine>,
+    health: Vec<EngineHealth>,
+    bad_since_us: Vec<Option<u64>>,
+    /// Reports of all engines that are under way.
+    reports: VecDeque<(u64, Vec<LoadRow>)>,
+    /// Sequences on their way to an engine.
+    moving: Vec<Option<EngineSequence>>,
+    router: ReplayRouter<'a>,
+    steward: RoleSteward,
+    tally: ReplayTally,
+    random: ChaCha8Rng,
+}
+
+/// Replays a trace against a fleet.
+pub fn run(options: ReplayOptions, fleet: &FleetTable, trace: &ReplayTrace) -> ReplayReport {
+    let mut run = ReplayRun::new(options, fleet, trace);
+    while run.open_requests > 0 {
+        let Some(Reverse((at_us, _, event))) = run.events.pop() else { break };
+        run.now_us = at_us;
+        run.handle(event);
+    }
+    let name = RunName {
+        policy: options.policy.to_string(),
+        objective: options.objective.to_string(),
+        seed: options.seed,
+    };
+    ReplayReport::new(name, &run.requests, &run.tally)
+}
+
+impl<'a> ReplayRun<'a> {
+    fn new(options: ReplayOptions, fleet: &'a FleetTable, trace: &'a ReplayTrace) -> Self {
+        let costs = PhaseCosts::of_step(&options.shape.step);
+        let change_time = Duration::from_micros(options.shape.change_us);
+        let settings = RoleSettings {
+            costs,
+            ..RoleSettings::new(options.policy, options.objective, change_time)
+        };
+        let requests = requests::resolve(&trace.requests, fleet);
+        let engines = fleet.engines.iter().map(|(_, row)| {
+            let mut engine = FakeEngine::new(row.role, options.shape);
+            engine.withdrawn = row.leaving;
+            engine
+        });
+        let count = fleet.engines.len();
+        let mut run = Self {
+            options,
+            fleet,
+            trace,
+            now_us: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            open_requests: requests.len(),
+            requests,
+            engines: engines.collect(),
+            health: vec![EngineHealth::default(); count],
+            bad_since_us: vec![None; count],
+            reports: VecDeque::new(),
+            moving: Vec::new(),
+            router: ReplayRouter::new(fleet, &options.shape.step),
+            steward: RoleSteward::new(fleet, settings, options.source),
+            tally: ReplayTally::default(),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+        };
+        run.schedule_start();
+        run
+    }
+
+    fn schedule_start(&mut self) {
+        for index in 0..self.requests.len() {
+            self.schedule(self.requests[index].at_us, ReplayEvent::Arrival(index as u32));
+        }
+        for (index, event) in self.trace.events.iter().enumerate() {
+            let at_us = event.at_ms * 1000;
+            self.order += 1;
+            self.events.push(Reverse((at_us, self.order, ReplayEvent::Fleet(index as u32))));
+        }
+        self.schedule(0, ReplayEvent::Report);
+        self.schedule(TICK_US, ReplayEvent::Tick);
+    }
+
+    fn schedule(&mut self, at_us: u64, event: ReplayEvent) {
+        self.order += 1;
+        self.events.push(Reverse((at_us, self.order, event)));
+    }
+
+    fn handle(&mut self, event: ReplayEvent) {
+        match event {
+            ReplayEvent::Arrival(index) => self.arrive(RequestKey(index)),
+            ReplayEvent::Fleet(index) => self.change_fleet(index as usize),
+            ReplayEvent::Submit { engine, sequence } => self.submit(engine, sequence),
+            ReplayEvent::StepEnd(engine) => self.end_step(engine as usize),
+            ReplayEvent::ChangeEnd(engine) => {
+                self.engines[engine as usize].finish_change();
+                self.wake(engine as usize);
+            }
+            ReplayEvent::PlainEnd(request) => self.end(RequestKey(request), RequestEnd::Whole),
+            ReplayEvent::Report => self.report(),
+            ReplayEvent::Tick => self.tick(),
+        }
+    }
+
+    fn arrive(&mut self, key: RequestKey) {
+        let request = &self.requests[key.0 as usize];
+        match request.target {
+            RequestTarget::Plain if request.plain_open => {
+                self.schedule(self.now_us + PLAIN_CALL_US, ReplayEvent::PlainEnd(key.0));
+            }
+            RequestTarget::Plain => {
+                self.end(key, RequestEnd::Refused(RefusalKind::NoBackend));
+            }
+            RequestTarget::Unknown => {
+                self.end(key, RequestEnd::Refused(RefusalKind::UnknownService));
+            }
+            RequestTarget::Model(model) => self.route(key, model),
+        }
+    }
+
+    fn route(&mut self, key: RequestKey, model: ModelKey) {
+        let request = &self.requests[key.0 as usize];
+        let placed = self.router.place(self.now_us, request, model, &self.engines);
+        let cached = match &placed {
+            Ok(placement) => placement.cached,
+            Err(_) => request.prefix.map_or(0, |(_, tokens)| tokens),
+        };
+        self.steward.note(request, request.prompt_tokens.saturating_sub(cached));
+        let placement = match placed {
+            Ok(placement) => placement,
+            Err(kind) => return self.end(key, RequestEnd::Refused(kind)),
+        };
+        let mut sequence = EngineSequence::new(key, request.prompt_tokens, request.output_tokens);
+        sequence.prefix = request.prefix;
+        sequence.deadline_us = request.deadline_us;
+        sequence.batch = request.batch;
+        sequence.export = self.engines[placement.engine.index()].role == EngineRole::Prefill;
+        self.tally.cross_region_bytes += placement.cross_bytes;
+        let latency_us = placement.latency.as_micros() as u64;
+        self.send(sequence, placement.engine, latency_us);
+    }
+
+    fn send(&mut self, sequence: EngineSequence, engine: EngineKey, after_us: u64) {
+        self.moving.push(Some(sequence));
+        let sequence = self.moving.len() as u32 - 1;
+        let event = ReplayEvent::Submit { engine: engine.index() as u32, sequence };
+        self.schedule(self.now_us + after_us, event);
+    }
+
+    fn submit(&mut self, engine: u32, sequence: u32) {
+        let Some(sequence) = self.moving[sequence as usize].take() else { return };
+        let fake = &mut self.engines[engine as usize];
+        if !sequence.imported {
+            self.tally.prompt_tokens += u64::from(sequence.prompt_tokens);
+            let hit = fake.cached(sequence.prefix, self.now_us).min(sequence.prompt_tokens);
+            self.tally.cached_tokens += u64::from(hit);
+        }
+        fake.submit(sequence);
+        self.wake(engine as usize);
+    }
+
+    /// Begins a step if the engine is idle and has work.
+    fn wake(&mut self, engine: usize) {
+        let fake = &mut self.engines[engine];
+        if fake.stepping {
+            return;
+        }
+        if let Some(step_us) = fake.begin_step() {
+            self.schedule(self.now_us + step_us, ReplayEvent::StepEnd(engine as u32));
+        } else if let Some(change_us) = fake.begin_change() {
+            self.schedule(self.now_us + change_us, ReplayEvent::ChangeEnd(engine as u32));
+        }
+    }
+
+    fn end_step(&mut self, engine: usize) {
+        for event in self.engines[engine].finish_step(self.now_us) {
+            match event {
+                SequenceEvent::First(key) => {
+                    let waited = self.now_us - self.requests[key.0 as usize].at_us;
+                    record(&mut self.tally.first_token_us, waited);
+                }
+                SequenceEvent::Token(gap_us) => {
+                    record(&mut self.tally.between_tokens_us, gap_us);
+                }
+                SequenceEvent::Exported(sequence) => self.hand_over(engine, sequence),
+                SequenceEvent::Whole(key) => self.finish(engine, key),
+                SequenceEvent::Late(key) => {
+                    self.end(key, RequestEnd::Failed(FailureKind::DeadlinePassed));
+                }
+            }
+        }
+        self.wake(engine);
+    }
+
+    /// Moves a computed prompt to a decode engine, or leaves it where it is.
+    fn hand_over(&mut self, engine: usize, mut sequence: EngineSequence) {
+        let row = &self.fleet.engines[EngineKey::from_index(engine)];
+        let (model, domain) = (row.model, row.domain);
+        let left = sequence.output_left;
+        let target = self.router.place_decode(model, domain, left, &self.engines);
+        let target = target.unwrap_or(EngineKey::from_index(engine));
+        sequence.imported = true;
+        sequence.export = false;
+        let moved_us = IMPORT_BASE_US + IMPORT_US_PER_TOKEN * u64::from(sequence.prompt_tokens);
+        self.send(sequence, target, moved_us);
+    }
+
+    fn finish(&mut self, engine: usize, key: RequestKey) {
+        let share = self.engines[engine].failure_share;
+        let failed = share > 0.0 && self.random.random_bool(share);
+        let end = match failed {
+            true => RequestEnd::Failed(FailureKind::BackendFailed),
+            false => RequestEnd::Whole,
+        };
+        self.end(key, end);
+        self.health[engine].note(self.now_us, failed);
+    }
+
+    fn end(&mut self, key: RequestKey, end: RequestEnd) {
+        let request = &mut self.requests[key.0 as usize];
+        if request.end.is_none() {
+            request.end = Some(end);
+            self.open_requests -= 1;
+        }
+    }
+
+    fn change_fleet(&mut self, index: usize) {
+        let event = &self.trace.events[index];
+        let found = self.fleet.engines.find(|row| row.name == event.engine);
+        let Some((key, _)) = found else { return };
+        let engine = &mut self.engines[key.index()];
+        match event.event {
+            FleetEventKind::Withdraw => engine.withdrawn = true,
+            FleetEventKind::Restore => engine.withdrawn = false,
+            FleetEventKind::BadVersion => {
+                engine.failure_share = event.failure_share;
+                self.bad_since_us[key.index()] = Some(self.now_us);
+            }
+            FleetEventKind::GoodVersion => {
+                engine.failure_share = 0.0;
+                self.bad_since_us[key.index()] = None;
+            }
+        }
+    }
+
+    /// Hands on the reports that have come of age, and makes new ones.
+    fn report(&mut self) {
+        let rows = self.engines.iter().map(LoadRow::of).collect();
+        self.reports.push_back((self.now_us + REPORT_LAG_US, rows));
+        while self.reports.front().is_some_and(|(due_us, _)| *due_us <= self.now_us) {
+            if let Some((_, rows)) = self.reports.pop_front() {
+                self.router.report(rows);
+            }
+        }
+        self.schedule(self.now_us + REPORT_INTERVAL_US, ReplayEvent::Report);
+    }
+
+    fn tick(&mut self) {
+        self.check_health();
+        let changes = self.steward.tick(self.now_us, self.fleet, &self.engines, &self.requests);
+        for change in changes {
+            self.tally.role_changes.push(RoleRow {
+                at_ms: self.now_us / 1000,
+                engine: self.fleet.engines[change.engine].name.to_string(),
+                from: self.engines[change.engine.index()].role.to_string(),
+                to: change.role.to_string(),
+            });
+            self.engines[change.engine.index()].order(change.role);
+            self.wake(change.engine.index());
+        }
+        self.schedule(self.now_us + TICK_US, ReplayEvent::Tick);
+    }
+
+    /// Keeps engines out, or lets them in again, as the signal says.
+    fn check_health(&mut self) {
+        for index in 0..self.engines.len() {
+            let ejected = self.health[index].is_ejected(self.now_us, self.options.signal);
+            if ejected && !self.router.ejected[index] {
+                match self.bad_since_us[index] {
+                    Some(since_us) => {
+                        let after_ms = (self.now_us - since_us) / 1000;
+                        self.tally.ejected_after_ms.get_or_insert(after_ms);
+                    }
+                    None => self.tally.false_ejections += 1,
+                }
+            }
+            self.router.ejected[index] = ejected;
+        }
+    }
+}
+
+fn record(histogram: &mut hdrhistogram::Histogram<u64>, span_us: u64) {
+    // The histogram grows by itself, so that no span is too long for it.
+    let _ = histogram.record(span_us);
+}
--- /dev/null
+++ b/crates/replay/src/trace.rs
@@ -0,0 +1,60 @@
+//! Trace files: JSON lines of requests and fleet events, in order of time.
+
+use gooseberry_wire::trace::{FleetEvent, TraceEntry, TraceLine};
+
+/// Holds the requests and the fleet events of a trace.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReplayTrace {
+    pub requests: Vec<TraceEntry>,
+    pub events: Vec<FleetEvent>,
+}
+
+/// Says which line of a trace can't be read.
+#[derive(Debug, thiserror::Error)]
+#[error("line {line} isn't valid: {source}")]
+pub struct TraceFault {
+    pub line: usize,
+    source: serde_json::Error,
+}
+
+impl ReplayTrace {
+    /// Parses JSON lines.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first line that can't be read.
+    pub fn parse(text: &str) -> Result<Self, TraceFault> {
+        let mut trace = Self::default();
+        for (index, line) in text.lines().enumerate() {
+            if line.trim().is_empty() {
+                continue;
+            }
+            let line = serde_json::from_str(line)
+                .map_err(|source| TraceFault { line: index + 1, source })?;
+            match line {
+                TraceLine::FleetEvent(event) => trace.events.push(event),
+                TraceLine::TraceEntry(entry) => trace.requests.push(entry),
+            }
+        }
+        trace.requests.sort_by_key(|entry| entry.at_ms);
+        trace.events.sort_by_key(|event| event.at_ms);
+        Ok(trace)
+    }
+
+    /// Writes JSON lines, in order of time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a line can't be written as JSON; every line can.
+    pub fn to_text(&self) -> String {
+        let requests = self.requests.iter().map(|entry| (entry.at_ms, compact(entry)));
+        let events = self.events.iter().map(|event| (event.at_ms, compact(event)));
+        let mut lines: Vec<_> = events.chain(requests).collect();
+        lines.sort_by_key(|(at_ms, _)| *at_ms);
+        lines.into_iter().map(|(_, line)| line + "\n").collect()
+    }
+}
+
+fn compact(line: &impl serde::Serialize) -> String {
+    serde_json::to_string(line).expect("a trace line is written as JSON")
+}
--- a/crates/wire/src/trace.rs
+++ b/crates/wire/src/trace.rs
@@ -3,6 +3,78 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
+#[doc = "Describes what happens to an engine during a trace, one JSON object a line."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FleetEvent {
+    #[doc = "Time since the start of the trace."]
+    pub at_ms: u64,
+    #[doc = "Name of the engine."]
+    pub engine: ::std::string::String,
+    pub event: FleetEventKind,
+    #[doc = "Share of requests that a bad version fails."]
+    #[serde(default = "defaults::fleet_event_failure_share")]
+    pub failure_share: f64,
+}
+#[doc = "Names what happens to an engine."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum FleetEventKind {
+    #[serde(rename = "withdraw")]
+    Withdraw,
+    #[serde(rename = "restore")]
+    Restore,
+    #[serde(rename = "bad-version")]
+    BadVersion,
+    #[serde(rename = "good-version")]
+    GoodVersion,
+}
+impl ::std::fmt::Display for FleetEventKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Withdraw => f.write_str("withdraw"),
+            Self::Restore => f.write_str("restore"),
+            Self::BadVersion => f.write_str("bad-version"),
+            Self::GoodVersion => f.write_str("good-version"),
+        }
+    }
+}
+impl ::std::str::FromStr for FleetEventKind {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "withdraw" => Ok(Self::Withdraw),
+            "restore" => Ok(Self::Restore),
+            "bad-version" => Ok(Self::BadVersion),
+            "good-version" => Ok(Self::GoodVersion),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for FleetEventKind {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for FleetEventKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "`TraceBorder`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -36,6 +108,9 @@
     #[doc = "Time from arrival to deadline."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub deadline_ms: ::std::option::Option<u64>,
+    #[doc = "Failure domain at which the request arrives; absent means any."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub failure_domain: ::std::option::Option<::std::string::String>,
     #[doc = "Idempotency key."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub key: ::std::option::Option<::std::string::String>,
@@ -58,6 +133,29 @@
     #[doc = "Name of the service."]
     pub service: ::std::string::String,
 }
+#[doc = "Holds one line of a trace file."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(untagged)]
+pub enum TraceLine {
+    FleetEvent(FleetEvent),
+    TraceEntry(TraceEntry),
+}
+impl ::std::convert::From<FleetEvent> for TraceLine {
+    fn from(value: FleetEvent) -> Self {
+        Self::FleetEvent(value)
+    }
+}
+impl ::std::convert::From<TraceEntry> for TraceLine {
+    fn from(value: TraceEntry) -> Self {
+        Self::TraceEntry(value)
+    }
+}
+#[doc = " Generation of default values for serde."]
+pub mod defaults {
+    pub(super) fn fleet_event_failure_share() -> f64 {
+        0.0_f64
+    }
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
