Hand decoding over from mixed engines, and list goodput by window

Cause: prompts waited for a place in the batch of a mixed engine that was full of decoding sequences (first token p95 62 s in the library's shift). Ruled out: the planner's choice of split; the wait was there with one mixed and two idle decode engines.

--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -35,16 +35,17 @@
 /// Writes the rows as a Markdown table.
 pub fn to_table(rows: &[ReplayReport]) -> String {
     let mut text = String::from(
-        "| policy | objective | tokens/s | in time | sent | refused | failed | role changes | \
+        "| policy | objective | tokens/s | of offered | in time | sent | refused | failed | role changes | \
          first token p95 ms | between tokens p95 ms | hit rate | cross-region MB |\n\
-         |---|---|---|---|---|---|---|---|---|---|---|---|\n",
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for row in rows {
         text += &format!(
-            "| {} | {} | {:.0} | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.2} | {:.1} |\n",
+            "| {} | {} | {:.0} | {:.0} % | {} | {} | {} | {} | {} | {:.0} | {:.0} | {:.2} | {:.1} |\n",
             row.policy,
             row.objective,
             row.goodput_tokens_per_second,
+            100.0 * row.goodput_tokens_per_second / row.offered_tokens_per_second,
             row.whole,
             row.sent,
             row.refused,
--- a/crates/replay/src/report.rs
+++ b/crates/replay/src/report.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// Length of the windows by which goodput is listed, in seconds.
+const WINDOW_S: u64 = 20;
+
+/// Sums the output tokens of the requests that arrived in a window.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct WindowRow {
+    pub offered: u64,
+    pub useful: u64,
+}
+
 /// Describes one role change of a replay.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct RoleRow {
@@ -73,6 +83,8 @@
     /// Output tokens of whole answers within their deadline.
     pub useful_tokens: u64,
     pub goodput_tokens_per_second: f64,
+    /// Output tokens asked for, for each second.
+    pub offered_tokens_per_second: f64,
     pub goodput_requests_per_second: f64,
     pub role_changes: u64,
     pub first_token: SpanSummary,
@@ -85,6 +97,7 @@
     /// Times that an engine without a bad version was kept out.
     pub false_ejections: u64,
     pub role_orders: Vec<RoleRow>,
+    pub windows: Vec<WindowRow>,
 }
 
 /// Names a run.
@@ -113,6 +126,8 @@
             failures: BTreeMap::new(),
             useful_tokens: 0,
             goodput_tokens_per_second: 0.0,
+            offered_tokens_per_second: 0.0,
+            windows: Vec::new(),
             goodput_requests_per_second: 0.0,
             role_changes: tally.role_changes.len() as u64,
             role_orders: tally.role_changes.clone(),
@@ -126,12 +141,23 @@
         for request in requests {
             report.add(request);
         }
+        let offered: u64 = report.windows.iter().map(|row| row.offered).sum();
+        report.offered_tokens_per_second = offered as f64 / seconds;
         report.goodput_tokens_per_second = report.useful_tokens as f64 / seconds;
         report.goodput_requests_per_second = report.whole as f64 / seconds;
         report
     }
 
     fn add(&mut self, request: &ReplayRequest) {
+        let window = (request.at_us / 1_000_000 / WINDOW_S) as usize;
+        if self.windows.len() <= window {
+            self.windows.resize(window + 1, WindowRow::default());
+        }
+        let tokens = u64::from(request.useful_tokens());
+        self.windows[window].offered += tokens;
+        if request.end == Some(RequestEnd::Whole) {
+            self.windows[window].useful += tokens;
+        }
         match request.end {
             Some(RequestEnd::Whole) => {
                 self.whole += 1;
@@ -154,7 +180,7 @@
         let mut text = format!(
             "policy {}, objective {}, seed {}\n\
              sent {} = whole {} + refused {} + failed {} (unaccounted {})\n\
-             goodput {:.1} tokens/s, {:.2} requests/s; role changes {}\n",
+             goodput {:.1} of {:.1} tokens/s, {:.2} requests/s; role changes {}\n",
             self.policy,
             self.objective,
             self.seed,
@@ -164,6 +190,7 @@
             self.failed,
             self.unaccounted,
             self.goodput_tokens_per_second,
+            self.offered_tokens_per_second,
             self.goodput_requests_per_second,
             self.role_changes,
         );
--- a/crates/replay/src/router.rs
+++ b/crates/replay/src/router.rs
@@ -140,14 +140,7 @@
         output_left: u32,
         engines: &[FakeEngine],
     ) -> Option<EngineKey> {
-        let load = |key: EngineKey| {
-            let row = &self.rows[key.index()];
-            let held = f64::from(row.running + row.queued + row.unreported);
-            match engines[key.index()].role {
-                EngineRole::Mixed => (held + 1.0) * MIXED_DECODE_LOAD,
-                EngineRole::Decode | EngineRole::Prefill => held + 1.0,
-            }
-        };
+        let load = |key: EngineKey| self.decode_load(key, engines[key.index()].role);
         let able = self.fleet.engines.iter().map(|(key, _)| key).filter(|key| {
             self.is_near(*key, model, domain)
                 && engines[key.index()].is_open()
@@ -161,6 +154,38 @@
         Some(engine)
     }
 
+    /// Tells whether a prompt that an engine computes is decoded elsewhere.
+    ///
+    /// A mixed engine hands over when a decode engine is less loaded: else its
+    /// batch fills up with decoding sequences, and prompts wait for a place.
+    pub fn hands_over(&self, engine: EngineKey, engines: &[FakeEngine]) -> bool {
+        match engines[engine.index()].role {
+            EngineRole::Prefill => true,
+            EngineRole::Decode => false,
+            EngineRole::Mixed => {
+                let row = &self.fleet.engines[engine];
+                let load = self.decode_load(engine, EngineRole::Mixed);
+                self.fleet.engines.iter().any(|(key, _)| {
+                    let fake = &engines[key.index()];
+                    self.is_near(key, row.model, row.domain)
+                        && fake.is_open()
+                        && fake.role == EngineRole::Decode
+                        && self.decode_load(key, fake.role) < load
+                })
+            }
+        }
+    }
+
+    /// Returns how loaded an engine is for one more decoding sequence.
+    fn decode_load(&self, engine: EngineKey, role: EngineRole) -> f64 {
+        let row = &self.rows[engine.index()];
+        let held = f64::from(row.running + row.queued + row.unreported + 1);
+        match role {
+            EngineRole::Mixed => held * MIXED_DECODE_LOAD,
+            EngineRole::Decode | EngineRole::Prefill => held,
+        }
+    }
+
     fn choose(
         &self,
         now_us: u64,
--- a/crates/replay/src/run.rs
+++ b/crates/replay/src/run.rs
@@ -8,7 +8,7 @@
 
 use gooseberry_core::{
     arena::{ArenaKey, EngineKey, ModelKey},
-    fleet::{EngineRole, FleetTable, ObjectiveWeight},
+    fleet::{FleetTable, ObjectiveWeight},
     roles::{
         gain::{PhaseCosts, StepShape},
         RolePolicy, RoleSettings,
@@ -238,7 +238,7 @@
         sequence.prefix = request.prefix;
         sequence.deadline_us = request.deadline_us;
         sequence.batch = request.batch;
-        sequence.export = self.engines[placement.engine.index()].role == EngineRole::Prefill;
+        sequence.export = self.router.hands_over(placement.engine, &self.engines);
         self.tally.cross_region_bytes += placement.cross_bytes;
         let latency_us = placement.latency.as_micros() as u64;
         self.send(sequence, placement.engine, latency_us);
