--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -75,8 +75,10 @@
     pub weight: ObjectiveWeight,
     /// Time for which a change takes an engine away.
     pub change_time: Duration,
-    /// Time that an engine takes to finish what it runs before a change.
-    pub drain_time: Duration,
+    /// Time that a prefill engine takes to finish what it runs before a change.
+    pub prefill_drain: Duration,
+    /// Time that an engine that decodes takes to finish its answers.
+    pub decode_drain: Duration,
     /// Time for which a shift of the mix is expected to last.
     pub expected_shift: Duration,
     /// Engine time for tokens of each phase.
@@ -90,7 +92,8 @@
             policy,
             weight,
             change_time,
-            drain_time: Duration::from_secs(10),
+            prefill_drain: Duration::from_secs(3),
+            decode_drain: Duration::from_secs(30),
             expected_shift: Duration::from_secs(60),
             costs: PhaseCosts::of_step(&StepShape::default()),
         }
@@ -217,7 +220,8 @@
         if group.ordered || pausing {
             return None;
         }
-        let forecast = self.forecast(self.tracks.get(&key.1)?);
+        let track = self.tracks.get(&key.1).filter(|track| track.is_settled())?;
+        let forecast = self.forecast(track);
         let target = self.best_split(group.split, &forecast)?;
         if !self.pays(group.split, target, &forecast) {
             return None;
@@ -271,15 +275,21 @@
         if gain <= asked * self.settings.least_gain() {
             return false;
         }
-        let changes = split.distance(&target);
-        // An engine that drains still works on what it runs: half its time is lost.
-        let lost_time = self.settings.change_time + self.settings.drain_time / 2;
-        let way = lost_time * changes;
+        let way = self.lost_time(split, target);
         let useful_time = self.settings.expected_shift.saturating_sub(way);
         let engines = f64::from(split.prefill + split.mixed + split.decode);
         let lost = now / engines * way.as_secs_f64();
         gain * useful_time.as_secs_f64() > lost * self.settings.margin()
     }
+
+    /// Returns the engine time that is lost on the way to a split.
+    fn lost_time(&self, split: RoleSplit, target: RoleSplit) -> Duration {
+        let prefill = split.prefill.saturating_sub(target.prefill);
+        let others = split.distance(&target) - prefill;
+        // An engine that drains still works on what it runs: half its time is lost.
+        let drains = self.settings.prefill_drain * prefill + self.settings.decode_drain * others;
+        self.settings.change_time * (prefill + others) + drains / 2
+    }
 }
 
 impl ModelDemand {
--- a/crates/core/src/roles/demand.rs
+++ b/crates/core/src/roles/demand.rs
@@ -19,6 +19,7 @@
     short: TokenDemand,
     long: TokenDemand,
     samples: VecDeque<TokenDemand>,
+    first_seen_at: Option<Timestamp>,
     seen_at: Option<Timestamp>,
     sampled_at: Option<Timestamp>,
 }
@@ -38,9 +39,16 @@
             }
         }
         self.seen_at = Some(now);
+        self.first_seen_at.get_or_insert(now);
         self.sample(now);
     }
 
+    /// Tells whether demand has been seen for long enough to plan for it.
+    pub fn is_settled(&self) -> bool {
+        let span = self.first_seen_at.zip(self.seen_at).map(|(first, last)| last.since(first));
+        span.is_some_and(|span| span >= SHORT_WINDOW * 2)
+    }
+
     /// Returns the demand over the short window.
     pub fn short(&self) -> TokenDemand {
         self.short
