--- a/crates/core/src/roles/gain.rs
+++ b/crates/core/src/roles/gain.rs
@@ -9,6 +9,12 @@
 /// A split that serves exactly the mean demand still builds queues, so some
 /// headroom counts as useful output.
 const USEFUL_HEADROOM: f64 = 1.15;
+/// Share of its time that a mixed engine may spend on prompts while it decodes.
+///
+/// Steps that compute prompts stretch the time between the tokens of every
+/// answer in the batch, so that answers miss their deadlines although the
+/// engine's throughput would carry them.
+const INTERLEAVED_PROMPTS: f64 = 0.25;
 /// Halvings that find the served share to within a millionth.
 const BISECTION_STEPS: u32 = 30;
 /// Served share that the search doesn't exceed.
@@ -169,7 +175,10 @@
         let output_rest = (output_work - f64::from(self.decode)).max(0.0);
         let prompt_mixed = prompt_rest * costs.prompt_mixed / costs.prompt_dedicated;
         let output_mixed = output_rest * costs.output_mixed / costs.output_dedicated;
-        prompt_mixed + output_mixed <= f64::from(self.mixed)
+        let mixed = f64::from(self.mixed);
+        let interleaves = output_rest > 0.0;
+        let prompt_room = if interleaves { mixed * INTERLEAVED_PROMPTS } else { mixed };
+        prompt_mixed <= prompt_room && prompt_mixed + output_mixed <= mixed
     }
 
     fn slot(&mut self, role: EngineRole) -> &mut u32 {
