Plan no prefill engines without a decode engine to hand over to

Cause: the planner took the decode engine away first and left the mixed one to decode, which routing goes on sending prompts. Ruled out: the price of the drain; the same split run alone is as bad.

--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -253,7 +253,7 @@
     fn best_split(&self, split: RoleSplit, forecast: &WeightedDemand) -> Option<RoleSplit> {
         let engines = split.prefill + split.mixed + split.decode;
         let mut best: Option<(f64, RoleSplit)> = None;
-        for candidate in RoleSplit::all(engines) {
+        for candidate in RoleSplit::all(engines).filter(RoleSplit::hands_over) {
             let value = self.utility(candidate, forecast);
             let better = best.is_none_or(|(most, held)| {
                 let closer = candidate.distance(&split) < held.distance(&split);
--- a/crates/core/src/roles/gain.rs
+++ b/crates/core/src/roles/gain.rs
@@ -125,6 +125,14 @@
         self.prefill + self.mixed > 0 && self.decode + self.mixed > 0
     }
 
+    /// Tells whether prefill engines have a decode engine to hand over to.
+    ///
+    /// Without one the mixed engines decode everything, and the prompts that
+    /// they go on taking stretch the time between tokens.
+    pub fn hands_over(&self) -> bool {
+        self.prefill == 0 || self.decode > 0
+    }
+
     /// Returns the number of changes that lead to another split.
     pub fn distance(&self, other: &Self) -> u32 {
         let apart = self.prefill.abs_diff(other.prefill)
