Choose the load of generated traces by what the best split serves

Cause: at 0.95 of the modelled capacity the offered tokens are 6 % above what the static split serves, so no policy can differ by more. Each split run alone shows that the model is cautious: at 1.15 the best split of a phase serves 88 % of the prompt-heavy and 99 % of the output-heavy phase.

--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -33,8 +33,8 @@
     Cooperative,
 }
 
-/// Share of the best split's capacity that the heavy phases ask for.
-const HEAVY_LOAD: f64 = 0.95;
+/// Share of the best split's modelled capacity that the heavy phases ask for.
+pub const HEAVY_LOAD: f64 = 1.15;
 /// Engines of the main model in each failure domain.
 const ENGINES_PER_DOMAIN: u32 = 3;
 /// Failure domains of both users.
@@ -176,15 +176,34 @@
     per_second: f64,
 }
 
-/// Makes the trace of a shape for a user.
-pub fn generate(shape: TraceShape, user: TraceUser, seed: u64) -> ReplayTrace {
-    let profile = user.profile();
-    let phases = 4.0;
-    let span_s = profile.phase_s * phases;
+/// Phases of a trace.
+const PHASES: f64 = 4.0;
+
+/// Says which trace to make.
+#[derive(Clone, Copy, Debug)]
+pub struct TraceOptions {
+    pub shape: TraceShape,
+    pub user: TraceUser,
+    pub seed: u64,
+    /// Factor on the load of the heavy phases.
+    pub load: f64,
+    /// Length of the whole trace, in seconds; the user's own if absent.
+    pub span_s: Option<f64>,
+}
+
+/// Makes a trace.
+pub fn generate(options: TraceOptions) -> ReplayTrace {
+    let TraceOptions { shape, user, seed, load, span_s } = options;
+    let mut profile = user.profile();
+    if let Some(span_s) = span_s {
+        profile.phase_s = span_s / PHASES;
+    }
+    let span_s = profile.phase_s * PHASES;
     let mut maker = TraceMaker {
         random: ChaCha8Rng::seed_from_u64(seed),
         trace: ReplayTrace::default(),
         profile,
+        load,
     };
     maker.add_main(shape, span_s);
     maker.add_extra(shape, span_s);
@@ -200,6 +219,7 @@
     random: ChaCha8Rng,
     trace: ReplayTrace,
     profile: UserProfile,
+    load: f64,
 }
 
 impl TraceMaker {
@@ -221,15 +241,15 @@
         match shape {
             TraceShape::Shift => {
                 let odd = (second / profile.phase_s) as u64 % 2 == 1;
-                at(f64::from(u8::from(odd)), HEAVY_LOAD)
+                at(f64::from(u8::from(odd)), self.load)
             }
             TraceShape::Day => {
                 let turn = (second / span_s * std::f64::consts::TAU).cos();
-                at((1.0 - turn) / 2.0, HEAVY_LOAD)
+                at((1.0 - turn) / 2.0, self.load)
             }
-            TraceShape::Withdrawn => at(0.5, HEAVY_LOAD * 0.9),
-            TraceShape::MorningBatch | TraceShape::Flash => at(0.5, 0.6),
-            TraceShape::BadVersion => at(0.5, 0.7),
+            TraceShape::Withdrawn => at(0.5, self.load * 0.9),
+            TraceShape::MorningBatch | TraceShape::Flash => at(0.5, self.load * 0.65),
+            TraceShape::BadVersion => at(0.5, self.load * 0.75),
         }
     }
 
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -11,7 +11,7 @@
 };
 use gooseberry_replay::{
     compare,
-    generate::{self, TraceShape, TraceUser},
+    generate::{self, TraceOptions, TraceShape, TraceUser},
     health::HealthSignal,
     oracle,
     run::{self, ReplayOptions},
@@ -66,6 +66,12 @@
         /// Seed of the trace
         #[bpaf(long, argument("N"), fallback(1))]
         seed: u64,
+        /// Load of the heavy phases, as a share of the best split's capacity
+        #[bpaf(long, argument("FACTOR"), fallback(generate::HEAVY_LOAD))]
+        load: f64,
+        /// Length of the trace in seconds
+        #[bpaf(long, argument("S"), optional)]
+        seconds: Option<f64>,
     },
 }
 
@@ -134,8 +140,9 @@
                 }
             }
         }
-        Arguments::Generate { shape, user, seed } => {
-            print!("{}", generate::generate(shape, user, seed).to_text());
+        Arguments::Generate { shape, user, seed, load, seconds } => {
+            let options = TraceOptions { shape, user, seed, load, span_s: seconds };
+            print!("{}", generate::generate(options).to_text());
         }
     }
     Ok(())
