Give the greedy baseline the same rules for splits

Cause: greedy flapped between splits of equal value (up to 286 changes) and took decode engines away, which adaptive isn't allowed to; the comparison favoured adaptive.

--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -199,8 +199,9 @@
         let forecast = vec![(1.0, demand.tokens())];
         let mut best = (self.utility(group.split, &forecast), None);
         for (from, to) in group.safe_changes() {
-            let value = self.utility(group.split.changed(from, to), &forecast);
-            if value > best.0 {
+            let split = group.split.changed(from, to);
+            let value = self.utility(split, &forecast);
+            if split.hands_over() && value > best.0 * (1.0 + EQUAL_UTILITY) {
                 best = (value, Some((from, to)));
             }
         }
