--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -13,6 +13,8 @@
 
 /// Time between the proof of a death and the first act that relies on it.
 pub const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Greatest difference between the clocks of a VM and of the platform.
+const CLOCK_SKEW: Duration = Duration::from_secs(1);
 
 /// Names one process: a VM and the start of the process on it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -57,11 +59,20 @@
     newest: Option<(u64, Timestamp)>,
     /// Whether the newest list names the VM.
     listed: bool,
-    /// Since when the list no longer names a VM that it named before.
-    gone_since: Option<Timestamp>,
+    /// The departure of a VM that the list named before and doesn't now.
+    gone: Option<VmDeparture>,
     leaving: bool,
 }
 
+/// Says when a VM left the platform's list.
+#[derive(Clone, Copy, Debug)]
+struct VmDeparture {
+    /// Time at which the list was made.
+    made_at: Timestamp,
+    /// Time since which the departure is known here.
+    since: Timestamp,
+}
+
 /// Describes one VM of the platform's list.
 #[derive(Clone, Debug)]
 pub struct ListedVm {
@@ -81,13 +92,13 @@
         for member in self.vms.values_mut() {
             member.leaving = false;
             if std::mem::take(&mut member.listed) {
-                member.gone_since = Some(now);
+                member.gone = Some(VmDeparture { made_at, since: now });
             }
         }
         for vm in vms {
             let member = self.vms.entry(vm.name.clone()).or_default();
             member.listed = true;
-            member.gone_since = None;
+            member.gone = None;
             member.leaving = vm.leaving;
         }
     }
@@ -104,7 +115,10 @@
     pub fn is_dead(&self, process: &ProcessIncarnation, now: Timestamp) -> bool {
         let Some(member) = self.vms.get(&process.vm) else { return false };
         let replaced = member.newest.filter(|(newest, _)| *newest > process.incarnation);
-        let proven = [member.gone_since, replaced.map(|(_, since)| since)];
+        // A list says nothing of a process that started after it was made.
+        let started = Timestamp::from_millis(process.incarnation);
+        let gone = member.gone.filter(|gone| started + CLOCK_SKEW < gone.made_at);
+        let proven = [gone.map(|gone| gone.since), replaced.map(|(_, since)| since)];
         proven.into_iter().flatten().any(|since| now.since(since) >= SETTLING_TIME)
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -29,6 +29,13 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub steward: ::std::option::Option<bool>,
 }
+#[doc = "Sums the tokens of one model that a daemon has admitted since its start."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct DemandRow {
+    pub model: ::std::string::String,
+    pub output_tokens: u64,
+    pub prompt_tokens: u64,
+}
 #[doc = "Reports what a daemon knows of an engine."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct EngineStatus {
@@ -40,6 +47,23 @@
     pub role: ::std::string::String,
     pub running: u32,
 }
+#[doc = "Reports the order record of one engine."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct OrderRow {
+    #[doc = "Role, model, version and adapters that were ordered."]
+    pub change: ::std::string::String,
+    pub claimed_at_ms: u64,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub ended_at_ms: ::std::option::Option<u64>,
+    pub engine: ::std::string::String,
+    pub issuer: ::std::string::String,
+    pub order_id: ::std::string::String,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub outcome: ::std::option::Option<::std::string::String>,
+    pub phase: ::std::string::String,
+    pub reason: ::std::string::String,
+    pub revision: u64,
+}
 #[doc = "`PeerBorder`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -64,10 +88,21 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct PeerHello {
     pub daemon: ::std::string::String,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub demand: ::std::vec::Vec<DemandRow>,
+    #[doc = "Engines that get no new work from this daemon and run none of its requests."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub drained: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Engines that the steward wants without new work."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub draining: ::std::vec::Vec<::std::string::String>,
     pub failure_domain: ::std::string::String,
     pub incarnation: u64,
     #[doc = "Configuration revision in force."]
     pub revision: u64,
+    #[doc = "Whether the daemon is its domain's steward."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub steward: ::std::option::Option<bool>,
 }
 #[doc = "Carries the configuration of a revision."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
