--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod limits;
 pub mod membership;
+pub mod orders;
 pub mod outage;
 pub mod prefix;
 pub mod prefix_table;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -175,6 +175,10 @@
         incarnation: context.incarnation,
         revision: context.snapshot.load().fleet.revision,
         platform_reachable: context.is_platform_reachable(),
+        steward: None,
+        draining: Vec::new(),
+        drained: Vec::new(),
+        demand: Vec::new(),
     }
 }
 
--- a/crates/replay/src/router.rs
+++ b/crates/replay/src/router.rs
@@ -9,7 +9,8 @@
     arena::{ArenaKey, DomainKey, EngineKey, ModelKey},
     fleet::{EngineRole, FleetTable},
     roles::gain::{PhaseCosts, StepShape},
-    routing::{self, EngineView, RouteRequest},
+    routing::{self, EngineView, RoutePhase, RouteRequest},
+    speed::EngineSpeed,
 };
 
 use crate::{
@@ -197,8 +198,14 @@
         let latency = self.latency(request.domain, domain);
         let route = RouteRequest {
             model,
+            // Where the output is generated is decided once the prompt is done,
+            // so every engine that computes prompts is a candidate.
+            phase: RoutePhase::Whole,
             prompt_tokens: request.prompt_tokens,
             output_tokens: request.output_tokens,
+            time_left: Duration::from_micros(request.deadline_us.saturating_sub(now_us)),
+            // Spilling is decided by failure domain, before this choice.
+            bytes: 0,
         };
         let views = self
             .fleet
@@ -208,7 +215,9 @@
             .map(|(key, _)| self.view(key, model, latency, &engines[key.index()]));
         let seen_us = now_us.saturating_sub(CACHE_LAG_US);
         let cached = |key: EngineKey| engines[key.index()].cached(request.prefix, seen_us);
-        let decision = routing::choose(&route, views, cached, |key| self.ejected[key.index()])?;
+        let excluded =
+            |key: EngineKey| self.ejected[key.index()] || !engines[key.index()].role.prefills();
+        let decision = routing::choose(&route, views, cached, excluded)?;
         let cached = cached(decision.engine).min(request.prompt_tokens);
         Some(Placement { engine: decision.engine, cached, cross_bytes: 0, latency })
     }
@@ -221,17 +230,25 @@
         fake: &FakeEngine,
     ) -> EngineView {
         let row = &self.rows[engine.index()];
+        let prompt_cost = match fake.role {
+            EngineRole::Mixed => self.costs.prompt_mixed,
+            EngineRole::Prefill | EngineRole::Decode => self.costs.prompt_dedicated,
+        };
+        let speed = EngineSpeed {
+            prefill_per_token: Duration::from_secs_f64(prompt_cost),
+            ..EngineSpeed::default()
+        };
         EngineView {
-            engine,
-            model,
-            role: fake.role,
             open: fake.is_open(),
             latency,
+            speed,
             running: row.running,
             queued: row.queued,
             backlog_tokens: row.backlog_tokens,
             outstanding: row.running + row.unreported,
+            unreported_requests: row.unreported,
             unreported_tokens: row.unreported_tokens,
+            ..EngineView::idle(engine, model, fake.role)
         }
     }
 
