Give each test process its own loopback host

Ruled out: the daemon's start logic (its log ended at the bind). Change: tests listen at a loopback host made from the process identifier, from which nothing connects, and no port is given twice; a daemon that ends while a test waits for it fails the test at once with its log.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -1,11 +1,13 @@
 //! Processes that a test starts, pauses and ends.
 
 use std::{
+    collections::BTreeSet,
     env,
     fs::File,
-    net::TcpListener,
+    net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Output, Stdio},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
@@ -18,6 +20,13 @@
 /// Interval at which conditions are looked at.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Second part of the first loopback address that tests listen at.
+const FIRST_NETWORK: u8 = 64;
+/// Bits of a process identifier that go to the second part of the address.
+const NETWORK_MASK: u8 = FIRST_NETWORK - 1;
+/// Ports that this process has given to its tests.
+static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
 /// A process that ends with its handle.
 #[derive(Debug)]
 pub struct TestProcess {
@@ -109,10 +118,20 @@
     folder.join(program)
 }
 
-/// Returns a loopback address that nothing listens at.
+/// Returns a loopback address that nothing listens at, a new one each time.
+///
+/// The address of the host comes from this process, so that no outgoing
+/// connection (from 127.0.0.1) and no other test takes the port meanwhile.
 pub fn free_address() -> String {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address").to_string()
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, FIRST_NETWORK | (high & NETWORK_MASK), middle, low);
+    loop {
+        let socket = TcpListener::bind((host, 0)).expect("a free port");
+        let address = socket.local_addr().expect("an address");
+        if GIVEN_PORTS.lock().expect("no test panics here").insert(address.port()) {
+            return address.to_string();
+        }
+    }
 }
 
 /// Waits until a condition holds.
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -237,8 +237,10 @@
 
     /// Waits until every daemon answers a completion and a plain call.
     pub fn wait_ready(&mut self) {
-        for daemon in &self.daemons {
+        for daemon in &mut self.daemons {
             process::wait_until("the daemon serves", || {
+                let runs = daemon.process.is_running();
+                assert!(runs, "{} ended: {}", daemon.name, daemon.process.log());
                 serves(&completion_call(&daemon.address, "ready", 1))
                     && (self.plain_servers.is_empty()
                         || serves(&TestCall::new(Method::Get, &daemon.address, "/booking/ready")))
