Decide slots with owners and group commit in core, with the property

Cause: one write for each claim caps reservations at the platform's rate and stops them in an outage.

Change: core/slots.rs holds the owner of a slot: grants after a commit of many claims, grants from memory 20 s after the stamp of the last commit while the platform fails, keeps the stamp while commits fail, and the successor's gap, which follows from that stamp and the time of the proof of death. No daemon uses it yet. A claim that was seen running and can't be read any more is answered as running (409, unknown, come back) and not as lost: one run of the paused-daemon test in four failed on that when the wait ended in a read.

Ruled out: a gap after every death (all new keys of a slot would be refused for the retry horizon after each ordinary restart) and keys that fall to slots by failure domain (callers try again in any domain).

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -246,10 +246,11 @@
 
     /// Ends the attempt, of which nothing was sent.
     ///
-    /// If another holder was seen to run the call, "not run" might be false.
+    /// If another holder was seen to run the call, "not run" might be false; its
+    /// outcome may still become known.
     fn give_up(&self, reason: RefusalReason) -> ClaimStep {
         let refusal = if self.seen_running {
-            RequestRefusal::unknown(RefusalReason::OutcomeUnknown)
+            RequestRefusal::unknown(RefusalReason::ClaimRunning)
         } else {
             RequestRefusal::not_executed(reason)
         };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod revisions;
 pub mod roles;
 pub mod routing;
+pub mod slots;
 pub mod stream;
 pub mod time;
