Test commits on their way and silent peers

Cause: a trial that counted all rows as recorded by any answered commit wasn't found by the property, which has one key. A process test pauses a peer, sees it given up and taken back.

--- a/crates/core/tests/slots.rs
+++ b/crates/core/tests/slots.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WriteFate {
     Answered,
+    /// Takes effect at once; its answer comes with [`Event::CommitAnswer`].
+    AnsweredLater,
     LostBefore,
     LostAfter,
     Delayed,
@@ -56,6 +58,7 @@
     LateAnswer(usize),
     Commit(WriteFate),
     LateCommit,
+    CommitAnswer,
     Platform {
         down: bool,
     },
@@ -69,6 +72,7 @@
 fn events() -> impl Strategy<Value = Vec<Event>> {
     let fate = prop_oneof![
         3 => Just(WriteFate::Answered),
+        2 => Just(WriteFate::AnsweredLater),
         2 => Just(WriteFate::LostBefore),
         1 => Just(WriteFate::LostAfter),
         1 => Just(WriteFate::Delayed),
@@ -82,6 +86,7 @@
         2 => index().prop_map(Event::LateAnswer),
         5 => fate.prop_map(Event::Commit),
         1 => Just(Event::LateCommit),
+        2 => Just(Event::CommitAnswer),
         2 => any::<bool>().prop_map(|down| Event::Platform { down }),
         1 => Just(Event::KillOwner),
         2 => (0..DAEMONS).prop_map(Event::Succeed),
@@ -107,6 +112,8 @@
     owners: Vec<SlotOwner>,
     died: Option<Timestamp>,
     late_commit: Option<SlotCommit>,
+    /// Answer on its way to the owner.
+    commit_answer: Option<CommitAnswer>,
     platform_down: bool,
     tries: Vec<Try>,
     first_try: Option<Timestamp>,
@@ -132,6 +139,7 @@
             record,
             died: None,
             late_commit: None,
+            commit_answer: None,
             platform_down: false,
             tries: Vec::new(),
             first_try: None,
@@ -150,8 +158,14 @@
             Event::Ask { .. } | Event::GiveUp(_) | Event::LateAnswer(_) => {}
             Event::Commit(fate) => self.commit(fate),
             Event::Platform { down } => self.platform_down = down,
+            Event::CommitAnswer => {
+                if let Some(answer) = self.commit_answer.take() {
+                    self.committed(answer);
+                }
+            }
             Event::LateCommit => self.deliver_commit(),
             Event::KillOwner => {
+                self.commit_answer = None;
                 if !std::mem::take(&mut self.owners).is_empty() {
                     self.died = Some(self.now);
                 }
@@ -232,11 +246,16 @@
             _ if self.platform_down => {}
             WriteFate::Delayed => self.late_commit = Some(commit),
             WriteFate::LostBefore => {}
-            WriteFate::Answered | WriteFate::LostAfter => {
+            WriteFate::LostAfter => {
+                self.write(commit);
+            }
+            WriteFate::Answered => {
                 let answer = self.write(commit);
-                if fate == WriteFate::Answered {
-                    return self.committed(answer);
-                }
+                return self.committed(answer);
+            }
+            WriteFate::AnsweredLater => {
+                self.commit_answer = Some(self.write(commit));
+                return;
             }
         }
         self.committed(CommitAnswer::Unknown);
@@ -282,6 +301,7 @@
         let successor = format_smolstr!("vm-{daemon}/{}", self.revision + 1);
         self.record = slots::succeed(&self.record, successor, dead_by, HORIZON, self.now);
         self.revision += 1;
+        self.commit_answer = None;
         self.owners.push(SlotOwner::new(self.revision, self.record.clone()));
         self.died = None;
     }
@@ -377,3 +397,15 @@
 fn every_hash_has_a_slot() {
     assert!([[0, 0], [1, 2], [255, 255]].into_iter().all(|hash| slots::slot(hash) < SLOT_COUNT));
 }
+
+#[test]
+fn a_claim_that_comes_while_a_commit_is_on_its_way_waits_for_the_next_one() {
+    let mut owner = SlotOwner::new(1, first_record());
+    let (first, second): (SmolStr, SmolStr) = ("first".into(), "second".into());
+    owner.ask(&first, &row("first"), START);
+    assert!(owner.commit(START).is_some());
+    assert_eq!(owner.ask(&second, &row("second"), START), SlotAnswer::Pending);
+    owner.committed(CommitAnswer::Written(2));
+    assert_eq!(owner.ask(&first, &row("first"), START), SlotAnswer::Granted);
+    assert_eq!(owner.ask(&second, &row("second"), START), SlotAnswer::Pending);
+}
--- /dev/null
+++ b/crates/harness/tests/peers.rs
@@ -0,0 +1,27 @@
+//! Silent peers are given up and taken back.
+
+use gooseberry_harness::{
+    process,
+    system::{SystemSize, TestSystem},
+};
+use gooseberry_wire::peer::DaemonStatus;
+
+/// Returns the peers that the first daemon lists as live.
+fn live_peers(system: &TestSystem) -> Vec<String> {
+    let output = system.ctl(&["--json", "status"]);
+    let text = String::from_utf8(output.stdout).expect("text");
+    let statuses = text.lines().map(|line| serde_json::from_str(line).expect("a status"));
+    let first = statuses.into_iter().find(|status: &DaemonStatus| status.daemon == "daemon-0");
+    let peers = first.expect("the first daemon's status").peers;
+    peers.into_iter().map(|peer| peer.daemon).collect()
+}
+
+#[test]
+fn a_paused_peer_is_given_up_and_taken_back() {
+    let system = TestSystem::start(SystemSize { daemons: 3, ..SystemSize::default() });
+    process::wait_until("both peers are heard", || live_peers(&system).len() == 2);
+    system.daemons[2].process.pause();
+    process::wait_until("the paused peer is given up", || live_peers(&system) == ["daemon-1"]);
+    system.daemons[2].process.resume();
+    process::wait_until("the peer is taken back", || live_peers(&system).len() == 2);
+}
