--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod roles;
 pub mod routing;
 pub mod sends;
+pub mod slots;
 pub mod speed;
 pub mod spill;
 pub mod stall;
