Work the served share out in closed form; test roles and replay

Cause: the property test of constant demand took 32 s, because each share was found in 30 halvings for every split and sample.

--- a/crates/caller/src/trace.rs
+++ b/crates/caller/src/trace.rs
@@ -3,9 +3,9 @@
 use std::{fs, path::Path};
 
 use anyhow::Context;
-use gooseberry_wire::trace::TraceEntry;
+use gooseberry_wire::trace::{FleetEvent, TraceEntry};
 
-/// Reads a trace file.
+/// Reads the requests of a trace file.
 ///
 /// # Errors
 ///
@@ -13,7 +13,7 @@
 pub fn read(path: &Path) -> anyhow::Result<Vec<TraceEntry>> {
     let text =
         fs::read_to_string(path).with_context(|| format!("can't read {}", path.display()))?;
-    let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
+    let lines = text.lines().enumerate().filter(|(_, line)| is_request(line));
     lines
         .map(|(index, line)| {
             serde_json::from_str(line)
@@ -21,3 +21,9 @@
         })
         .collect()
 }
+
+/// Tells whether a line is meant as a request; fleet events are for the replay
+/// of decisions only.
+fn is_request(line: &str) -> bool {
+    !line.trim().is_empty() && serde_json::from_str::<FleetEvent>(line).is_err()
+}
--- a/crates/core/src/roles/gain.rs
+++ b/crates/core/src/roles/gain.rs
@@ -15,9 +15,7 @@
 /// answer in the batch, so that answers miss their deadlines although the
 /// engine's throughput would carry them.
 const INTERLEAVED_PROMPTS: f64 = 0.25;
-/// Halvings that find the served share to within a millionth.
-const BISECTION_STEPS: u32 = 30;
-/// Served share that the search doesn't exceed.
+/// Served share above which splits count as equal.
 const MAX_SHARE: f64 = 16.0;
 
 /// Holds the demand for one model, in tokens a second.
@@ -155,18 +153,29 @@
     }
 
     /// Returns the share of a demand that the split serves; above 1 it has headroom.
+    ///
+    /// Dedicated engines take their phase first, and mixed engines take the
+    /// rest of both within their time.
     pub fn served_share(&self, demand: TokenDemand, costs: &PhaseCosts) -> f64 {
-        let mut low = 0.0;
-        let mut high = MAX_SHARE;
-        for _ in 0..BISECTION_STEPS {
-            let middle = (low + high) / 2.0;
-            if self.carries(demand, middle, costs) {
-                low = middle;
-            } else {
-                high = middle;
-            }
-        }
-        low
+        let prompt_factor = costs.prompt_mixed / costs.prompt_dedicated;
+        let output_factor = costs.output_mixed / costs.output_dedicated;
+        let prompt_work = demand.prompt * costs.prompt_dedicated;
+        let output_work = demand.output * costs.output_dedicated;
+        let (prefill, mixed, decode) =
+            (f64::from(self.prefill), f64::from(self.mixed), f64::from(self.decode));
+        let prompt_only = ratio(mixed / prompt_factor + prefill, prompt_work);
+        let output_only = ratio(mixed / output_factor + decode, output_work);
+        let both = ratio(
+            mixed + prefill * prompt_factor + decode * output_factor,
+            prompt_work * prompt_factor + output_work * output_factor,
+        );
+        let without_mixed_decode = ratio(decode, output_work);
+        let interleaved = ratio(mixed * INTERLEAVED_PROMPTS / prompt_factor + prefill, prompt_work);
+        prompt_only
+            .min(output_only)
+            .min(both)
+            .min(interleaved.max(without_mixed_decode))
+            .min(MAX_SHARE)
     }
 
     /// Returns the useful output of the split under a demand, in tokens a second.
@@ -175,20 +184,6 @@
         demand.output * share / USEFUL_HEADROOM
     }
 
-    /// Tells whether the split carries a multiple of a demand.
-    fn carries(&self, demand: TokenDemand, share: f64, costs: &PhaseCosts) -> bool {
-        let prompt_work = demand.prompt * share * costs.prompt_dedicated;
-        let output_work = demand.output * share * costs.output_dedicated;
-        let prompt_rest = (prompt_work - f64::from(self.prefill)).max(0.0);
-        let output_rest = (output_work - f64::from(self.decode)).max(0.0);
-        let prompt_mixed = prompt_rest * costs.prompt_mixed / costs.prompt_dedicated;
-        let output_mixed = output_rest * costs.output_mixed / costs.output_dedicated;
-        let mixed = f64::from(self.mixed);
-        let interleaves = output_rest > 0.0;
-        let prompt_room = if interleaves { mixed * INTERLEAVED_PROMPTS } else { mixed };
-        prompt_mixed <= prompt_room && prompt_mixed + output_mixed <= mixed
-    }
-
     fn slot(&mut self, role: EngineRole) -> &mut u32 {
         match role {
             EngineRole::Prefill => &mut self.prefill,
@@ -197,3 +192,11 @@
         }
     }
 }
+
+/// Returns how often the work fits the capacity; no work always fits.
+fn ratio(capacity: f64, work: f64) -> f64 {
+    if work <= 0.0 {
+        return f64::INFINITY;
+    }
+    capacity / work
+}
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -1,6 +1,6 @@
 //! Trace files: JSON lines of requests and fleet events, in order of time.
 
-use gooseberry_wire::trace::{FleetEvent, TraceEntry, TraceLine};
+use gooseberry_wire::trace::{FleetEvent, TraceEntry};
 
 /// Holds the requests and the fleet events of a trace.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -29,12 +29,14 @@
             if line.trim().is_empty() {
                 continue;
             }
-            let line = serde_json::from_str(line)
-                .map_err(|source| TraceFault { line: index + 1, source })?;
-            match line {
-                TraceLine::FleetEvent(event) => trace.events.push(event),
-                TraceLine::TraceEntry(entry) => trace.requests.push(entry),
+            // Requests are tried last, so that a fault names a request's field.
+            if let Ok(event) = serde_json::from_str(line) {
+                trace.events.push(event);
+                continue;
             }
+            let entry = serde_json::from_str(line)
+                .map_err(|source| TraceFault { line: index + 1, source })?;
+            trace.requests.push(entry);
         }
         trace.requests.sort_by_key(|entry| entry.at_ms);
         trace.events.sort_by_key(|event| event.at_ms);
