Compute long prompts on prefill engines and answer from decode engines

Cause: an engine of the decode role took whole requests at three times the prefill time, and one of the prefill role generated at three times the decode time; the KV cache was never handed over.

Change: if the home domain has open engines of both roles and the estimate of the two together ends earlier than the best single engine, the prompt goes to the prefill engine with export_kv, the decode engine imports by the handle, and the completion names it. Any failure goes back to prefill on the engine that answers; an engine lost during the export counts as an attempt and is left out. The stand-in engine now fetches an import from the exporter and fails if that doesn't know the handle, generates tokens from the imported cache (so a wrong handle gives a wrong answer), and counts exports and imports.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -10,3 +10,4 @@
 pub mod plain;
 pub mod refusals;
 pub mod request;
+pub mod split;
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -22,6 +22,7 @@
     callers::{
         placement::{self, PlacedSend, PlacementQuery},
         refusals,
+        split::{self, SplitPlan},
     },
     context::DaemonContext,
     routing::AdmissionGuard,
@@ -44,6 +45,8 @@
     /// Decision that admission was weighed with, for the first attempt.
     planned: Option<RouteDecision>,
     admission: Option<AdmissionGuard>,
+    /// Engines for prompt and output, for the first attempt only.
+    split: Option<SplitPlan>,
     assembler: StreamAssembler,
     current: Option<RunningAttempt>,
     attempts: u32,
@@ -74,6 +77,7 @@
             pieces: placement::pieces(&snapshot, model, &request.prompt),
             planned: None,
             admission: None,
+            split: None,
             context,
             snapshot,
             model,
@@ -99,8 +103,10 @@
 
     /// Decides on the first attempt, so that admission can weigh it.
     pub fn plan(&mut self) -> Option<RouteDecision> {
-        self.planned = self.route();
-        self.planned
+        let whole = self.route()?;
+        self.planned = Some(whole);
+        self.split = split::plan(&self.context, &self.snapshot, &self.query(), &whole);
+        self.split.map(|plan| plan.as_decision()).or(self.planned)
     }
 
     /// Keeps an admission until the completion ends.
@@ -165,7 +171,7 @@
         if self.attempts >= self.snapshot.fleet.limits.attempts {
             return Err(self.refuse(RefusalReason::BackendFailed));
         }
-        let Some(decision) = self.planned.take().or_else(|| self.route()) else {
+        let Some(decision) = self.next_decision().await else {
             let reason = if self.attempts == 0 {
                 RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
             } else {
@@ -197,13 +203,66 @@
         Ok(())
     }
 
+    /// Returns where the next attempt goes; a split is tried once, first.
+    async fn next_decision(&mut self) -> Option<RouteDecision> {
+        self.request.kv_handle = None;
+        let planned = self.planned.take();
+        if let Some(plan) = self.split.take() {
+            if let Some(decode) = self.hand_over(&plan).await {
+                return Some(decode);
+            }
+            if self.attempts >= self.snapshot.fleet.limits.attempts {
+                return None;
+            }
+        }
+        planned
+            .filter(|decision| !self.excluded.contains(&decision.engine))
+            .or_else(|| self.route())
+    }
+
+    /// Has the prompt computed elsewhere, or notes why that failed.
+    async fn hand_over(&mut self, plan: &SplitPlan) -> Option<RouteDecision> {
+        let was_sent = self.sent;
+        // The deadline may end this wait, and then bytes may have left.
+        self.sent = true;
+        let handed = split::hand_over(
+            &self.context,
+            &self.snapshot,
+            plan,
+            &self.request,
+            &self.pieces,
+            SILENCE_LIMIT,
+        );
+        match handed.await {
+            Ok(handoff) => {
+                self.request.kv_handle = Some(handoff.handle);
+                Some(handoff.decode)
+            }
+            Err(error) => {
+                tracing::warn!(request = self.request.stream_id.as_deref(), %error, "not split");
+                self.sent = was_sent || !error.is_unsent();
+                if let Some(engine) = error.lost_engine() {
+                    self.attempts += 1;
+                    self.excluded.push(engine);
+                }
+                None
+            }
+        }
+    }
+
     fn route(&self) -> Option<RouteDecision> {
         // The newest view of the engines is used, but never another revision's
         // keys: a request ends under the revision that it was accepted with.
         let newest = self.context.snapshot.load_full();
         let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
         let snapshot = if same_revision { &newest } else { &self.snapshot };
-        let query = PlacementQuery {
+        let decision = placement::choose(&self.context, snapshot, &self.query())?;
+        self.log(&decision);
+        Some(decision)
+    }
+
+    fn query(&self) -> PlacementQuery<'_> {
+        PlacementQuery {
             model: self.model,
             phase: RoutePhase::Whole,
             prompt_tokens: self.prompt_tokens,
@@ -212,16 +271,16 @@
             pieces: &self.pieces,
             bytes: self.request.prompt.len() as u64,
             excluded: &self.excluded,
-        };
-        let decision = placement::choose(&self.context, snapshot, &query)?;
-        self.log(&decision);
-        Some(decision)
+        }
     }
 
     fn begin(&self, decision: &RouteDecision) -> PlacedSend {
         let entry = &self.snapshot.engines[decision.engine];
         let bytes = self.request.prompt.len() as u64;
-        placement::begin(&self.context, entry, decision, self.prompt_tokens, bytes)
+        // With imported KV cache only the last prompt token is computed.
+        let imported = self.request.kv_handle.is_some();
+        let prompt_tokens = if imported { 1 } else { self.prompt_tokens };
+        placement::begin(&self.context, entry, decision, prompt_tokens, bytes)
     }
 
     fn log(&self, decision: &RouteDecision) {
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     context::DaemonContext,
-    gauge::EngineSend,
+    gauge::{EngineSend, SendWork},
     routing::SpillMeter,
     snapshot::{EngineEntry, FleetSnapshot},
 };
@@ -22,6 +22,7 @@
 const CHUNK_OVERHEAD: u64 = 160;
 
 /// Describes what is to be placed.
+#[derive(Clone, Copy)]
 pub struct PlacementQuery<'a> {
     pub model: ModelKey,
     pub phase: RoutePhase,
@@ -84,7 +85,10 @@
 ) -> PlacedSend {
     let now = context.clock.now();
     let computed = prompt_tokens.saturating_sub(decision.cached_tokens);
-    let send = entry.gauge.send(prompt_tokens, computed, decision.queue, now);
+    let send = entry.gauge.send(
+        SendWork { role: entry.view.role, prompt_tokens, computed, queue: decision.queue },
+        now,
+    );
     let meter = match entry.link {
         LinkUse::Paid(link) => Some(context.desk.spill(link, bytes, now)),
         LinkUse::Local | LinkUse::Closed => None,
--- /dev/null
+++ b/crates/daemon/src/callers/split.rs
@@ -0,0 +1,173 @@
+//! Prefill and decode of one completion on different engines.
+//!
+//! The prefill engine computes the prompt and exports its KV cache; the decode
+//! engine imports it from there and generates the output. The daemon carries
+//! only the handle. Whatever fails on the way, the request is prefilled again
+//! by the engine that generates, so the answer never depends on the handle.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    arena::EngineKey,
+    prefix,
+    routing::{EnginePlace, RouteDecision, RoutePhase},
+};
+use gooseberry_edges::engine::EngineError;
+use gooseberry_wire::engine::{CompletionRequest, KvImport};
+
+use crate::{
+    callers::placement::{self, PlacementQuery},
+    context::DaemonContext,
+    snapshot::FleetSnapshot,
+};
+
+/// Prompt tokens not in a cache below which a split isn't weighed.
+const LEAST_TOKENS: u32 = 256;
+/// Time that export, import and the second call take.
+const HANDOFF_TIME: Duration = Duration::from_millis(10);
+
+/// Names the two engines of a split.
+#[derive(Clone, Copy, Debug)]
+pub struct SplitPlan {
+    prefill: RouteDecision,
+    decode: RouteDecision,
+}
+
+impl SplitPlan {
+    /// Returns the estimated time to the last token.
+    fn finish(&self) -> Duration {
+        self.prefill.wait + HANDOFF_TIME + self.decode.finish
+    }
+
+    /// Returns the decision as admission weighs it.
+    pub fn as_decision(&self) -> RouteDecision {
+        let wait = self.prefill.wait + HANDOFF_TIME + self.decode.wait;
+        RouteDecision {
+            queue: self.prefill.queue.max(self.decode.queue),
+            wait,
+            finish: self.finish(),
+            ..self.prefill
+        }
+    }
+}
+
+/// Names the engine that holds the KV cache of a prompt, and its handle.
+#[derive(Clone, Debug)]
+pub struct KvHandoff {
+    pub decode: RouteDecision,
+    pub handle: String,
+}
+
+/// Says why a split came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum SplitError {
+    #[error("the prompt wasn't exported: {source}")]
+    Export { engine: EngineKey, source: EngineError },
+    #[error("the export carried no handle")]
+    NoHandle,
+    #[error("the KV cache wasn't imported: {0}")]
+    Import(#[source] EngineError),
+}
+
+impl SplitError {
+    /// Tells whether the request has provably not reached an engine.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Export { source, .. } => {
+                matches!(source, EngineError::Unreachable(_) | EngineError::Refused(_))
+            }
+            Self::NoHandle | Self::Import(_) => false,
+        }
+    }
+
+    /// Returns the engine that was lost while it ran the prompt.
+    pub fn lost_engine(&self) -> Option<EngineKey> {
+        match self {
+            Self::Export { source: EngineError::Refused(_), .. } => None,
+            Self::Export { engine, .. } => Some(*engine),
+            Self::NoHandle | Self::Import(_) => None,
+        }
+    }
+}
+
+/// Weighs a split against one engine for the whole request.
+///
+/// Both engines have to stand in the home failure domain.
+pub fn plan(
+    context: &DaemonContext,
+    snapshot: &FleetSnapshot,
+    query: &PlacementQuery<'_>,
+    whole: &RouteDecision,
+) -> Option<SplitPlan> {
+    if query.prompt_tokens.saturating_sub(whole.cached_tokens) < LEAST_TOKENS {
+        return None;
+    }
+    let choose = |phase| {
+        let query = PlacementQuery { phase, ..*query };
+        let decision = placement::choose(context, snapshot, &query)?;
+        (decision.place == EnginePlace::Home).then_some(decision)
+    };
+    let plan =
+        SplitPlan { prefill: choose(RoutePhase::Prefill)?, decode: choose(RoutePhase::Decode)? };
+    (plan.finish() < whole.finish).then_some(plan)
+}
+
+/// Runs the prompt on the prefill engine and has its KV cache imported.
+///
+/// # Errors
+///
+/// Returns the reason for which the request has to be prefilled again.
+pub async fn hand_over(
+    context: &DaemonContext,
+    snapshot: &FleetSnapshot,
+    plan: &SplitPlan,
+    request: &CompletionRequest,
+    pieces: &[u64],
+    silence: Duration,
+) -> Result<KvHandoff, SplitError> {
+    let address = |engine: EngineKey| snapshot.fleet.engines[engine].address.as_str();
+    let (prefill, decode) = (plan.prefill.engine, plan.decode.engine);
+    tracing::info!(
+        request = request.stream_id.as_deref(),
+        prefill = %snapshot.fleet.engines[prefill].name,
+        decode = %snapshot.fleet.engines[decode].name,
+        finish_ms = plan.finish().as_millis() as u64,
+        "split"
+    );
+    let handle = export(context, snapshot, plan, request, pieces, silence).await?;
+    let import = KvImport { handle, from: address(prefill).to_owned() };
+    let imported = context.engines.import_kv(address(decode), &import).await;
+    imported.map_err(SplitError::Import)?;
+    Ok(KvHandoff { decode: plan.decode, handle: import.handle })
+}
+
+/// Has a prompt computed and exported, and returns the handle.
+async fn export(
+    context: &DaemonContext,
+    snapshot: &FleetSnapshot,
+    plan: &SplitPlan,
+    request: &CompletionRequest,
+    pieces: &[u64],
+    silence: Duration,
+) -> Result<String, SplitError> {
+    let engine = plan.prefill.engine;
+    let failed = |source| SplitError::Export { engine, source };
+    let entry = &snapshot.engines[engine];
+    let prompt_tokens = prefix::count_tokens(&request.prompt);
+    let mut placed = placement::begin(context, entry, &plan.prefill, prompt_tokens, 0);
+    let export = CompletionRequest {
+        export_kv: true,
+        kv_handle: None,
+        // The stream of the answer has its own name, on whatever engine.
+        stream_id: request.stream_id.as_ref().map(|id| format!("{id}-prefill")),
+        ..request.clone()
+    };
+    let address = &snapshot.fleet.engines[engine].address;
+    let mut stream = context.engines.complete(address, &export, silence).await.map_err(failed)?;
+    let mut handle = None;
+    while let Some(chunk) = stream.next().await.map_err(failed)? {
+        placed.token(context, entry, pieces, 0);
+        handle = handle.or(chunk.kv_handle);
+    }
+    handle.ok_or(SplitError::NoHandle)
+}
--- a/crates/daemon/src/gauge.rs
+++ b/crates/daemon/src/gauge.rs
@@ -9,6 +9,7 @@
 };
 
 use gooseberry_core::{
+    fleet::EngineRole,
     sends::{SendNumber, SendRing},
     speed::{EngineSpeed, SpeedEstimator},
     time::Timestamp,
@@ -34,23 +35,15 @@
     }
 
     /// Counts a request to an engine until the send is dropped.
-    ///
-    /// `queue` is the time for which the request is expected to wait there,
-    /// and `computed` the prompt tokens that are not in the engine's cache.
-    pub fn send(
-        self: &Arc<Self>,
-        prompt_tokens: u32,
-        computed: u32,
-        queue: Duration,
-        now: Timestamp,
-    ) -> EngineSend {
-        let number = self.change_sends(|sends| sends.push(prompt_tokens, now));
+    pub fn send(self: &Arc<Self>, work: SendWork, now: Timestamp) -> EngineSend {
+        let number = self.change_sends(|sends| sends.push(work.prompt_tokens, now));
         let per_token = self.estimator.speed().prefill_per_token.as_nanos().max(1);
-        let before = (queue.as_nanos() / per_token) as u64;
+        let before = (work.queue.as_nanos() / per_token) as u64;
         EngineSend {
             number,
             sent_at: now,
-            work: u64::from(computed) + before,
+            role: work.role,
+            tokens_before_first: u64::from(work.computed) + before,
             first_at: None,
             last_at: now,
             tokens: 0,
@@ -92,6 +85,17 @@
     }
 }
 
+/// Describes the work that a request brings to an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct SendWork {
+    pub role: EngineRole,
+    pub prompt_tokens: u32,
+    /// Prompt tokens that are not in the engine's cache.
+    pub computed: u32,
+    /// Time for which the request is expected to wait there.
+    pub queue: Duration,
+}
+
 /// Counts one request as outstanding while it lives.
 #[derive(Debug)]
 pub struct OutstandingGuard {
@@ -111,7 +115,8 @@
     sent_at: Timestamp,
     /// Prompt tokens to be computed before the first token, with those of the
     /// requests before this one.
-    work: u64,
+    tokens_before_first: u64,
+    role: EngineRole,
     first_at: Option<Timestamp>,
     last_at: Timestamp,
     tokens: u32,
@@ -129,7 +134,11 @@
         self.first_at = Some(now);
         let gauge = &self.outstanding.gauge;
         gauge.change_sends(|sends| sends.finish(self.number));
-        gauge.estimator.observe_first_token(self.work, now.since(self.sent_at));
+        // An engine off its role is slower, which routing adds by itself.
+        if self.role.prefills() {
+            let span = now.since(self.sent_at);
+            gauge.estimator.observe_first_token(self.tokens_before_first, span);
+        }
         true
     }
 }
@@ -138,7 +147,7 @@
     fn drop(&mut self) {
         let gauge = &self.outstanding.gauge;
         gauge.change_sends(|sends| sends.finish(self.number));
-        if let Some(first_at) = self.first_at {
+        if let Some(first_at) = self.first_at.filter(|_| self.role.decodes()) {
             gauge.estimator.observe_output(self.tokens, self.last_at.since(first_at));
         }
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,6 +6,7 @@
 
 pub mod batch;
 pub mod cache;
+pub mod exports;
 pub mod http;
 pub mod orders;
 pub mod reports;
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -8,6 +8,7 @@
 use crate::{
     engine::{
         cache::KvMemory,
+        exports::ExportStore,
         streams::{SharedStream, StreamEnd, StreamState},
     },
     token,
@@ -56,13 +57,13 @@
 #[derive(Debug)]
 pub struct BatchState {
     pub memory: KvMemory,
+    pub exports: ExportStore,
     pub steps: u64,
     piece_tokens: u32,
     costs: StepCosts,
     queue: Vec<Sequence>,
     running: Vec<Sequence>,
     streams: HashMap<String, SharedStream>,
-    exports: u64,
 }
 
 /// Says why a request wasn't taken.
@@ -76,16 +77,16 @@
 
 impl BatchState {
     /// Makes an empty batch.
-    pub fn new(pieces: u32, piece_tokens: u32, costs: StepCosts) -> Self {
+    pub fn new(pieces: u32, piece_tokens: u32, costs: StepCosts, incarnation: u64) -> Self {
         Self {
             memory: KvMemory::new(pieces),
+            exports: ExportStore::new(incarnation),
             steps: 0,
             piece_tokens,
             costs,
             queue: Vec::new(),
             running: Vec::new(),
             streams: HashMap::new(),
-            exports: 0,
         }
     }
 
@@ -97,7 +98,7 @@
     pub fn submit(
         &mut self,
         request: CompletionRequest,
-        imported: bool,
+        imported: Option<u64>,
         now: Timestamp,
     ) -> Result<SharedStream, BatchRefusal> {
         if let Some(stream) = request.stream_id.as_ref().and_then(|id| self.streams.get(id)) {
@@ -111,7 +112,8 @@
         if held > self.memory.free() && self.running.is_empty() {
             return Err(BatchRefusal::TooLong);
         }
-        let hash = token::prompt_hash(&request.prompt);
+        // Tokens follow from the KV cache, so that a wrong handle shows.
+        let hash = imported.unwrap_or_else(|| token::prompt_hash(&request.prompt));
         let stream = StreamState::new(hash, prompt_tokens, request.resume_from, now);
         if let Some(id) = request.stream_id {
             self.streams.insert(id, stream.clone());
@@ -122,7 +124,7 @@
             prefill_left: prompt_tokens + request.resume_from,
             last: request.max_tokens.max(request.resume_from),
             priority: request.priority,
-            imported,
+            imported: imported.is_some(),
             export: request.export_kv,
             stream: stream.clone(),
             prompt: request.prompt,
@@ -208,8 +210,8 @@
             }
             self.memory.store(&sequence.pieces, now);
             if sequence.export {
-                self.exports += 1;
-                stream.finish(StreamEnd::Exported(format!("kv-{}", self.exports)));
+                let handle = self.exports.add(stream.prompt_hash);
+                stream.finish(StreamEnd::Exported(handle));
                 return true;
             }
         }
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -1,17 +1,19 @@
 //! The HTTP interface of the stand-in engine.
 
-use std::{collections::HashSet, future, io, sync::Arc, time::Duration};
+use std::{future, io, sync::Arc, time::Duration};
 
 use async_std::task;
 use gooseberry_core::time::Timestamp;
 use gooseberry_edges::{
     channel::{BodyPart, ChannelReader},
     clock::Clock,
+    http::{ConnectionUse, HttpCall, HttpClient},
 };
 use gooseberry_wire::engine::{
     CacheEvents, CompletionAnswer, CompletionChoice, CompletionChunk, CompletionRequest,
     EngineFaults, EngineOrder, EngineRole, EngineState, KvImport, LoadReport, TokenUsage,
 };
+use http_types::{Method, Url};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use tide::{Body, Request, Response, StatusCode};
@@ -33,6 +35,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause of an engine without work.
 const IDLE_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time to fetch exported KV cache.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Parts of a body that wait for a slow connection.
 const BODY_PARTS: usize = 16;
 
@@ -91,7 +95,6 @@
     counts: OrderCounts,
     reports: ReportHistory,
     report_sequence: u64,
-    imports: HashSet<String>,
     /// Streams begun before this time stay silent for good.
     silent_before: Timestamp,
 }
@@ -102,6 +105,7 @@
     /// Makes an engine without work.
     pub fn new(options: EngineOptions) -> Arc<Self> {
         let clock = Clock::system();
+        let incarnation = clock.now().as_millis();
         let costs = StepCosts {
             base: Duration::from_micros(options.step_us),
             per_sequence: Duration::from_micros(options.sequence_us),
@@ -109,16 +113,15 @@
         };
         let change = Duration::from_millis(options.change_ms);
         let inner = EngineInner {
-            batch: BatchState::new(options.kv_pieces, options.piece_tokens, costs),
+            batch: BatchState::new(options.kv_pieces, options.piece_tokens, costs, incarnation),
             orders: OrderState::new(options.role, &options.model, options.checks_fencing, change),
             counts: OrderCounts::default(),
             reports: ReportHistory::new(Duration::from_millis(options.report_lag_ms)),
             report_sequence: 0,
-            imports: HashSet::new(),
             silent_before: Timestamp::default(),
         };
         Arc::new(Self {
-            incarnation: clock.now().as_millis(),
+            incarnation,
             inner: Mutex::new(inner),
             faults: Mutex::new(no_faults()),
             clock,
@@ -221,7 +224,8 @@
             return Err(StatusCode::NotImplemented);
         }
         let handle = request.kv_handle.as_ref();
-        let imported = handle.is_some_and(|handle| inner.imports.remove(handle));
+        let imported = handle.and_then(|handle| inner.batch.exports.take_import(handle));
+        inner.counts.imported += u32::from(imported.is_some());
         let now = self.clock.now();
         inner.batch.submit(request, imported, now).map_err(|_| StatusCode::TooManyRequests)
     }
@@ -244,6 +248,7 @@
     app.at("/v1/completions").post(complete);
     app.at("/v1/streams/:id/cancel").post(cancel);
     app.at("/kv/import").post(import_kv);
+    app.at("/kv/exports/:handle").get(export_kv);
     app.at("/load").get(load);
     app.at("/events").get(events);
     app.at("/orders").post(order);
@@ -420,10 +425,36 @@
 
 async fn import_kv(mut request: EngineHttpRequest) -> tide::Result {
     let import: KvImport = request.body_json().await?;
-    request.state().inner.lock().imports.insert(import.handle);
+    let server = Arc::clone(request.state());
+    let Some(prompt_hash) = fetch_kv(&server.clock, &import).await else {
+        return answer::status(StatusCode::BadGateway);
+    };
+    server.inner.lock().batch.exports.import(import.handle, prompt_hash);
     answer::status(StatusCode::Ok)
 }
 
+/// Fetches exported KV cache from the engine that holds it.
+async fn fetch_kv(clock: &Clock, import: &KvImport) -> Option<u64> {
+    let url = format!("http://{}/kv/exports/{}", import.from, import.handle);
+    let call = HttpCall::new(http_types::Request::new(Method::Get, Url::parse(&url).ok()?));
+    let client = HttpClient::new(clock.clone());
+    let answer =
+        client.send(&import.from, &call, ConnectionUse::Fresh, FETCH_TIMEOUT).await.ok()?;
+    if answer.status() != StatusCode::Ok {
+        return None;
+    }
+    let bytes = answer.into_bytes(FETCH_TIMEOUT).await.ok()?;
+    serde_json::from_slice(&bytes).ok()
+}
+
+async fn export_kv(request: EngineHttpRequest) -> tide::Result {
+    let server = request.state();
+    match server.inner.lock().batch.exports.export(request.param("handle")?) {
+        Some(prompt_hash) => answer::json(StatusCode::Ok, &prompt_hash),
+        None => answer::status(StatusCode::NotFound),
+    }
+}
+
 async fn load(request: EngineHttpRequest) -> tide::Result {
     let inner = request.state().inner.lock();
     match inner.reports.visible() {
@@ -469,6 +500,7 @@
 }
 
 async fn counts(request: EngineHttpRequest) -> tide::Result {
-    let counts = request.state().inner.lock().counts.clone();
+    let inner = request.state().inner.lock();
+    let counts = OrderCounts { exported: inner.batch.exports.count(), ..inner.counts.clone() };
     answer::json(StatusCode::Ok, &counts)
 }
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -40,6 +40,10 @@
     pub stale: u32,
     /// Sequences that an order cut.
     pub cut: u32,
+    /// Prompts whose KV cache was exported.
+    pub exported: u32,
+    /// Sequences that began with imported KV cache.
+    pub imported: u32,
 }
 
 impl OrderState {
