Look at the home domain's engines first, and at others only if they can't

Cause: the daemon made views of all 780 engines for each decision, where the home domain's 78 decide.

--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -256,7 +256,12 @@
         let newest = self.context.snapshot.load_full();
         let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
         let snapshot = if same_revision { &newest } else { &self.snapshot };
-        let decision = placement::choose(&self.context, snapshot, &self.query())?;
+        let decision = placement::choose(
+            &self.context.desk,
+            snapshot,
+            &self.query(),
+            self.context.clock.now(),
+        )?;
         self.log(&decision);
         Some(decision)
     }
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::DaemonContext,
     gauge::{EngineSend, SendWork},
-    routing::SpillMeter,
+    routing::{RoutingDesk, SpillMeter},
     snapshot::{EngineEntry, FleetSnapshot},
 };
 
@@ -37,13 +37,17 @@
 }
 
 /// Chooses an engine for a query.
+///
+/// Engines of other failure domains are looked at only if none at home meets
+/// the deadline, so that the usual decision costs what the home domain costs.
 pub fn choose(
-    context: &DaemonContext,
+    desk: &RoutingDesk,
     snapshot: &FleetSnapshot,
     query: &PlacementQuery<'_>,
+    now: Timestamp,
 ) -> Option<RouteDecision> {
-    let hits = context.desk.lookup(query.pieces);
-    let links = context.desk.open_links(context.clock.now());
+    let hits = desk.lookup(query.pieces);
+    let links = desk.open_links(now);
     let request = RouteRequest {
         model: query.model,
         phase: query.phase,
@@ -59,7 +63,13 @@
     let excluded = |engine: EngineKey| {
         query.excluded.contains(&engine) || !links.allow(snapshot.engines[engine].link)
     };
-    routing::choose(&request, snapshot.engine_views(), cached, excluded)
+    let home = || snapshot.engine_views(&snapshot.home_engines, query.model);
+    let decision = routing::choose(&request, home(), cached, excluded);
+    if decision.is_some_and(|decision| decision.finish <= query.time_left) {
+        return decision;
+    }
+    let away = snapshot.engine_views(&snapshot.away_engines, query.model);
+    routing::choose(&request, home().chain(away), cached, excluded)
 }
 
 /// Returns the hashes of a prompt's pieces, as the engines of a model cut them.
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -12,6 +12,7 @@
 use gooseberry_core::{
     fleet::FleetTable,
     membership::{ListedVm, MembershipTable, ProcessIncarnation},
+    prefix_table::CacheKey,
     stall::{ProgressReport, StallDetector},
     time::Timestamp,
 };
@@ -64,6 +65,7 @@
     received: Timestamp,
     gauge: Arc<EngineGauge>,
     stall: StallDetector,
+    cache: CacheKey,
     polled: bool,
 }
 
@@ -125,14 +127,14 @@
 
     /// Notes a load report; one that came before shows nothing new.
     fn observe_report(&mut self, engine: SmolStr, report: LoadReport, now: Timestamp) {
-        let cache = self.context.desk.cache(&engine);
-        let status = self.engines.entry(engine).or_default();
+        // A report may come in after its engine has left the configuration.
+        let Some(status) = self.engines.get_mut(&engine) else { return };
         if let Some(last) = &status.report {
             if last.incarnation == report.incarnation && last.sequence >= report.sequence {
                 return;
             }
             if last.incarnation != report.incarnation || last.model != report.model {
-                self.context.desk.reset_cache(cache);
+                self.context.desk.reset_cache(status.cache);
             }
         }
         let made_at = Timestamp::from_millis(report.made_at_ms).min(now);
@@ -165,6 +167,7 @@
         self.context.metrics.revision(fleet.revision);
         for (_, engine) in fleet.engines.iter() {
             let status = self.engines.entry(engine.name.clone()).or_default();
+            status.cache = self.context.desk.cache(&engine.name);
             if !std::mem::replace(&mut status.polled, true) {
                 pollers::spawn_engine(&self.context, engine.name.clone());
                 if fleet.domains[engine.domain].name == self.context.settings.failure_domain {
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -26,7 +26,12 @@
     pub(super) fn view(&self, now: Timestamp) -> FleetSnapshot {
         let domain = self.fleet.domain(&self.context.settings.failure_domain);
         let engines = self.fleet.engines.iter();
-        let engines = engines.map(|(key, row)| self.engine_entry(key, row, domain, now)).collect();
+        let engines: Arena<EngineKey, EngineEntry> =
+            engines.map(|(key, row)| self.engine_entry(key, row, domain, now)).collect();
+        let (home_engines, away_engines) = engines
+            .iter()
+            .map(|(key, _)| key)
+            .partition(|key| engines[*key].view.place == EnginePlace::Home);
         let servers = self.fleet.plain_servers.iter();
         let plain_servers: Arena<PlainKey, PlainEntry> =
             servers.map(|(_, row)| self.plain_entry(row, domain)).collect();
@@ -35,6 +40,8 @@
             membership: self.membership.clone(),
             domain,
             engines,
+            home_engines,
+            away_engines,
             plain_servers,
         }
     }
@@ -73,7 +80,7 @@
                 unreported_tokens: 0,
             },
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
-            cache: self.context.desk.cache(&row.name),
+            cache: status.cache,
             link: self.link_use(domain, row.domain),
             gauge: Arc::clone(&status.gauge),
         }
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use gooseberry_core::{
-    arena::{Arena, DomainKey, EngineKey, PlainKey, ServiceKey},
+    arena::{Arena, DomainKey, EngineKey, ModelKey, PlainKey, ServiceKey},
     fleet::{FleetTable, ServiceKind},
     membership::MembershipTable,
     prefix_table::CacheKey,
@@ -21,6 +21,10 @@
     /// Failure domain of this daemon, if the configuration names it.
     pub domain: Option<DomainKey>,
     pub engines: Arena<EngineKey, EngineEntry>,
+    /// Engines of the home failure domain.
+    pub home_engines: Vec<EngineKey>,
+    /// Engines of all other failure domains.
+    pub away_engines: Vec<EngineKey>,
     pub plain_servers: Arena<PlainKey, PlainEntry>,
 }
 
@@ -55,13 +59,22 @@
             membership: MembershipTable::default(),
             domain: None,
             engines: Arena::default(),
+            home_engines: Vec::new(),
+            away_engines: Vec::new(),
             plain_servers: Arena::default(),
         }
     }
 
-    /// Visits the views of all engines, with this daemon's own work counted in.
-    pub fn engine_views(&self) -> impl Iterator<Item = EngineView> + '_ {
-        self.engines.iter().map(|(_, entry)| EngineView {
+    /// Visits the views of some engines that serve a model, with this daemon's
+    /// own work counted in.
+    pub fn engine_views<'a>(
+        &'a self,
+        engines: &'a [EngineKey],
+        model: ModelKey,
+    ) -> impl Iterator<Item = EngineView> + 'a {
+        let entries = engines.iter().map(|engine| &self.engines[*engine]);
+        let serving = entries.filter(move |entry| entry.view.open && entry.view.model == model);
+        serving.map(|entry| EngineView {
             speed: entry.gauge.speed(),
             outstanding: entry.gauge.outstanding(),
             unreported_requests: entry.gauge.unreported_requests(),
