Steward each failure domain: plan, drain, order, settle

Cause: nothing carried out a configured role, model, version or adapters, and a change would have cut what ran. A request that held an older view could also still be sent to a server that had been closed since.

Change: a steward task beside the control thread, one for each failure domain by a lease. It compares reports with the configuration, asks the role planner, and carries out one change at a time for each model: reserve the weight load, mark the engine as draining in its heartbeats, wait until every live daemon says that it sends the engine nothing and a report made after that shows no work, claim, send once, settle. An engine that is the last one open for a phase of its model is left alone. The marks travel in heartbeats and not through the key-value service, so that an idle domain costs it one kept lease every 2 s. Gauges, which all views share, carry whether a server is closed, so that a request with an older view doesn't choose it. The peers' method 'orders' lists the records; the heartbeat sums the demand.

Ruled out: draining marks in the order records, read by every daemon each second; at 380 daemons that is 380 lists a second of 2,000 reads.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod arena;
 pub mod balance;
+pub mod changes;
 pub mod claims;
 pub mod fleet;
 pub mod membership;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -122,8 +122,9 @@
         proven.into_iter().flatten().any(|since| now.since(since) >= SETTLING_TIME)
     }
 
-    /// Tells whether the platform lists a VM as about to leave.
+    /// Tells whether the platform lists a VM as about to leave, or no longer
+    /// lists it.
     pub fn is_leaving(&self, vm: &str) -> bool {
-        self.vms.get(vm).is_some_and(|member| member.leaving)
+        self.vms.get(vm).is_some_and(|member| member.leaving || member.gone.is_some())
     }
 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -85,7 +85,8 @@
 pub enum WriteOutcome {
     /// The write took effect with this revision.
     Written(u64),
-    /// The record had another revision.
+    /// The write has provably not taken effect, most often because the record
+    /// had another revision.
     Conflict,
     /// The answer was lost: neither success nor failure.
     Unknown,
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -224,7 +224,7 @@
     let view = if same_revision { &newest } else { snapshot };
     let open = view.plain_servers.iter().filter(|(key, entry)| {
         let row = &view.fleet.plain_servers[*key];
-        entry.open && row.service == accepted.service && !tried.contains(key)
+        entry.is_open() && row.service == accepted.service && !tried.contains(key)
     });
     let (key, _) = open.min_by_key(|(_, entry)| (entry.latency, entry.gauge.outstanding()))?;
     let server = &view.fleet.plain_servers[key].name;
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -10,8 +10,8 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::ClaimStore, control::ControlEvent, logs::LogLevels,
-    metrics::MetricClient, snapshot::FleetSnapshot,
+    balance::BalanceBook, claims::ClaimStore, control::ControlEvent, demand::DemandMeter,
+    logs::LogLevels, metrics::MetricClient, snapshot::FleetSnapshot, steward::OrderBoard,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -29,6 +29,8 @@
     pub engines: Arc<dyn EngineEdge>,
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
+    pub orders: OrderBoard,
+    pub demand: DemandMeter,
     pub balance: BalanceBook,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -54,7 +54,7 @@
 /// Holds what is known of one engine over all revisions.
 #[derive(Default)]
 struct EngineStatus {
-    report: Option<LoadReport>,
+    report: Option<Arc<LoadReport>>,
     received: Timestamp,
     gauge: Arc<EngineGauge>,
     polled: bool,
@@ -98,7 +98,7 @@
             ControlEvent::Fleet(fleet) => self.change_fleet(fleet),
             ControlEvent::Report { engine, report } => {
                 let status = self.engines.entry(engine).or_default();
-                status.report = Some(*report);
+                status.report = Some(Arc::from(report));
                 status.received = now;
                 status.gauge.reported();
             }
@@ -107,6 +107,7 @@
                 self.plain_servers.entry(server).or_default().healthy = healthy;
             }
             ControlEvent::Peer(hello) => {
+                self.context.orders.hear(&hello, now);
                 let vm = SmolStr::new(hello.daemon);
                 let process = ProcessIncarnation { vm, incarnation: hello.incarnation };
                 self.membership.observe_process(&process, now);
@@ -136,9 +137,9 @@
             }
         }
         let known = |name: &SmolStr| fleet.engines.find(|row| row.name == *name).is_some();
-        self.engines.retain(|name, _| known(name));
+        self.engines.retain(|name, status| known(name) || status.gauge.withdraw());
         let known = |name: &SmolStr| fleet.plain_servers.find(|row| row.name == *name).is_some();
-        self.plain_servers.retain(|name, _| known(name));
+        self.plain_servers.retain(|name, status| known(name) || status.gauge.withdraw());
         self.fleet = fleet;
     }
 
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -48,18 +48,21 @@
         let status = &self.engines[&row.name];
         let report = status.report.as_ref().filter(|_| now.since(status.received) < REPORT_EXPIRY);
         let leaving = row.leaving || self.membership.is_leaving(&row.name);
+        let draining = self.context.orders.is_draining(&row.name, now);
         let serving = report.is_some_and(|report| report.state == EngineState::Serving);
         let model = report.map_or(row.model, |report| {
             let loaded = self.fleet.models.find(|model| model.name == report.model);
             loaded.map_or(row.model, |(key, _)| key)
         });
         let role = report.and_then(|report| report.role.to_string().parse().ok());
+        let open = serving && !leaving && !draining;
+        status.gauge.set_closed(!open);
         EngineEntry {
             view: EngineView {
                 engine,
                 model,
                 role: role.unwrap_or(row.role),
-                open: serving && !leaving,
+                open,
                 latency: self.latency(domain, row.domain),
                 running: report.map_or(0, |report| report.running),
                 queued: report.map_or(0, |report| report.queued),
@@ -68,6 +71,7 @@
                 unreported_tokens: 0,
             },
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
+            report: status.report.clone(),
             gauge: Arc::clone(&status.gauge),
         }
     }
@@ -75,8 +79,10 @@
     fn plain_entry(&self, row: &PlainRow, domain: Option<DomainKey>) -> PlainEntry {
         let status = &self.plain_servers[&row.name];
         let leaving = row.leaving || self.membership.is_leaving(&row.name);
+        let open = status.healthy && !leaving;
+        status.gauge.set_closed(!open);
         PlainEntry {
-            open: status.healthy && !leaving,
+            open,
             latency: self.latency(domain, row.domain),
             gauge: Arc::clone(&status.gauge),
         }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use gooseberry_core::time::Timestamp;
-use gooseberry_wire::peer::{DaemonStatus, EngineStatus, PeerHello, PeerRevision};
+use gooseberry_wire::peer::{DaemonStatus, EngineStatus, OrderRow, PeerHello, PeerRevision};
 use jsonrpsee::{
     core::{async_trait, client::ClientT, RpcResult},
     proc_macros::rpc,
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use subtle::ConstantTimeEq;
 
-use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore};
+use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore, steward};
 
 /// Interval of heartbeats between daemons.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -30,6 +30,9 @@
 /// Code of the error for settings that can't be changed.
 const BAD_VALUE: i32 = 400;
 
+/// Code of the error for state that the platform doesn't give out now.
+const UNAVAILABLE: i32 = 503;
+
 /// Calls between daemons and from operators.
 #[rpc(server)]
 pub trait PeerApi {
@@ -45,6 +48,10 @@
     #[method(name = "status")]
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus>;
 
+    /// Returns the records of all engines' orders.
+    #[method(name = "orders")]
+    async fn orders(&self, secret: String) -> RpcResult<Vec<OrderRow>>;
+
     /// Sets the level of the logs.
     #[method(name = "log_level")]
     async fn log_level(&self, secret: String, level: String) -> RpcResult<()>;
@@ -73,6 +80,18 @@
         }
     }
 
+    /// Tells whether every live peer has just said that it sends an engine
+    /// nothing and that none of its requests runs there.
+    pub fn all_drained(&self, engine: &str, now: Timestamp) -> bool {
+        let peers = self.peers.lock();
+        let mut live = peers.iter().filter(|peer| now.since(peer.heard) < PEER_EXPIRY);
+        live.all(|peer| {
+            let names = &peer.hello.drained;
+            now.since(peer.heard) < steward::ACKNOWLEDGE_AGE
+                && names.iter().any(|name| name == engine)
+        })
+    }
+
     /// Lists the peers that were heard lately.
     pub fn live(&self, now: Timestamp) -> Vec<PeerHello> {
         let peers = self.peers.lock();
@@ -135,6 +154,12 @@
         Ok(status(&self.context, &self.book))
     }
 
+    async fn orders(&self, secret: String) -> RpcResult<Vec<OrderRow>> {
+        self.check(&secret)?;
+        let rows = steward::list_orders(&*self.context.platform).await;
+        rows.map_err(|error| ErrorObjectOwned::owned(UNAVAILABLE, error.to_string(), None::<()>))
+    }
+
     async fn log_level(&self, secret: String, level: String) -> RpcResult<()> {
         self.check(&secret)?;
         let set = self.context.levels.set(&level);
@@ -142,8 +167,13 @@
     }
 }
 
-fn own_hello(context: &DaemonContext) -> PeerHello {
+/// Makes the introduction of this daemon.
+pub fn own_hello(context: &DaemonContext) -> PeerHello {
     PeerHello {
+        steward: Some(context.orders.is_steward()),
+        draining: context.orders.draining(),
+        drained: context.orders.drained(&context.snapshot.load(), context.clock.now()),
+        demand: context.demand.rows(),
         daemon: context.settings.name.clone(),
         failure_domain: context.settings.failure_domain.clone(),
         incarnation: context.incarnation,
@@ -172,7 +202,7 @@
         engines: engines.collect(),
         peers: book.live(context.clock.now()),
         balance: context.balance.rows(),
-        steward: None,
+        steward: hello.steward,
     }
 }
 
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -22,12 +22,14 @@
     claims::ClaimStore,
     context::DaemonContext,
     control::{ControlEvent, ControlState},
+    demand::DemandMeter,
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
     pollers,
     revisions::{self, RevisionStore},
     snapshot::FleetSnapshot,
+    steward::{OrderBoard, StewardTask},
 };
 
 /// Time for which a stopping daemon answers new requests with a refusal, so
@@ -47,6 +49,7 @@
     let revisions = Arc::new(RevisionStore::default());
     let book = Arc::new(PeerBook::default());
     start_tasks(&context, &revisions, &book);
+    let steward = task::spawn(StewardTask::new(&context, &book).run());
     let server = PeerServer::start(Arc::clone(&context), revisions, book)
         .await
         .with_context(|| format!("can't listen at {}", context.settings.peer_listen))?;
@@ -67,6 +70,7 @@
     closed.give();
     serving.await;
     let cut = listener.drain(drain_limit).await;
+    steward.await;
     let _ = server.stop();
     tracing::info!(cut, balance = ?context.balance.rows(), "stopped");
     Ok(())
@@ -92,6 +96,8 @@
         snapshot: ArcSwap::from_pointee(FleetSnapshot::empty()),
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
+        orders: OrderBoard::default(),
+        demand: DemandMeter::default(),
         platform,
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc,
     },
     time::Duration,
@@ -14,6 +14,7 @@
     membership::MembershipTable,
     routing::EngineView,
 };
+use gooseberry_wire::engine::LoadReport;
 
 /// Holds the view of one moment.
 #[derive(Clone, Debug)]
@@ -34,6 +35,8 @@
     pub view: EngineView,
     /// Tokens in each piece of the engine's cache.
     pub piece_tokens: u32,
+    /// Newest load report, whatever its age.
+    pub report: Option<Arc<LoadReport>>,
     pub gauge: Arc<EngineGauge>,
 }
 
@@ -46,11 +49,21 @@
     pub gauge: Arc<EngineGauge>,
 }
 
+impl PlainEntry {
+    /// Tells whether the server takes new work now, by this view and any later one.
+    pub fn is_open(&self) -> bool {
+        self.open && !self.gauge.is_closed()
+    }
+}
+
 /// Counts this daemon's own work at one backend server.
 #[derive(Debug, Default)]
 pub struct EngineGauge {
     outstanding: AtomicU32,
     unreported_tokens: AtomicU64,
+    /// Whether the newest view gives the server no new work. All views share the
+    /// gauge, so that a request that holds an older view learns of it too.
+    closed: AtomicBool,
 }
 
 impl EngineGauge {
@@ -61,6 +74,22 @@
         OutstandingGuard { gauge: Arc::clone(self) }
     }
 
+    /// Notes whether the server gets no new work.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::Release);
+    }
+
+    /// Closes the server as it leaves the tables; `false`, so that it is let go.
+    pub fn withdraw(&self) -> bool {
+        self.set_closed(true);
+        false
+    }
+
+    /// Tells whether the server gets no new work.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
     /// Returns the requests that haven't ended.
     pub fn outstanding(&self) -> u32 {
         self.outstanding.load(Ordering::Relaxed)
@@ -104,6 +133,7 @@
     /// Visits the views of all engines, with this daemon's own work counted in.
     pub fn engine_views(&self) -> impl Iterator<Item = EngineView> + '_ {
         self.engines.iter().map(|(_, entry)| EngineView {
+            open: entry.view.open && !entry.gauge.is_closed(),
             outstanding: entry.gauge.outstanding(),
             unreported_tokens: entry.gauge.unreported_tokens(),
             ..entry.view
--- /dev/null
+++ b/crates/daemon/src/steward.rs
@@ -0,0 +1,422 @@
+//! The steward: it plans changes of engines and orders them.
+//!
+//! Each failure domain has one at a time, by a lease. The task runs beside the
+//! control thread; whether an order may be given is decided by
+//! `gooseberry_core::orders` from the engine's record and reports. Without the
+//! platform no order is given, and traffic goes on.
+
+mod board;
+mod change;
+mod lease;
+mod planning;
+mod records;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use gooseberry_core::{
+    membership::ProcessIncarnation,
+    orders::{
+        OrderAction, OrderSighting, OrderTracker, PendingClaim, SendOutcome, WaitReason,
+        WriteOutcome,
+    },
+    time::Timestamp,
+};
+use gooseberry_edges::engine::EngineError;
+use gooseberry_wire::{
+    engine::{EngineOrder, LoadReport},
+    order::{OrderOutcome, OrderRecord},
+};
+use smol_str::{format_smolstr, SmolStr};
+
+use crate::{
+    context::DaemonContext,
+    demand::DemandRates,
+    peers::PeerBook,
+    snapshot::FleetSnapshot,
+    steward::{
+        change::{ChangeStep, EngineChange},
+        lease::DomainLease,
+        planning::ChangePlanner,
+        records::OrderStore,
+    },
+};
+
+pub use board::{OrderBoard, ACKNOWLEDGE_AGE};
+pub use records::list_orders;
+
+/// Interval of the steward's rounds.
+const ROUND: Duration = Duration::from_millis(500);
+/// Pause before a change that was put off is tried again.
+const RETRY_PAUSE: Duration = Duration::from_secs(5);
+/// Longest time that a stopping daemon waits for the effect of its own orders.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+/// Actions that one round takes for one engine.
+const ACTIONS_PER_ROUND: usize = 4;
+
+/// Plans changes and carries them out.
+pub struct StewardTask {
+    context: Arc<DaemonContext>,
+    book: Arc<PeerBook>,
+    store: OrderStore,
+    lease: DomainLease,
+    process: ProcessIncarnation,
+    planner: ChangePlanner,
+    rates: DemandRates,
+    engines: HashMap<SmolStr, EngineOrders>,
+    changes: HashMap<SmolStr, EngineChange>,
+    /// Times before which changes that were put off aren't tried again.
+    put_off: HashMap<SmolStr, Timestamp>,
+    issued: u64,
+}
+
+/// Holds what is known of the orders for one engine.
+struct EngineOrders {
+    tracker: OrderTracker,
+    record: Option<OrderRecord>,
+    /// Whether the record may have changed since it was read.
+    stale: bool,
+    /// Whether the answer to a write of this process was lost.
+    uncertain: bool,
+    /// What the engine waits for, so that each reason is logged once.
+    waits_for: Option<WaitReason>,
+}
+
+impl StewardTask {
+    /// Makes the task of a daemon.
+    pub fn new(context: &Arc<DaemonContext>, book: &Arc<PeerBook>) -> Self {
+        let vm = SmolStr::new(&context.settings.name);
+        Self {
+            store: OrderStore::new(Arc::clone(&context.platform)),
+            lease: DomainLease::new(context),
+            process: ProcessIncarnation { vm, incarnation: context.incarnation },
+            planner: ChangePlanner::default(),
+            rates: DemandRates::default(),
+            engines: HashMap::new(),
+            changes: HashMap::new(),
+            put_off: HashMap::new(),
+            issued: 0,
+            context: Arc::clone(context),
+            book: Arc::clone(book),
+        }
+    }
+
+    /// Runs until the daemon is stopped, and gives up what it holds then.
+    pub async fn run(mut self) {
+        while !self.context.stop.is_given() {
+            self.context.clock.sleep(ROUND).await;
+            self.round().await;
+        }
+        self.finish().await;
+    }
+
+    async fn round(&mut self) {
+        let snapshot = self.context.snapshot.load_full();
+        if snapshot.domain.is_none() {
+            return;
+        }
+        let steward = self.lease.hold().await;
+        self.context.orders.set_steward(steward);
+        self.observe(&snapshot);
+        if steward {
+            self.read_records(&snapshot).await;
+            self.plan(&snapshot).await;
+        } else {
+            self.drop_unclaimed();
+        }
+        self.drive_all(&snapshot, steward).await;
+        self.publish();
+    }
+
+    /// Goes on with own claims for a while, then gives up the lease.
+    async fn finish(mut self) {
+        self.drop_unclaimed();
+        self.publish();
+        self.context.orders.set_steward(false);
+        let deadline = self.context.clock.now() + STOP_LIMIT;
+        while self.holds_claims() && self.context.clock.now() < deadline {
+            let snapshot = self.context.snapshot.load_full();
+            self.observe(&snapshot);
+            self.drive_all(&snapshot, false).await;
+            self.publish();
+            self.context.clock.sleep(ROUND).await;
+        }
+        self.lease.release().await;
+    }
+
+    fn holds_claims(&self) -> bool {
+        self.engines.values().any(|orders| orders.tracker.holds_claim())
+    }
+
+    fn publish(&self) {
+        let draining = self.changes.iter().filter(|(_, change)| change.is_draining());
+        let names = draining.map(|(engine, _)| engine.to_string()).collect();
+        self.context.orders.set_draining(names);
+    }
+
+    /// Forgets the changes for which nothing has been claimed.
+    fn drop_unclaimed(&mut self) {
+        self.changes.retain(|_, change| change.is_claimed());
+    }
+
+    /// Tells the trackers what the engines of the failure domain report.
+    fn observe(&mut self, snapshot: &FleetSnapshot) {
+        for (key, row) in snapshot.fleet.engines.iter() {
+            if Some(row.domain) != snapshot.domain {
+                continue;
+            }
+            let process = &self.process;
+            let orders = self.engines.entry(row.name.clone()).or_insert_with(|| EngineOrders {
+                tracker: OrderTracker::new(process.clone(), row.checks_fencing),
+                record: None,
+                stale: true,
+                uncertain: false,
+                waits_for: None,
+            });
+            orders.tracker.set_checks_fencing(row.checks_fencing);
+            if let Some(report) = &snapshot.engines[key].report {
+                orders.tracker.observe_sighting(sighting(report));
+            }
+        }
+    }
+
+    /// Reads the records that aren't known, or that other processes may change.
+    async fn read_records(&mut self, snapshot: &FleetSnapshot) {
+        let engines = snapshot.fleet.engines.iter();
+        let own = engines.filter(|(_, row)| Some(row.domain) == snapshot.domain);
+        for (_, row) in own {
+            let orders = &self.engines[&row.name];
+            let foreign = orders.tracker.pending().is_some() && !orders.tracker.holds_claim();
+            if (orders.stale || foreign) && !self.read_record(&row.name).await {
+                return;
+            }
+        }
+    }
+
+    async fn read_record(&mut self, engine: &SmolStr) -> bool {
+        let read = self.store.read(engine).await;
+        let Some(orders) = self.engines.get_mut(engine) else { return false };
+        match read {
+            Ok(read) => {
+                (orders.stale, orders.uncertain) = (false, false);
+                orders.tracker.observe_record(read.seen, self.context.clock.now());
+                orders.record = read.record;
+                true
+            }
+            Err(error) => {
+                tracing::debug!(%engine, %error, "the record of an engine's orders can't be read");
+                orders.stale = true;
+                false
+            }
+        }
+    }
+
+    /// Goes on with every engine that has a change or an order under way.
+    async fn drive_all(&mut self, snapshot: &FleetSnapshot, steward: bool) {
+        let names: Vec<_> = self.engines.keys().cloned().collect();
+        for engine in names {
+            let EngineOrders { tracker, uncertain, .. } = &self.engines[&engine];
+            let own = tracker.holds_claim() || *uncertain || self.changes.contains_key(&engine);
+            if own || (steward && tracker.pending().is_some()) {
+                self.drive(&engine, snapshot).await;
+            }
+        }
+    }
+
+    async fn drive(&mut self, engine: &SmolStr, snapshot: &FleetSnapshot) {
+        for _ in 0..ACTIONS_PER_ROUND {
+            if self.engines[engine].stale && !self.read_record(engine).await {
+                return self.put_off_unsent(engine, "the record can't be read");
+            }
+            let now = self.context.clock.now();
+            let wanted = self.wanted(engine, snapshot, now);
+            let Some(orders) = self.engines.get_mut(engine) else { return };
+            let action = orders.tracker.next(wanted.as_ref(), &snapshot.membership, now);
+            let name: &'static str = (&action).into();
+            match action {
+                OrderAction::Wait(reason) => return self.wait(engine, reason),
+                OrderAction::ClaimRecord { claim, expected } => {
+                    tracing::info!(%engine, order = %claim.order_id, expected, name, "order");
+                    self.claim(engine, claim, expected, snapshot).await;
+                }
+                OrderAction::SendOrder { order_id, fencing } => {
+                    self.send(engine, order_id, fencing, snapshot).await;
+                }
+                OrderAction::SettleRecord { order_id, expected } => {
+                    tracing::info!(%engine, order = %order_id, expected, name, "order");
+                    self.settle(engine, expected, OrderOutcome::Applied).await;
+                }
+                OrderAction::ReleaseRecord { order_id, expected } => {
+                    tracing::info!(%engine, order = %order_id, expected, name, "order");
+                    self.settle(engine, expected, OrderOutcome::Released).await;
+                }
+            }
+        }
+    }
+
+    /// Returns an identifier for a new order, if the engine is ready for it.
+    fn wanted(
+        &mut self,
+        engine: &SmolStr,
+        snapshot: &FleetSnapshot,
+        now: Timestamp,
+    ) -> Option<SmolStr> {
+        let change = self.changes.get_mut(engine)?;
+        if change.is_claimed() {
+            return None;
+        }
+        let (key, _) = snapshot.fleet.engines.find(|row| row.name == *engine)?;
+        let own = self.context.orders.drained(snapshot, now);
+        let closed = own.iter().any(|name| name == engine) && self.book.all_drained(engine, now);
+        let report = snapshot.engines[key].report.as_deref();
+        match change.step(closed, report, now) {
+            ChangeStep::Drained => {
+                self.issued += 1;
+                Some(format_smolstr!("{}/{}", self.process, self.issued))
+            }
+            ChangeStep::Overdue => {
+                self.put_off_unsent(engine, "its requests didn't end in time");
+                None
+            }
+            ChangeStep::Reserved | ChangeStep::Draining => None,
+        }
+    }
+
+    fn wait(&mut self, engine: &SmolStr, reason: WaitReason) {
+        let Some(orders) = self.engines.get_mut(engine) else { return };
+        if orders.waits_for.replace(reason) != Some(reason) {
+            tracing::info!(%engine, %reason, "an order waits");
+        }
+        let Some(change) = self.changes.get_mut(engine) else { return };
+        match reason {
+            // The change may claim again.
+            WaitReason::OlderOrderUnfenced => change.order = None,
+            WaitReason::NothingWanted | WaitReason::IssuerPending if change.is_claimed() => {
+                self.end_change(engine, "the claim isn't in the record");
+            }
+            _ => {}
+        }
+    }
+
+    async fn claim(
+        &mut self,
+        engine: &SmolStr,
+        claim: PendingClaim,
+        expected: u64,
+        snapshot: &FleetSnapshot,
+    ) {
+        let found = snapshot.fleet.engines.find(|row| row.name == *engine);
+        let (Some((_, row)), Some(change)) = (found, self.changes.get_mut(engine)) else { return };
+        let now = self.context.clock.now();
+        let reason = change.reason.to_string();
+        let record = records::pending(&claim, &change.target, &reason, row.role, now);
+        change.order = Some((claim.order_id.clone(), now));
+        let outcome = self.store.write(engine, &record, expected).await;
+        let Some(orders) = self.engines.get_mut(engine) else { return };
+        orders.tracker.claim_ended(claim, &outcome, self.context.clock.now());
+        orders.waits_for = None;
+        match outcome {
+            WriteOutcome::Written(_) => orders.record = Some(record),
+            WriteOutcome::Conflict => {
+                orders.stale = true;
+                self.end_change(engine, "the claim wasn't written");
+            }
+            WriteOutcome::Unknown => (orders.stale, orders.uncertain) = (true, true),
+        }
+    }
+
+    /// Sends an order, once.
+    async fn send(
+        &mut self,
+        engine: &SmolStr,
+        order_id: SmolStr,
+        fencing: u64,
+        snapshot: &FleetSnapshot,
+    ) {
+        let outcome = self.try_send(engine, &order_id, fencing, snapshot).await;
+        tracing::info!(%engine, order = %order_id, fencing, ?outcome, "order sent");
+        let now = self.context.clock.now();
+        if let Some(orders) = self.engines.get_mut(engine) {
+            orders.tracker.send_ended(&order_id, outcome, now);
+        }
+    }
+
+    async fn try_send(
+        &self,
+        engine: &SmolStr,
+        order_id: &SmolStr,
+        fencing: u64,
+        snapshot: &FleetSnapshot,
+    ) -> SendOutcome {
+        let found = snapshot.fleet.engines.find(|row| row.name == *engine);
+        let change = self.changes.get(engine);
+        let change = change.filter(|change| change.is_ordered_by(order_id));
+        // Without its change the order's claim came late: it is released.
+        let (Some((_, row)), Some(change)) = (found, change) else { return SendOutcome::Unsent };
+        let target = &change.target;
+        let order = EngineOrder {
+            order_id: order_id.to_string(),
+            fencing,
+            role: target.role.and_then(|role| role.to_string().parse().ok()),
+            model: target.model.as_ref().map(SmolStr::to_string),
+            version: target.version.as_ref().map(SmolStr::to_string),
+            adapters: target.adapters.iter().map(SmolStr::to_string).collect(),
+        };
+        match self.context.engines.order(&row.address, &order).await {
+            Ok(answer) if answer.accepted => SendOutcome::Accepted,
+            Ok(_) => SendOutcome::Refused,
+            Err(EngineError::Unreachable(_)) => SendOutcome::Unsent,
+            Err(_) => SendOutcome::Unknown,
+        }
+    }
+
+    async fn settle(&mut self, engine: &SmolStr, expected: u64, outcome: OrderOutcome) {
+        let record = self.engines[engine].record.clone();
+        let Some(record) = record else { return };
+        let now = self.context.clock.now();
+        let order_id = SmolStr::new(&record.order_id);
+        let record = records::settled(record, outcome, now);
+        let written = self.store.write(engine, &record, expected).await;
+        let Some(orders) = self.engines.get_mut(engine) else { return };
+        orders.tracker.settle_ended(&written, self.context.clock.now());
+        orders.waits_for = None;
+        match written {
+            WriteOutcome::Written(_) => orders.record = Some(record),
+            WriteOutcome::Conflict | WriteOutcome::Unknown => orders.stale = true,
+        }
+        let change = self.changes.get(engine);
+        if change.is_some_and(|change| change.is_ordered_by(&order_id)) {
+            let ended: &'static str = match outcome {
+                OrderOutcome::Applied => "it is in effect",
+                OrderOutcome::Released => "the order was released",
+            };
+            self.end_change(engine, ended);
+        }
+    }
+
+    /// Puts a change off unless its order was sent or may still be.
+    fn put_off_unsent(&mut self, engine: &SmolStr, reason: &'static str) {
+        let Some(change) = self.changes.get(engine) else { return };
+        let now = self.context.clock.now();
+        let sendable = change.is_claimed() && !change.is_too_late(now);
+        if !sendable && !self.engines[engine].tracker.holds_claim() {
+            self.end_change(engine, reason);
+        }
+    }
+
+    fn end_change(&mut self, engine: &SmolStr, reason: &'static str) {
+        if let Some(change) = self.changes.remove(engine) {
+            tracing::info!(%engine, change = %change.target, reason, "a change ended");
+            self.put_off.insert(engine.clone(), self.context.clock.now() + RETRY_PAUSE);
+        }
+    }
+}
+
+fn sighting(report: &LoadReport) -> OrderSighting {
+    OrderSighting {
+        made_at: Timestamp::from_millis(report.made_at_ms),
+        incarnation: report.incarnation,
+        highest_fencing: report.highest_fencing,
+        applied: report.applied_order.as_ref().map(SmolStr::new),
+        pending: report.pending_order.as_ref().map(SmolStr::new),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/steward/lease.rs
@@ -0,0 +1,123 @@
+//! The lease of a failure domain's steward.
+//!
+//! It only keeps daemons from working against each other: whether an order may
+//! be given is decided by the engine's record.
+
+use std::{sync::Arc, time::Duration};
+
+use gooseberry_core::time::Timestamp;
+use gooseberry_edges::platform::{PlatformError, PutOutcome};
+use gooseberry_wire::platform::KvPut;
+
+use crate::context::DaemonContext;
+
+/// Time for which the lease lives without being kept.
+const LEASE_TTL: Duration = Duration::from_secs(6);
+/// Interval at which the lease is kept.
+const KEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// Silence of a steward after which its lease is asked for.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// Shortest pause between two tries for the lease.
+const TRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Greatest random addition to that pause, in milliseconds.
+const TRY_JITTER_MS: u64 = 1000;
+
+/// Holds the lease, or tries for it.
+pub struct DomainLease {
+    context: Arc<DaemonContext>,
+    held: Option<HeldLease>,
+    next_try: Timestamp,
+}
+
+struct HeldLease {
+    lease: u64,
+    kept: Timestamp,
+    /// Time at which the lease was last asked to live on.
+    asked: Timestamp,
+}
+
+impl DomainLease {
+    /// Makes a lease that isn't held.
+    pub fn new(context: &Arc<DaemonContext>) -> Self {
+        Self { context: Arc::clone(context), held: None, next_try: Timestamp::default() }
+    }
+
+    /// Keeps the lease or tries for it; tells whether it is held.
+    pub async fn hold(&mut self) -> bool {
+        match &self.held {
+            Some(_) => self.keep().await,
+            None => self.acquire().await,
+        }
+        self.held.is_some()
+    }
+
+    async fn keep(&mut self) {
+        let Some(held) = &mut self.held else { return };
+        let now = self.context.clock.now();
+        if now.since(held.asked) < KEEP_INTERVAL {
+            return;
+        }
+        held.asked = now;
+        match self.context.platform.keep_lease(held.lease).await {
+            Ok(true) => held.kept = now,
+            Ok(false) => self.lose("lapsed"),
+            Err(_) if now.since(held.kept) > LEASE_TTL => self.lose("not kept"),
+            Err(_) => {}
+        }
+    }
+
+    fn lose(&mut self, reason: &str) {
+        tracing::info!(reason, "no longer steward");
+        self.held = None;
+    }
+
+    async fn acquire(&mut self) {
+        let now = self.context.clock.now();
+        let domain = &self.context.settings.failure_domain;
+        let silence = self.context.orders.steward_silence(domain, now);
+        if now < self.next_try || silence.is_some_and(|silence| silence < SILENCE_LIMIT) {
+            return;
+        }
+        let jitter = Duration::from_millis(rand::random_range(0..TRY_JITTER_MS));
+        self.next_try = now + TRY_INTERVAL + jitter;
+        match self.try_acquire().await {
+            Ok(Some(lease)) => {
+                tracing::info!(lease, domain, "steward of the failure domain");
+                self.held = Some(HeldLease { lease, kept: now, asked: now });
+            }
+            Ok(None) => {}
+            Err(error) => tracing::debug!(%error, "no lease"),
+        }
+    }
+
+    async fn try_acquire(&self) -> Result<Option<u64>, PlatformError> {
+        let platform = &self.context.platform;
+        let key = format!("stewards/{}", self.context.settings.failure_domain);
+        if platform.get(&key).await?.is_some() {
+            return Ok(None);
+        }
+        let lease = platform.grant_lease(LEASE_TTL).await?.lease;
+        let value = self.context.holder.to_string();
+        let put = KvPut { value, expected: Some(0), lease: Some(lease) };
+        match platform.put(&key, &put).await {
+            Ok(PutOutcome::Written(_)) => Ok(Some(lease)),
+            Ok(PutOutcome::Conflict(_)) => {
+                platform.release_lease(lease).await?;
+                Ok(None)
+            }
+            Err(error) => {
+                let _ = platform.release_lease(lease).await;
+                Err(error)
+            }
+        }
+    }
+
+    /// Gives the lease up.
+    pub async fn release(&mut self) {
+        if let Some(held) = self.held.take() {
+            if let Err(error) = self.context.platform.release_lease(held.lease).await {
+                tracing::debug!(%error, "the lease will lapse");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/steward/planning.rs
@@ -0,0 +1,215 @@
+//! Which change the steward makes next.
+
+use std::{sync::Arc, time::Duration};
+
+use gooseberry_core::{
+    arena::{DomainKey, EngineKey},
+    changes::{self, EnginePresent, EngineTarget},
+    fleet::{EngineRow, ObjectiveWeight},
+    roles::{RolePlanner, RolePolicy, RoleSettings, RoleView},
+    time::Timestamp,
+};
+use gooseberry_wire::engine::LoadReport;
+use smol_str::SmolStr;
+
+use crate::{
+    snapshot::FleetSnapshot,
+    steward::{
+        change::{ChangeReason, EngineChange},
+        StewardTask,
+    },
+};
+
+/// Time for which a change of role takes an engine away.
+const CHANGE_TIME: Duration = Duration::from_secs(2);
+
+/// Age of a report after which its engine is not ordered to change.
+const REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// Holds the planner for the weight that the configuration gives.
+#[derive(Default)]
+pub(super) struct ChangePlanner {
+    roles: Option<(ObjectiveWeight, RolePlanner)>,
+}
+
+impl ChangePlanner {
+    fn roles(&mut self, weight: ObjectiveWeight) -> &mut RolePlanner {
+        if self.roles.as_ref().is_none_or(|(known, _)| *known != weight) {
+            let policy = RolePolicy::Adaptive;
+            let settings = RoleSettings { policy, weight, change_time: CHANGE_TIME };
+            self.roles = Some((weight, RolePlanner::new(settings)));
+        }
+        let (_, planner) = self.roles.as_mut().expect("a planner was made");
+        planner
+    }
+}
+
+impl StewardTask {
+    /// Starts the changes that the configuration or the demand asks for.
+    pub(super) async fn plan(&mut self, snapshot: &Arc<FleetSnapshot>) {
+        let Some(domain) = snapshot.domain else { return };
+        self.drop_obsolete(snapshot);
+        for engine in domain_engines(snapshot, domain) {
+            if let Some(target) = self.configured_target(snapshot, engine) {
+                self.begin(snapshot, domain, engine, target, ChangeReason::Configuration).await;
+            }
+        }
+        let now = self.context.clock.now();
+        for hello in self.book.live(now) {
+            if hello.failure_domain == self.context.settings.failure_domain {
+                self.rates.observe(&hello, now);
+            }
+        }
+        self.rates.observe(&crate::peers::own_hello(&self.context), now);
+        let demand = self.rates.demand(&snapshot.fleet, now);
+        let views = self.views(snapshot, domain, now);
+        let planner = self.planner.roles(snapshot.fleet.objectives.weight);
+        if let Some(change) = planner.plan(now, &demand, &views) {
+            let target = EngineTarget { role: Some(change.role), ..EngineTarget::default() };
+            self.begin(snapshot, domain, change.engine, target, ChangeReason::Demand).await;
+        }
+    }
+
+    /// Drops changes that a newer configuration no longer asks for.
+    fn drop_obsolete(&mut self, snapshot: &FleetSnapshot) {
+        let unclaimed: Vec<_> = self
+            .changes
+            .iter()
+            .filter(|(_, change)| !change.is_claimed())
+            .map(|(engine, change)| (engine.clone(), change.reason, change.target.clone()))
+            .collect();
+        for (engine, reason, target) in unclaimed {
+            let found = snapshot.fleet.engines.find(|row| row.name == engine);
+            let wanted = match (reason, found) {
+                (_, None) => false,
+                (_, Some((_, row))) if row.leaving => false,
+                (ChangeReason::Demand, Some(_)) => true,
+                (ChangeReason::Configuration, Some((key, _))) => {
+                    self.configured_target(snapshot, key) == Some(target)
+                }
+            };
+            if !wanted {
+                self.end_change(&engine, "it is no longer wanted");
+            }
+        }
+    }
+
+    fn configured_target(
+        &self,
+        snapshot: &FleetSnapshot,
+        engine: EngineKey,
+    ) -> Option<EngineTarget> {
+        let row = &snapshot.fleet.engines[engine];
+        let report = snapshot.engines[engine].report.as_ref()?;
+        let model = &snapshot.fleet.models[row.model].name;
+        let record = self.engines.get(&row.name)?.record.as_ref();
+        let ordered_for = record.and_then(|record| record.configured_role.as_ref()?.parse().ok());
+        changes::configured_change(row, model, &present(report, row), ordered_for)
+    }
+
+    fn views(&self, snapshot: &FleetSnapshot, domain: DomainKey, now: Timestamp) -> Vec<RoleView> {
+        let engines = domain_engines(snapshot, domain);
+        engines
+            .map(|engine| {
+                let row = &snapshot.fleet.engines[engine];
+                let view = &snapshot.engines[engine].view;
+                let ordered = self.changes.contains_key(&row.name)
+                    || self.engines[&row.name].tracker.is_ordered(now);
+                RoleView {
+                    engine,
+                    domain,
+                    model: view.model,
+                    role: view.role,
+                    open: view.open,
+                    ordered,
+                    running: view.running,
+                    queued: view.queued,
+                    backlog_tokens: view.backlog_tokens,
+                }
+            })
+            .collect()
+    }
+
+    /// Starts a change unless something speaks against it now.
+    async fn begin(
+        &mut self,
+        snapshot: &FleetSnapshot,
+        domain: DomainKey,
+        engine: EngineKey,
+        target: EngineTarget,
+        reason: ChangeReason,
+    ) {
+        let now = self.context.clock.now();
+        let row = &snapshot.fleet.engines[engine];
+        let model = snapshot.fleet.models[snapshot.engines[engine].view.model].name.clone();
+        let mut change = EngineChange::new(target, reason, model, now);
+        if !self.may_begin(snapshot, domain, engine, &change, now) {
+            return;
+        }
+        if change.target.loads_weights() {
+            let loaded = change.models.last().cloned().unwrap_or_default();
+            match self.context.platform.reserve_weights(&loaded).await {
+                Ok(grant) => change.not_before = now + Duration::from_millis(grant.wait_ms),
+                Err(error) => {
+                    tracing::info!(engine = %row.name, %error, "no load of weights is reserved");
+                    self.put_off.insert(row.name.clone(), now + super::RETRY_PAUSE);
+                    return;
+                }
+            }
+        }
+        let wait_ms = change.not_before.since(now).as_millis() as u64;
+        let revision = snapshot.fleet.revision;
+        let target = &change.target;
+        tracing::info!(engine = %row.name, change = %target, %reason, wait_ms, revision, "change");
+        self.changes.insert(row.name.clone(), change);
+    }
+
+    fn may_begin(
+        &mut self,
+        snapshot: &FleetSnapshot,
+        domain: DomainKey,
+        engine: EngineKey,
+        change: &EngineChange,
+        now: Timestamp,
+    ) -> bool {
+        let row = &snapshot.fleet.engines[engine];
+        let put_off = self.put_off.get(&row.name).is_some_and(|until| now < *until);
+        let ordered = self.engines[&row.name].tracker.is_ordered(now);
+        let report = snapshot.engines[engine].report.as_ref();
+        let silent = report
+            .is_none_or(|report| now.since(Timestamp::from_millis(report.made_at_ms)) > REPORT_AGE);
+        if silent || put_off || ordered || row.leaving || self.changes.contains_key(&row.name) {
+            return false;
+        }
+        // One change at a time for each model of a failure domain.
+        let busy = |model: &SmolStr| self.changes.values().any(|it| it.models.contains(model));
+        if change.models.iter().any(busy) {
+            return false;
+        }
+        let changing =
+            |key: EngineKey| self.changes.contains_key(&snapshot.fleet.engines[key].name);
+        if changes::can_be_spared(engine, &self.views(snapshot, domain, now), changing) {
+            return true;
+        }
+        tracing::info!(engine = %row.name, change = %change.target, "no other engine could serve");
+        self.put_off.insert(row.name.clone(), now + super::RETRY_PAUSE);
+        false
+    }
+}
+
+fn domain_engines(
+    snapshot: &FleetSnapshot,
+    domain: DomainKey,
+) -> impl Iterator<Item = EngineKey> + '_ {
+    let engines = snapshot.fleet.engines.iter();
+    engines.filter(move |(_, row)| row.domain == domain).map(|(key, _)| key)
+}
+
+fn present(report: &LoadReport, row: &EngineRow) -> EnginePresent {
+    EnginePresent {
+        role: report.role.to_string().parse().unwrap_or(row.role),
+        model: SmolStr::new(&report.model),
+        version: report.version.as_ref().map(SmolStr::new),
+        adapters: report.adapters.iter().map(SmolStr::new).collect(),
+    }
+}
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -131,6 +131,9 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub adapters: ::std::vec::Vec<::std::string::String>,
     pub claimed_at_ms: u64,
+    #[doc = "Role that the configuration gave the engine at the time of the order."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub configured_role: ::std::option::Option<::std::string::String>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub ended_at_ms: ::std::option::Option<u64>,
     #[doc = "Daemon and incarnation that may send the order."]
@@ -146,6 +149,9 @@
     pub reason: ::std::string::String,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub role: ::std::option::Option<::std::string::String>,
+    #[doc = "Whether the claim replaced a pending one."]
+    #[serde(default)]
+    pub superseding: bool,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<::std::string::String>,
 }
