--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -4,13 +4,15 @@
 use gooseberry_edges::platform::{PlatformEdge, PutOutcome};
 use gooseberry_harness::{
     process,
-    system::{self, SystemSize, TestServer, TestSystem},
+    system::{self, SystemSize, TestServer, TestSystem, PEER_SECRET},
 };
 use gooseberry_standins::{engine::orders::OrderCounts, token};
 use gooseberry_wire::{
     engine::CompletionAnswer,
     order::{OrderOutcome, OrderPhase, OrderRecord},
+    peer::OrderRow,
 };
+use jsonrpsee::{core::client::ClientT, rpc_params, ws_client::WsClientBuilder};
 
 /// Tokens of a long answer; an engine alone gives a few hundred a second.
 const LONG_ANSWER: u32 = 1200;
@@ -219,3 +221,31 @@
     let call = system::completion_call(&system.daemons[0].address, "still served", 3);
     assert_eq!(call.send().expect("an answer").status, 200);
 }
+
+fn orders(daemon: &TestServer) -> Vec<OrderRow> {
+    task::block_on(async {
+        let client = WsClientBuilder::default().build(format!("ws://{}", daemon.control)).await;
+        let client = client.expect("a connection");
+        client.request("orders", rpc_params![PEER_SECRET]).await.expect("the orders")
+    })
+}
+
+#[test]
+fn a_steward_that_is_terminated_ends_its_order_and_gives_up_its_lease() {
+    let mut system = TestSystem::start(size(2, &["--change-ms", "1500"]));
+    let issuer = wait_steward(&system);
+    edit(&system, &with_engine(&system.configuration(""), "engine-0-0", "role: prefill"));
+    process::wait_until("an order is claimed", || record(&system, "engine-0-0").is_some());
+    system.daemons[issuer].process.terminate();
+    assert!(system.daemons[issuer].process.wait().success());
+    assert_ne!(steward(&system), Some(issuer));
+    let record = record(&system, "engine-0-0").expect("a record");
+    assert_eq!(record.phase, OrderPhase::Settled);
+    assert!(record.issuer.starts_with(&system.daemons[issuer].name));
+    process::wait_until("the role has changed", || is_applied(&system, "engine-0-0", "prefill"));
+    assert_no_conflict(&system);
+    let rows = orders(&system.daemons[1 - issuer]);
+    assert_eq!(rows.len(), 1);
+    assert_eq!((rows[0].engine.as_str(), rows[0].change.as_str()), ("engine-0-0", "role prefill"));
+    assert_eq!((rows[0].phase.as_str(), rows[0].outcome.as_deref()), ("settled", Some("applied")));
+}
