--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arena;
 pub mod balance;
 pub mod bucket;
+pub mod changes;
 pub mod claims;
 pub mod fleet;
 pub mod history;
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -91,6 +91,7 @@
     wanted.stream_id = Some(attempts::stream_name(&context).to_string());
     admission::set_priority(&accepted, &mut wanted);
     let started = context.clock.now();
+    context.demand.count(&wanted);
     let mut run =
         CompletionRun::new(Arc::clone(&context), snapshot, model, accepted.deadline, wanted);
     let tokens = run.prompt_tokens().saturating_add(run.output_tokens());
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,8 +13,9 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, limits::LimitDesk,
-    logs::LogLevels, metrics::MetricClient, routing::RoutingDesk, snapshot::FleetSnapshot,
+    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, demand::DemandMeter,
+    limits::LimitDesk, logs::LogLevels, metrics::MetricClient, routing::RoutingDesk,
+    snapshot::FleetSnapshot, steward::OrderBoard,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -34,6 +35,8 @@
     pub engines: Arc<dyn EngineEdge>,
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
+    pub orders: OrderBoard,
+    pub demand: DemandMeter,
     pub balance: BalanceBook,
     pub desk: Arc<RoutingDesk>,
     pub limits: LimitDesk,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -61,7 +61,7 @@
 /// Holds what is known of one engine over all revisions.
 #[derive(Default)]
 struct EngineStatus {
-    report: Option<LoadReport>,
+    report: Option<Arc<LoadReport>>,
     received: Timestamp,
     gauge: Arc<EngineGauge>,
     stall: StallDetector,
@@ -116,6 +116,7 @@
             }
             ControlEvent::Peer(hello) => {
                 self.daemons.hear(&hello.daemon, &hello.failure_domain, now);
+                self.context.orders.hear(&hello, now);
                 let vm = SmolStr::new(hello.daemon);
                 let process = ProcessIncarnation { vm, incarnation: hello.incarnation };
                 self.membership.observe_process(&process, now);
@@ -155,7 +156,7 @@
         }
         status.gauge.reported(made_at);
         status.received = now;
-        status.report = Some(report);
+        status.report = Some(Arc::new(report));
     }
 
     /// Puts a higher revision in force; a lower one is never applied.
@@ -182,9 +183,9 @@
             }
         }
         let known = |name: &SmolStr| fleet.engines.find(|row| row.name == *name).is_some();
-        self.engines.retain(|name, _| known(name));
+        self.engines.retain(|name, status| known(name) || status.gauge.withdraw());
         let known = |name: &SmolStr| fleet.plain_servers.find(|row| row.name == *name).is_some();
-        self.plain_servers.retain(|name, _| known(name));
+        self.plain_servers.retain(|name, status| known(name) || status.gauge.withdraw());
         self.fleet = fleet;
     }
 
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -56,18 +56,21 @@
         let status = &self.engines[&row.name];
         let report = status.report.as_ref().filter(|_| now.since(status.received) < REPORT_EXPIRY);
         let leaving = row.leaving || self.membership.is_leaving(&row.name);
+        let draining = self.context.orders.is_draining(&row.name, now);
         let serving = report.is_some_and(|report| report.state == EngineState::Serving);
         let model = report.map_or(row.model, |report| {
             let loaded = self.fleet.models.find(|model| model.name == report.model);
             loaded.map_or(row.model, |(key, _)| key)
         });
         let role = report.and_then(|report| report.role.to_string().parse().ok());
+        let open = serving && !leaving && !draining && !status.stall.is_stuck(now);
+        status.gauge.set_closed(!open);
         EngineEntry {
             view: EngineView {
                 engine,
                 model,
                 role: role.unwrap_or(row.role),
-                open: serving && !leaving && !status.stall.is_stuck(now),
+                open,
                 place: self.place(domain, row.domain),
                 latency: self.latency(domain, row.domain),
                 price_per_gb: self.price(domain, row.domain),
@@ -82,6 +85,7 @@
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
             cache: status.cache,
             link: self.link_use(domain, row.domain),
+            report: status.report.clone(),
             gauge: Arc::clone(&status.gauge),
         }
     }
@@ -89,8 +93,10 @@
     fn plain_entry(&self, row: &PlainRow, domain: Option<DomainKey>) -> PlainEntry {
         let status = &self.plain_servers[&row.name];
         let leaving = row.leaving || self.membership.is_leaving(&row.name);
+        let open = status.healthy && !leaving;
+        status.gauge.set_closed(!open);
         PlainEntry {
-            open: status.healthy && !leaving,
+            open,
             latency: self.latency(domain, row.domain),
             gauge: Arc::clone(&status.gauge),
         }
--- a/crates/daemon/src/gauge.rs
+++ b/crates/daemon/src/gauge.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         Arc,
     },
     time::Duration,
@@ -25,9 +25,28 @@
     unreported_requests: AtomicU32,
     unreported_tokens: AtomicU64,
     estimator: SpeedEstimator,
+    /// Whether the newest view gives the server no new work. All views share the
+    /// gauge, so that a request that holds an older view learns of it too.
+    closed: AtomicBool,
 }
 
 impl EngineGauge {
+    /// Notes whether the server gets no new work.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::Release);
+    }
+
+    /// Closes the server as it leaves the tables; `false`, so that it is let go.
+    pub fn withdraw(&self) -> bool {
+        self.set_closed(true);
+        false
+    }
+
+    /// Tells whether the server gets no new work.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
     /// Counts a call of a plain service until the guard is dropped.
     pub fn start(self: &Arc<Self>) -> OutstandingGuard {
         self.outstanding.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use gooseberry_core::time::Timestamp;
-use gooseberry_wire::peer::{DaemonStatus, EngineStatus, PeerHello, PeerRevision};
+use gooseberry_wire::peer::{DaemonStatus, EngineStatus, OrderRow, PeerHello, PeerRevision};
 use jsonrpsee::{
     core::{async_trait, client::ClientT, RpcResult},
     proc_macros::rpc,
@@ -22,6 +22,7 @@
     limits::{QuotaApiServer, QuotaServer},
     operators::{OperatorApiServer, OperatorServer},
     revisions::RevisionStore,
+    steward,
 };
 
 /// Interval of heartbeats between daemons.
@@ -39,6 +40,9 @@
 /// Code of the error for settings that can't be changed.
 const BAD_VALUE: i32 = 400;
 
+/// Code of the error for state that the platform doesn't give out now.
+const UNAVAILABLE: i32 = 503;
+
 /// Calls between daemons and from operators.
 #[rpc(server)]
 pub trait PeerApi {
@@ -58,6 +62,10 @@
     #[method(name = "status")]
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus>;
 
+    /// Returns the records of all engines' orders.
+    #[method(name = "orders")]
+    async fn orders(&self, secret: String) -> RpcResult<Vec<OrderRow>>;
+
     /// Sets the level of the logs.
     #[method(name = "log_level")]
     async fn log_level(&self, secret: String, level: String) -> RpcResult<()>;
@@ -86,6 +94,18 @@
         }
     }
 
+    /// Tells whether every live peer has just said that it sends an engine
+    /// nothing and that none of its requests runs there.
+    pub fn all_drained(&self, engine: &str, now: Timestamp) -> bool {
+        let peers = self.peers.lock();
+        let mut live = peers.iter().filter(|peer| now.since(peer.heard) < PEER_EXPIRY);
+        live.all(|peer| {
+            let names = &peer.hello.drained;
+            now.since(peer.heard) < steward::ACKNOWLEDGE_AGE
+                && names.iter().any(|name| name == engine)
+        })
+    }
+
     /// Lists the peers that were heard lately.
     pub fn live(&self, now: Timestamp) -> Vec<PeerHello> {
         let peers = self.peers.lock();
@@ -161,6 +181,12 @@
         Ok(status(&self.context, &self.book))
     }
 
+    async fn orders(&self, secret: String) -> RpcResult<Vec<OrderRow>> {
+        check_secret(&self.context, &secret)?;
+        let rows = steward::list_orders(&*self.context.platform).await;
+        rows.map_err(|error| ErrorObjectOwned::owned(UNAVAILABLE, error.to_string(), None::<()>))
+    }
+
     async fn log_level(&self, secret: String, level: String) -> RpcResult<()> {
         check_secret(&self.context, &secret)?;
         let set = self.context.levels.set(&level);
@@ -168,17 +194,18 @@
     }
 }
 
-fn own_hello(context: &DaemonContext) -> PeerHello {
+/// Makes the introduction of this daemon.
+pub fn own_hello(context: &DaemonContext) -> PeerHello {
     PeerHello {
+        steward: Some(context.orders.is_steward()),
+        draining: context.orders.draining(),
+        drained: context.orders.drained(&context.snapshot.load(), context.clock.now()),
+        demand: context.demand.rows(),
         daemon: context.settings.name.clone(),
         failure_domain: context.settings.failure_domain.clone(),
         incarnation: context.incarnation,
         revision: context.snapshot.load().fleet.revision,
         platform_reachable: context.is_platform_reachable(),
-        steward: None,
-        draining: Vec::new(),
-        drained: Vec::new(),
-        demand: Vec::new(),
     }
 }
 
@@ -203,7 +230,7 @@
         engines: engines.collect(),
         peers: book.live(context.clock.now()),
         balance: context.balance.rows(),
-        steward: None,
+        steward: hello.steward,
     }
 }
 
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -26,6 +26,7 @@
     claims::{prune, store::ClaimStore},
     context::DaemonContext,
     control::{ControlEvent, ControlState},
+    demand::DemandMeter,
     history::{self, HistoryBook},
     limits::{self, LimitDesk},
     logs::LogLevels,
@@ -35,6 +36,7 @@
     revisions::{self, RevisionStore},
     routing::RoutingDesk,
     snapshot::FleetSnapshot,
+    steward::{OrderBoard, StewardTask},
 };
 
 /// Time for which a stopping daemon answers new requests with a refusal, so
@@ -57,6 +59,7 @@
     let book = Arc::new(PeerBook::default());
     let history = Arc::new(HistoryBook::default());
     start_tasks(&context, &revisions, &book, &history);
+    let steward = task::spawn(StewardTask::new(&context, &book).run());
     let server = PeerServer::start(Arc::clone(&context), revisions, book, history)
         .await
         .with_context(|| format!("can't listen at {}", context.settings.peer_listen))?;
@@ -77,6 +80,7 @@
     closed.give();
     serving.await;
     let cut = listener.drain(drain_limit).await;
+    steward.await;
     let unsettled = context.claims.local().drain(&context.clock, SETTLE_LIMIT).await;
     record::close(&context).await;
     let _ = server.stop();
@@ -104,6 +108,8 @@
         snapshot: ArcSwap::from_pointee(FleetSnapshot::empty()),
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
+        orders: OrderBoard::default(),
+        demand: DemandMeter::default(),
         platform,
         platform_reachable: AtomicBool::new(true),
         engines: Arc::new(EngineClient::new(http.clone())),
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -10,6 +10,7 @@
     routing::EngineView,
     spill::LinkUse,
 };
+use gooseberry_wire::engine::LoadReport;
 
 use crate::gauge::EngineGauge;
 
@@ -39,9 +40,18 @@
     pub cache: CacheKey,
     /// Link over which the engine is reached.
     pub link: LinkUse,
+    /// Newest load report, whatever its age.
+    pub report: Option<Arc<LoadReport>>,
     pub gauge: Arc<EngineGauge>,
 }
 
+impl EngineEntry {
+    /// Tells whether the engine takes new work now, by this view and any later one.
+    pub fn is_open(&self) -> bool {
+        self.view.open && !self.gauge.is_closed()
+    }
+}
+
 /// Holds what is known of one backend server of a plain service.
 #[derive(Clone, Debug)]
 pub struct PlainEntry {
@@ -51,6 +61,13 @@
     pub gauge: Arc<EngineGauge>,
 }
 
+impl PlainEntry {
+    /// Tells whether the server takes new work now, by this view and any later one.
+    pub fn is_open(&self) -> bool {
+        self.open && !self.gauge.is_closed()
+    }
+}
+
 impl FleetSnapshot {
     /// Makes the view of a daemon that has no configuration yet.
     pub fn empty() -> Self {
@@ -73,7 +90,7 @@
         model: ModelKey,
     ) -> impl Iterator<Item = EngineView> + 'a {
         let entries = engines.iter().map(|engine| &self.engines[*engine]);
-        let serving = entries.filter(move |entry| entry.view.open && entry.view.model == model);
+        let serving = entries.filter(move |entry| entry.is_open() && entry.view.model == model);
         serving.map(|entry| EngineView {
             speed: entry.gauge.speed(),
             outstanding: entry.gauge.outstanding(),
