Ask for the daemons' states in one place; wait for the stop before the late request

Change: the harness reads the list for all tests; the late request waits for the log line of the stop. What the tests assert is unchanged.

--- a/crates/daemon/examples/placement_cost.rs
+++ b/crates/daemon/examples/placement_cost.rs
@@ -104,6 +104,7 @@
         piece_tokens: 16,
         cache: desk.cache(&smol_str::format_smolstr!("engine-{index}")),
         link: LinkUse::Local,
+        report: None,
         gauge: Arc::new(EngineGauge::default()),
     }
 }
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -75,7 +75,7 @@
 /// Returns the hashes of a prompt's pieces, as the engines of a model cut them.
 pub fn pieces(snapshot: &FleetSnapshot, model: ModelKey, prompt: &str) -> Vec<u64> {
     let mut entries = snapshot.engines.iter().map(|(_, entry)| entry);
-    let serving = entries.find(|entry| entry.view.model == model && entry.view.open);
+    let serving = entries.find(|entry| entry.view.model == model && entry.is_open());
     serving.map_or_else(Vec::new, |entry| prefix::piece_hashes(prompt, entry.piece_tokens.max(1)))
 }
 
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -113,12 +113,11 @@
     pub fn is_served(&self, service: ServiceKey) -> bool {
         match self.fleet.services[service].kind {
             ServiceKind::Completion { model } => {
-                self.engines.iter().any(|(_, entry)| entry.view.open && entry.view.model == model)
+                self.engines.iter().any(|(_, entry)| entry.is_open() && entry.view.model == model)
             }
-            ServiceKind::Plain { .. } => self
-                .plain_servers
-                .iter()
-                .any(|(key, entry)| entry.open && self.fleet.plain_servers[key].service == service),
+            ServiceKind::Plain { .. } => self.plain_servers.iter().any(|(key, entry)| {
+                entry.is_open() && self.fleet.plain_servers[key].service == service
+            }),
         }
     }
 }
--- a/crates/daemon/tests/closed_servers.rs
+++ b/crates/daemon/tests/closed_servers.rs
@@ -5,25 +5,25 @@
 use gooseberry_core::{
     arena::{ArenaKey, EngineKey, ModelKey},
     fleet::EngineRole,
-    routing::{self, EngineView, RouteRequest},
+    prefix_table::CacheKey,
+    routing::{self, EngineView, RoutePhase, RouteRequest},
+    spill::LinkUse,
+};
+use gooseberry_daemon::{
+    gauge::EngineGauge,
+    snapshot::{EngineEntry, FleetSnapshot, PlainEntry},
 };
-use gooseberry_daemon::snapshot::{EngineEntry, EngineGauge, FleetSnapshot, PlainEntry};
 
 fn engine_entry(index: usize, gauge: &Arc<EngineGauge>) -> EngineEntry {
     EngineEntry {
-        view: EngineView {
-            engine: EngineKey::from_index(index),
-            model: ModelKey::from_index(0),
-            role: EngineRole::Mixed,
-            open: true,
-            latency: Duration::ZERO,
-            running: 0,
-            queued: 0,
-            backlog_tokens: 0,
-            outstanding: 0,
-            unreported_tokens: 0,
-        },
+        view: EngineView::idle(
+            EngineKey::from_index(index),
+            ModelKey::from_index(0),
+            EngineRole::Mixed,
+        ),
         piece_tokens: 16,
+        cache: CacheKey::default(),
+        link: LinkUse::Local,
         report: None,
         gauge: Arc::clone(gauge),
     }
@@ -34,10 +34,19 @@
     let gauges = [Arc::<EngineGauge>::default(), Arc::default()];
     let entries = gauges.iter().enumerate().map(|(index, gauge)| engine_entry(index, gauge));
     let held = FleetSnapshot { engines: entries.collect(), ..FleetSnapshot::empty() };
-    let request =
-        RouteRequest { model: ModelKey::from_index(0), prompt_tokens: 10, output_tokens: 10 };
+    let model = ModelKey::from_index(0);
+    let request = RouteRequest {
+        model,
+        phase: RoutePhase::Whole,
+        prompt_tokens: 10,
+        output_tokens: 10,
+        time_left: Duration::from_secs(10),
+        bytes: 0,
+    };
+    let engines = [EngineKey::from_index(0), EngineKey::from_index(1)];
     let chosen = || {
-        let decision = routing::choose(&request, held.engine_views(), |_| 0, |_| false);
+        let decision =
+            routing::choose(&request, held.engine_views(&engines, model), |_| 0, |_| false);
         decision.map(|decision| decision.engine.index())
     };
     assert_eq!(chosen(), Some(0));
--- a/crates/daemon/tests/demand.rs
+++ b/crates/daemon/tests/demand.rs
@@ -18,6 +18,7 @@
 
 fn hello(daemon: &str, incarnation: u64, meter: &DemandMeter) -> PeerHello {
     PeerHello {
+        platform_reachable: true,
         daemon: daemon.to_owned(),
         failure_domain: "domain-0".to_owned(),
         incarnation,
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -12,6 +12,7 @@
 use gooseberry_wire::{
     edit::ConfigurationEdit,
     engine::EngineFaults,
+    peer::DaemonStatus,
     platform::{KvPut, PlatformCounts, PlatformFaults, VmEntry},
 };
 use http_types::Method;
@@ -244,6 +245,14 @@
         process::run("gooseberryctl", &all)
     }
 
+    /// Asks all daemons for their state; those that don't answer are left out.
+    pub fn statuses(&self) -> Vec<DaemonStatus> {
+        let output = self.ctl(&["--json", "status"]);
+        let answers: Vec<serde_json::Value> =
+            serde_json::from_slice(&output.stdout).expect("a list of answers");
+        answers.into_iter().filter_map(|answer| serde_json::from_value(answer).ok()).collect()
+    }
+
     /// Makes a client of the stand-in platform.
     pub fn platform_client(&self) -> PlatformClient {
         PlatformClient::new(HttpClient::new(Clock::system()), &self.platform.address, None)
--- a/crates/harness/tests/configuration.rs
+++ b/crates/harness/tests/configuration.rs
@@ -7,7 +7,7 @@
     process,
     system::{self, SystemSize, TestSystem},
 };
-use gooseberry_wire::{edit::HistoryRecord, peer::DaemonStatus, platform::KvPut};
+use gooseberry_wire::{edit::HistoryRecord, platform::KvPut};
 
 /// Exit codes of the operators' command.
 const INVALID_TEXT: i32 = 3;
@@ -35,17 +35,9 @@
     system.ctl(&arguments)
 }
 
-fn statuses(system: &TestSystem) -> Vec<DaemonStatus> {
-    let output = system.ctl(&["--json", "status"]);
-    let answers: Vec<serde_json::Value> =
-        serde_json::from_slice(&output.stdout).expect("a list of answers");
-    // A daemon that doesn't answer is listed with its error instead.
-    answers.into_iter().filter_map(|answer| serde_json::from_value(answer).ok()).collect()
-}
-
 fn revision(system: &TestSystem, daemon: usize) -> u64 {
     let name = &system.daemons[daemon].name;
-    let statuses = statuses(system);
+    let statuses = system.statuses();
     statuses.iter().find(|status| status.daemon == *name).map_or(0, |status| status.revision)
 }
 
@@ -164,7 +156,7 @@
     let output = put(&system, base, "operator", &["--wait"]);
     println!("put --wait at 8 daemons took {:?}", begin.elapsed());
     assert!(output.status.success(), "{output:?}");
-    assert!(statuses(&system).iter().all(|status| status.revision == recorded(&system)));
+    assert!(system.statuses().iter().all(|status| status.revision == recorded(&system)));
 }
 
 #[test]
--- a/crates/harness/tests/peers.rs
+++ b/crates/harness/tests/peers.rs
@@ -4,14 +4,11 @@
     process,
     system::{SystemSize, TestSystem},
 };
-use gooseberry_wire::peer::DaemonStatus;
 
 /// Returns the peers that the first daemon lists as live.
 fn live_peers(system: &TestSystem) -> Vec<String> {
-    let output = system.ctl(&["--json", "status"]);
-    let text = String::from_utf8(output.stdout).expect("text");
-    let statuses = text.lines().map(|line| serde_json::from_str(line).expect("a status"));
-    let first = statuses.into_iter().find(|status: &DaemonStatus| status.daemon == "daemon-0");
+    let statuses = system.statuses();
+    let first = statuses.into_iter().find(|status| status.daemon == "daemon-0");
     let peers = first.expect("the first daemon's status").peers;
     peers.into_iter().map(|peer| peer.daemon).collect()
 }
--- a/crates/harness/tests/whole_path.rs
+++ b/crates/harness/tests/whole_path.rs
@@ -63,6 +63,9 @@
     let running = task::spawn(async move { call.send_async().await });
     process::wait_until("the request runs", || routed(&system) > before);
     system.daemons[0].process.terminate();
+    process::wait_until("the daemon stops", || {
+        system.daemons[0].process.log().contains("\"stopping\"")
+    });
     let refused = system::completion_call(&system.daemons[0].address, "late", 1).send();
     let answer: CompletionAnswer = task::block_on(running).expect("a whole answer").json();
     assert_eq!(answer.choices[0].text, token::whole("a long one", 400));
