Call an attempt sent before its bytes can leave; take no room for batch work

Cause 1: a deadline that passes while an engine that was paused holds the request in its buffer ended in 'executed: no', because the attempt counted as sent only once the engine had answered. Ruled out: the edge's own errors, which tell unsent from lost; the wait was dropped before any error came. Before: a_deadline_that_passes_while_an_engine_is_silent... fails with 'executed: no'; after: 'unknown'.

Cause 2: a batch account that was active in the last ten seconds took a share of the work from people, who were then refused beyond the objective although batch work isn't let in there at all. Found by a_batch_account_yields... Ruled out: the deadline rule, by the refusal's type.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -112,15 +112,50 @@
     /// Accounts without work, by the time at which they may be forgotten.
     idle: VecDeque<(Timestamp, SmolStr)>,
     total: u64,
-    weights: u64,
+    weights: WeightSums,
     refused: u32,
 }
 
+/// Sums the weights of the active accounts.
+///
+/// Batch accounts take no room from people, who are let in before them.
+#[derive(Clone, Copy, Debug, Default)]
+struct WeightSums {
+    people: u64,
+    batch: u64,
+}
+
+impl WeightSums {
+    fn add(&mut self, priority: AccountPriority) {
+        *self.of(priority) += weight(priority);
+    }
+
+    fn remove(&mut self, priority: AccountPriority) {
+        *self.of(priority) -= weight(priority);
+    }
+
+    fn of(&mut self, priority: AccountPriority) -> &mut u64 {
+        match priority {
+            AccountPriority::Batch => &mut self.batch,
+            AccountPriority::Normal | AccountPriority::Urgent => &mut self.people,
+        }
+    }
+
+    /// Returns the weights between which an account of a priority shares.
+    fn beside(&self, priority: AccountPriority) -> u64 {
+        match priority {
+            AccountPriority::Batch => self.people + self.batch,
+            AccountPriority::Normal | AccountPriority::Urgent => self.people,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct AccountWork {
     work: u64,
     requests: u32,
-    weight: u64,
+    /// Priority of the last request.
+    priority: AccountPriority,
     /// Time of the last request.
     asked_at: Timestamp,
 }
@@ -165,21 +200,23 @@
     /// requests would each wait for the other to hold more.
     fn is_within_share(&self, account: &str) -> bool {
         self.accounts.get(account).is_none_or(|account| {
-            let held = u128::from(account.work) * u128::from(self.weights);
-            held <= u128::from(self.total) * u128::from(account.weight)
+            let weights = self.weights.beside(account.priority);
+            let held = u128::from(account.work) * u128::from(weights);
+            held <= u128::from(self.total) * u128::from(weight(account.priority))
         })
     }
 
     /// Counts the account as active.
     fn note(&mut self, request: &AdmissionRequest, now: Timestamp) {
-        let weight = weight(request.priority());
+        let priority = request.priority();
         let account = self.accounts.entry(request.account.clone()).or_insert_with(|| {
-            self.weights += weight;
+            self.weights.add(priority);
             self.idle.push_back((now + ACTIVE_TIME, request.account.clone()));
-            AccountWork { work: 0, requests: 0, weight, asked_at: now }
+            AccountWork { work: 0, requests: 0, priority, asked_at: now }
         });
-        self.weights = self.weights - account.weight + weight;
-        account.weight = weight;
+        self.weights.remove(account.priority);
+        self.weights.add(priority);
+        account.priority = priority;
         account.asked_at = now;
     }
 
@@ -212,7 +249,7 @@
             if account.requests > 0 || now.since(account.asked_at) < ACTIVE_TIME {
                 self.idle.push_back((now + ACTIVE_TIME, name));
             } else {
-                self.weights -= account.weight;
+                self.weights.remove(account.priority);
                 self.accounts.remove(&name);
             }
         }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -260,6 +260,28 @@
     assert!(batch.in_time >= 1000, "{batch:?}");
 }
 
+#[test]
+fn an_idle_batch_account_takes_no_room_from_people() {
+    let mut table = AdmissionTable::default();
+    let now = Timestamp::from_millis(1000);
+    let offer = |queue| AdmissionOffer {
+        queue,
+        first_token: queue,
+        finish: queue,
+        objective: OBJECTIVE,
+        mostly_free: false,
+    };
+    let batch = AccountTraffic { name: "batch", priority: AccountPriority::Batch, ..QUIET };
+    let done = table.admit(&admission_request(&batch), &offer(Duration::ZERO), now);
+    table.leave(&done.expect("a grant"));
+    for _ in 0..10 {
+        let grant = table.admit(&admission_request(&QUIET), &offer(OBJECTIVE * 2), now);
+        assert!(grant.is_ok(), "{grant:?}");
+    }
+    let refused = table.admit(&admission_request(&batch), &offer(OBJECTIVE * 2), now);
+    assert_eq!(refused.expect_err("a refusal").reason, RefusalReason::Overloaded);
+}
+
 #[test]
 fn a_single_account_may_use_the_whole_fleet() {
     let hot =
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -185,16 +185,18 @@
         let address = self.snapshot.fleet.engines[engine].address.clone();
         self.request.resume_from = self.assembler.next_position();
         let context = Arc::clone(&self.context);
+        let was_sent = self.sent;
+        // The deadline may end this wait, and then bytes may have left.
+        self.sent = true;
         match context.engines.complete(&address, &self.request, SILENCE_LIMIT).await {
             Ok(stream) => {
-                self.sent = true;
                 let number = self.assembler.start_attempt();
                 let attempt = RunningAttempt { number, engine, stream, placed };
                 self.current = Some(attempt);
             }
             Err(error) => {
-                self.sent |=
-                    !matches!(error, EngineError::Unreachable(_) | EngineError::Refused(_));
+                self.sent = was_sent
+                    || !matches!(error, EngineError::Unreachable(_) | EngineError::Refused(_));
                 let engine_name = &self.snapshot.fleet.engines[engine].name;
                 tracing::warn!(engine = %engine_name, %error, "an attempt failed");
                 self.excluded.push(engine);
--- a/crates/harness/tests/routing.rs
+++ b/crates/harness/tests/routing.rs
@@ -13,6 +13,7 @@
     engine::{CompletionAnswer, EngineFaults},
     problem::{ProblemDocument, RequestExecuted},
 };
+use sha2::{Digest, Sha256};
 
 /// Link between the two regions of a test, with a generous rate.
 const WIDE_LINK: &str =
@@ -112,6 +113,57 @@
     assert_eq!(decisions(&system).len(), before + 1, "one decision and no attempt");
 }
 
+#[test]
+fn a_deadline_that_passes_while_an_engine_is_silent_is_not_called_not_executed() {
+    let system = TestSystem::start(SystemSize { engines: 1, ..SystemSize::default() });
+    system.engines[0].process.pause();
+    let call = system::completion_call(&system.daemons[0].address, "silent", 5);
+    let answer = with_deadline(call, Duration::from_millis(700)).send().expect("an answer");
+    system.engines[0].process.resume();
+    let document: ProblemDocument = answer.json();
+    // The paused engine has the request in its buffer and runs it later.
+    let passed = document.type_ == "urn:gooseberrykeel:deadline-unmeetable";
+    assert!(!passed || document.executed == RequestExecuted::Unknown, "{document:?}");
+}
+
+#[test]
+fn a_batch_account_yields_while_people_wait() {
+    let size = SystemSize { engines: 1, ..SystemSize::default() };
+    let mut system = TestSystem::start_without_configuration(size);
+    let digest: String =
+        Sha256::digest(b"batch-key").iter().map(|byte| format!("{byte:02x}")).collect();
+    let account = format!("\n  - {{name: summaries, key_sha256: [{digest}], priority: batch}}\n");
+    let text = system.configuration(&account);
+    system.put(0, &text);
+    system.wait_ready();
+    let batch = |system: &TestSystem| {
+        let call = system::completion_call(&system.daemons[0].address, "summary", 5);
+        call.header("authorization", "Bearer batch-key").send().expect("an answer")
+    };
+    assert_eq!(batch(&system).status, 200);
+    // Steps of two seconds keep the prompts in the queue while the test looks.
+    system.engines[0].set_faults(&slow_steps(2000));
+    let before = decisions(&system).len();
+    let people: Vec<_> = (0..8)
+        .map(|index| {
+            let prompt = prompt(&format!("person{index}x"), 2000);
+            let call = system::completion_call(&system.daemons[0].address, &prompt, 5);
+            task::spawn(async move { call.send_async().await })
+        })
+        .collect();
+    process::wait_until("people wait", || decisions(&system).len() >= before + people.len());
+    let answer = batch(&system);
+    let document: ProblemDocument = answer.json();
+    assert_eq!((answer.status, document.executed), (503, RequestExecuted::No));
+    assert_eq!(document.type_, "urn:gooseberrykeel:overloaded");
+    assert!(answer.retry_after.is_some());
+    system.engines[0].set_faults(&system::no_engine_faults());
+    for person in people {
+        let answer = task::block_on(person).expect("an answer");
+        assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    }
+}
+
 fn two_regions(link: &str) -> TestSystem {
     let size = SystemSize { engines: 1, domains: 2, ..SystemSize::default() };
     let mut system = TestSystem::start_without_configuration(size);
