--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -223,3 +223,72 @@
     });
     outcome.expect("the table is bounded");
 }
+
+fn any_view(index: usize) -> impl Strategy<Value = EngineView> {
+    let place = prop_oneof![
+        Just(EnginePlace::Home),
+        Just(EnginePlace::SameRegion),
+        Just(EnginePlace::OtherRegion)
+    ];
+    let role =
+        prop_oneof![Just(EngineRole::Prefill), Just(EngineRole::Decode), Just(EngineRole::Mixed)];
+    let load = (0..50_u32, 0..50_u32, 0..1_000_000_u64, 0..50_u32, 0..100_000_u64);
+    (place, role, load, any::<bool>(), 0..2_usize).prop_map(
+        move |(place, role, load, open, model)| EngineView {
+            place,
+            role,
+            open,
+            model: ModelKey::from_index(model),
+            running: load.0,
+            queued: load.1,
+            backlog_tokens: load.2,
+            outstanding: load.3,
+            unreported_tokens: load.4,
+            ..view(index)
+        },
+    )
+}
+
+#[test]
+fn a_decision_never_leaves_home_without_need_nor_takes_what_is_closed() {
+    let config = Config {
+        cases: 512,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(18),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let views: Vec<_> = (0..12).map(|index| any_view(index).boxed()).collect();
+    let inputs = (views, 0..12_usize, 0..60_000_u64);
+    let outcome = TestRunner::new(config).run(&inputs, |(views, out, millis)| {
+        let request = RouteRequest { time_left: Duration::from_millis(millis), ..request() };
+        let excluded = |key| key == engine(out);
+        let decide = |views: &[EngineView]| {
+            routing::choose(&request, views.iter().copied(), |_| 0, excluded)
+        };
+        let Some(decision) = decide(&views) else {
+            let usable = |view: &&EngineView| {
+                view.open && view.model == request.model && !excluded(view.engine)
+            };
+            prop_assert_eq!(views.iter().filter(usable).count(), 0);
+            return Ok(());
+        };
+        let chosen = views.iter().find(|view| view.engine == decision.engine);
+        let chosen = chosen.expect("a view of the chosen engine");
+        prop_assert!(chosen.open && chosen.model == request.model && !excluded(chosen.engine));
+        prop_assert_ne!(decision.runner_up, Some(decision.engine));
+        let at_home: Vec<_> =
+            views.iter().copied().filter(|view| view.place == EnginePlace::Home).collect();
+        match decide(&at_home) {
+            // Home is left only for an engine that meets the deadline, which home can't.
+            Some(home) if chosen.place != EnginePlace::Home => {
+                prop_assert!(home.finish > request.time_left);
+                prop_assert!(decision.finish <= request.time_left);
+            }
+            Some(home) => prop_assert_eq!(home.engine, decision.engine),
+            None => prop_assert!(chosen.place != EnginePlace::Home),
+        }
+        Ok(())
+    });
+    outcome.expect("decisions keep to the rules");
+}
