Tell an account without any rate a finite time to come back

Cause: the time until a bucket of rate 0 has room is endless, and went out as Retry-After in seconds. Ruled out: the division, which is guarded.

--- a/crates/core/src/bucket.rs
+++ b/crates/core/src/bucket.rs
@@ -16,11 +16,6 @@
 }
 
 impl TokenBucket {
-    /// Makes an empty bucket, which fills from now on.
-    pub fn empty(rate: f64, burst: Duration, now: Timestamp) -> Self {
-        Self { rate, burst, level: 0.0, filled_at: now }
-    }
-
     /// Makes a full bucket.
     pub fn full(rate: f64, burst: Duration, now: Timestamp) -> Self {
         Self { rate, burst, level: rate * burst.as_secs_f64(), filled_at: now }
@@ -33,20 +28,6 @@
         self.level = self.level.min(self.capacity());
     }
 
-    /// Takes an amount if the level allows it.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which the amount could be taken.
-    pub fn take(&mut self, amount: f64, now: Timestamp) -> Result<(), Duration> {
-        self.fill(now);
-        if self.level >= amount {
-            self.level -= amount;
-            return Ok(());
-        }
-        Err(self.time_until(amount))
-    }
-
     /// Takes an amount in any case; the level may become negative.
     pub fn charge(&mut self, amount: f64, now: Timestamp) {
         self.fill(now);
@@ -58,8 +39,12 @@
         if self.has_room(now) {
             return Duration::ZERO;
         }
+        if self.rate <= 0.0 {
+            return Duration::MAX;
+        }
+        let span = Duration::try_from_secs_f64(-self.level / self.rate);
         // An empty bucket has room only after some time, however short.
-        self.time_until(0.0).max(Duration::from_millis(1))
+        span.unwrap_or(Duration::MAX).max(Duration::from_millis(1))
     }
 
     /// Tells whether the bucket isn't in debt.
@@ -68,19 +53,6 @@
         self.level > 0.0
     }
 
-    /// Returns the rate in units for each second.
-    pub fn rate(&self) -> f64 {
-        self.rate
-    }
-
-    fn time_until(&self, amount: f64) -> Duration {
-        if self.rate <= 0.0 {
-            return Duration::MAX;
-        }
-        let seconds = (amount - self.level) / self.rate;
-        Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(Duration::MAX)
-    }
-
     fn capacity(&self) -> f64 {
         self.rate * self.burst.as_secs_f64()
     }
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -40,6 +40,8 @@
 pub const PAUSE_LIMIT: Duration = Duration::from_secs(2);
 /// Time of its rate that a daemon may save up.
 pub const LIMIT_BURST: Duration = Duration::from_secs(2);
+/// Longest time after which a refused caller is told to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
 /// Time over which the demand of an account is measured.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 /// What is asked for above the measured demand.
@@ -348,7 +350,7 @@
         let wait = self.requests.time_to_room(now).max(self.tokens.time_to_room(now));
         if !wait.is_zero() {
             let refusal = RequestRefusal::not_executed(RefusalReason::LimitReached);
-            return Err(refusal.retry_after(wait));
+            return Err(refusal.retry_after(wait.min(LONGEST_RETRY)));
         }
         self.requests.charge(1.0, now);
         self.tokens.charge(f64::from(tokens), now);
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -311,6 +311,16 @@
     }
 }
 
+#[test]
+fn an_account_without_any_rate_is_told_a_finite_time() {
+    let limit = AccountLimit { requests_per_second: 0.0, tokens_per_second: 0.0 };
+    let mut table = LimitTable::default();
+    table.set_base(WHOLE_SHARE);
+    let refused = table.take(&account(), limit, 1, Timestamp::from_millis(1)).expect_err("none");
+    let retry = refused.retry_after.expect("a time to come back");
+    assert!(retry <= Duration::from_secs(60), "{retry:?}");
+}
+
 #[test]
 fn a_daemon_that_is_cut_off_goes_on_with_its_own_part() {
     let mut domain = FakeDomain::new();
