Order again what a superseded claim would have changed

Cause: the role that the configuration had at a pending claim was taken as if its order had taken effect, so the successor of an issuer that was stopped between its claim and its send saw nothing to change. Ruled out: the patience before a claim over another (10 s, passed), the acknowledgements of the stopped daemon (it is no longer a live peer). Before: 'an issuer stopped before its send is superseded where fencing is checked' gives up after 60 s. After: only a settled record counts; the test passes, as does its counterpart for an engine that ignores fencing (26 s both). The long streams of the tests now end at least one answer each.

--- a/crates/daemon/src/steward/planning.rs
+++ b/crates/daemon/src/steward/planning.rs
@@ -9,7 +9,7 @@
     roles::{RolePlanner, RolePolicy, RoleSettings, RoleView},
     time::Timestamp,
 };
-use gooseberry_wire::engine::LoadReport;
+use gooseberry_wire::{engine::LoadReport, order::OrderPhase};
 use smol_str::SmolStr;
 
 use crate::{
@@ -103,6 +103,8 @@
         let report = snapshot.engines[engine].report.as_ref()?;
         let model = &snapshot.fleet.models[row.model].name;
         let record = self.engines.get(&row.name)?.record.as_ref();
+        // A pending record tells what another order would do, if it takes effect.
+        let record = record.filter(|record| record.phase == OrderPhase::Settled);
         let ordered_for = record.and_then(|record| record.configured_role.as_ref()?.parse().ok());
         changes::configured_change(row, model, &present(report, row), ordered_for)
     }
--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -75,7 +75,7 @@
             let (address, stopped) = (daemon.address.clone(), stopped.clone());
             task::spawn(async move {
                 let mut whole = 0;
-                while !stopped.is_closed() {
+                loop {
                     let prompt = format!("stream {index} of {address}, answer {whole}");
                     let call = system::completion_call(&address, &prompt, LONG_ANSWER);
                     let answer = call.send_async().await.expect("an answer");
@@ -84,8 +84,10 @@
                     let answer: CompletionAnswer = answer.json();
                     assert_eq!(answer.choices[0].text, token::whole(&prompt, LONG_ANSWER));
                     whole += 1;
+                    if stopped.is_closed() {
+                        return whole;
+                    }
                 }
-                whole
             })
         });
         Self { stop, tasks: tasks.collect() }
@@ -249,3 +251,58 @@
     assert_eq!((rows[0].engine.as_str(), rows[0].change.as_str()), ("engine-0-0", "role prefill"));
     assert_eq!((rows[0].phase.as_str(), rows[0].outcome.as_deref()), ("settled", Some("applied")));
 }
+
+/// Stops the steward while the platform still holds the write of its claim, so
+/// that it is stopped between its claim and its send, and lets another follow.
+fn stop_between_claim_and_send(system: &TestSystem) -> usize {
+    let issuer = wait_steward(system);
+    edit(system, &with_engine(&system.configuration(""), "engine-0-0", "role: prefill"));
+    let logged = |text: &str| system.daemons[issuer].process.log().contains(text);
+    process::wait_until("a change is planned", || logged("\"change\":\"role prefill\""));
+    let mut faults = system::no_platform_faults();
+    faults.delay_ms = 1000;
+    system.platform.set_faults(&faults);
+    process::wait_until("the claim is written", || logged("\"name\":\"claim-record\""));
+    system.daemons[issuer].process.pause();
+    system.platform.set_faults(&system::no_platform_faults());
+    let successor = 1 - issuer;
+    process::wait_until("the other daemon is steward", || steward(system) == Some(successor));
+    issuer
+}
+
+#[test]
+fn an_issuer_stopped_before_its_send_keeps_an_engine_that_ignores_fencing() {
+    let system = TestSystem::start(size(2, &["--change-ms", "300"]));
+    let issuer = stop_between_claim_and_send(&system);
+    let successor = &system.daemons[1 - issuer];
+    let claimed = record(&system, "engine-0-0");
+    if claimed.is_some_and(|record| record.issuer.starts_with(&system.daemons[issuer].name)) {
+        process::wait_until("the successor waits", || {
+            successor.process.log().contains("\"reason\":\"issuer-pending\"")
+        });
+        assert_eq!(counts(&system)[0].accepted, 0);
+    }
+    let streams = LongStreams::start(successor, 2);
+    assert!(streams.finish() > 0);
+    system.daemons[issuer].process.resume();
+    process::wait_until("the role has changed", || is_applied(&system, "engine-0-0", "prefill"));
+    assert_eq!(counts(&system)[0].accepted, 1);
+    assert_no_conflict(&system);
+}
+
+#[test]
+fn an_issuer_stopped_before_its_send_is_superseded_where_fencing_is_checked() {
+    let system = TestSystem::start(size(2, &["--change-ms", "300", "--checks-fencing"]));
+    let issuer = stop_between_claim_and_send(&system);
+    process::wait_until("the role has changed", || is_applied(&system, "engine-0-0", "prefill"));
+    let settled = record(&system, "engine-0-0").expect("a record");
+    assert!(settled.issuer.starts_with(&system.daemons[1 - issuer].name));
+    system.daemons[issuer].process.resume();
+    process::wait_until("the issuer knows that it isn't steward", || {
+        system.daemons[issuer].process.log().contains("no longer steward")
+    });
+    let call = system::completion_call(&system.daemons[issuer].address, "still serves", 3);
+    assert_eq!(call.send().expect("an answer").status, 200);
+    assert_eq!(counts(&system)[0].accepted, 1);
+    assert_no_conflict(&system);
+}
