Let a daemon know that its own former process is dead

A daemon learns incarnations from its peers' introductions only, so a restarted daemon took the claims of its former process for running and let their callers wait to the deadline. Change: the control state starts with its own incarnation observed. Conclusion: that a process runs proves the death of the one before it at its address, after the settling time.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -70,12 +70,17 @@
 impl ControlState {
     /// Makes the state of a daemon that knows nothing yet.
     pub fn new(context: Arc<DaemonContext>) -> Self {
+        // That this process runs proves the death of the one before it.
+        let mut membership = MembershipTable::default();
+        let vm = SmolStr::new(&context.settings.name);
+        let own = ProcessIncarnation { vm, incarnation: context.incarnation };
+        membership.observe_process(&own, context.clock.now());
         Self {
             context,
             fleet: Arc::default(),
             engines: HashMap::new(),
             plain_servers: HashMap::new(),
-            membership: MembershipTable::default(),
+            membership,
             changed: false,
         }
     }
--- a/crates/harness/tests/claims.rs
+++ b/crates/harness/tests/claims.rs
@@ -246,3 +246,19 @@
     }
     unreachable!("the rounds never end")
 }
+
+#[test]
+fn a_restarted_daemon_knows_that_its_former_process_is_dead() {
+    let mut system = start(1);
+    plain_faults(&system, |faults| faults.delay_ms = SLOW_MS);
+    let running = spawn(system::reservation_call(&system.daemons[0].address, "key"));
+    wait_run(&system, "key");
+    system.daemons[0].process.kill();
+    assert!(task::block_on(running).is_err());
+    let TestSystem { folder, daemons, .. } = &mut system;
+    TestSystem::restart(folder, &mut daemons[0]);
+    system.wait_ready();
+    let answer = reserve(&system, 0, "key");
+    assert_eq!((answer.status, executed(&answer)), (502, RequestExecuted::Unknown));
+    assert_eq!(system::executions(&system, "key"), 1);
+}
