Send the demand to stewards only, and test that versions load one engine at a time

Cause: every heartbeat carried the demand of all models to every peer, about 1 KB each at 19 models, against a control budget of 6 KB a second. Change: a daemon adds it only to what it tells a steward.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -136,8 +136,9 @@
     async fn hello(&self, secret: String, hello: PeerHello) -> RpcResult<PeerHello> {
         self.check(&secret)?;
         let _ = self.context.events.send(ControlEvent::Peer(hello.clone())).await;
+        let to_steward = hello.steward == Some(true);
         self.book.hear(hello, self.context.clock.now());
-        Ok(own_hello(&self.context))
+        Ok(own_hello(&self.context, to_steward))
     }
 
     async fn revision(&self, secret: String) -> RpcResult<Option<PeerRevision>> {
@@ -167,13 +168,13 @@
     }
 }
 
-/// Makes the introduction of this daemon.
-pub fn own_hello(context: &DaemonContext) -> PeerHello {
+/// Makes the introduction of this daemon; only a steward gets the demand.
+pub fn own_hello(context: &DaemonContext, to_steward: bool) -> PeerHello {
     PeerHello {
         steward: Some(context.orders.is_steward()),
         draining: context.orders.draining(),
         drained: context.orders.drained(&context.snapshot.load(), context.clock.now()),
-        demand: context.demand.rows(),
+        demand: if to_steward { context.demand.rows() } else { Vec::new() },
         daemon: context.settings.name.clone(),
         failure_domain: context.settings.failure_domain.clone(),
         incarnation: context.incarnation,
@@ -192,7 +193,7 @@
         queued: entry.view.queued,
         outstanding: entry.gauge.outstanding(),
     });
-    let hello = own_hello(context);
+    let hello = own_hello(context, false);
     DaemonStatus {
         daemon: hello.daemon,
         failure_domain: hello.failure_domain,
@@ -232,9 +233,11 @@
         .request_timeout(ANSWER_TIMEOUT);
     let client = builder.build(format!("ws://{address}")).await?;
     let secret = &context.settings.peer_secret;
+    let mut to_steward = false;
     loop {
         let hello: PeerHello =
-            client.request("hello", rpc_params![secret, own_hello(context)]).await?;
+            client.request("hello", rpc_params![secret, own_hello(context, to_steward)]).await?;
+        to_steward = hello.steward == Some(true);
         let offered = hello.revision;
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
         book.hear(hello, context.clock.now());
--- a/crates/daemon/src/steward/planning.rs
+++ b/crates/daemon/src/steward/planning.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    peers,
     snapshot::FleetSnapshot,
     steward::{
         change::{ChangeReason, EngineChange},
@@ -60,7 +61,7 @@
                 self.rates.observe(&hello, now);
             }
         }
-        self.rates.observe(&crate::peers::own_hello(&self.context), now);
+        self.rates.observe(&peers::own_hello(&self.context, true), now);
         let demand = self.rates.demand(&snapshot.fleet, now);
         let views = self.views(snapshot, domain, now);
         let planner = self.planner.roles(snapshot.fleet.objectives.weight);
--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -306,3 +306,35 @@
     assert_eq!(counts(&system)[0].accepted, 1);
     assert_no_conflict(&system);
 }
+
+#[test]
+fn a_new_version_is_loaded_within_the_weight_store_s_rate_one_engine_at_a_time() {
+    let size = SystemSize { engines: 3, ..size(1, &["--change-ms", "300"]) };
+    let system = TestSystem::start(size);
+    wait_steward(&system);
+    let mut text =
+        system.configuration("").replace("{name: sample}", "{name: sample, versions: [\"2\"]}");
+    for engine in &system.engines {
+        text = with_engine(&text, &engine.name, "version: \"2\"");
+    }
+    edit(&system, &text);
+    let streams = LongStreams::start(&system.daemons[0], 3);
+    process::wait_until("every engine has the version", || {
+        system.engines.iter().all(|engine| {
+            record(&system, &engine.name).is_some_and(|record| {
+                record.outcome == Some(OrderOutcome::Applied)
+                    && record.version.as_deref() == Some("2")
+            })
+        })
+    });
+    assert!(streams.finish() > 0);
+    assert!(system::platform_counts(&system).weights >= 3);
+    let records = system.engines.iter().filter_map(|engine| record(&system, &engine.name));
+    let mut spans: Vec<_> = records.map(|it| (it.claimed_at_ms, it.ended_at_ms)).collect();
+    spans.sort_unstable();
+    for pair in spans.windows(2) {
+        assert!(pair[0].1.is_some_and(|ended| ended <= pair[1].0), "overlapping: {spans:?}");
+    }
+    assert!(counts(&system).iter().all(|counts| counts.accepted == 1));
+    assert_no_conflict(&system);
+}
