--- a/crates/harness/tests/orders.rs
+++ b/crates/harness/tests/orders.rs
@@ -338,3 +338,18 @@
     assert!(counts(&system).iter().all(|counts| counts.accepted == 1));
     assert_no_conflict(&system);
 }
+
+#[test]
+fn an_engine_that_crashes_in_the_middle_of_a_change_is_ordered_again() {
+    let mut system = TestSystem::start(size(2, &["--change-ms", "3000"]));
+    wait_steward(&system);
+    edit(&system, &with_engine(&system.configuration(""), "engine-0-0", "role: prefill"));
+    process::wait_until("the engine changes", || counts(&system)[0].accepted == 1);
+    let first = record(&system, "engine-0-0").expect("a record").order_id;
+    system.engines[0].process.kill();
+    TestSystem::restart(&system.folder, &mut system.engines[0]);
+    process::wait_until("the role has changed", || is_applied(&system, "engine-0-0", "prefill"));
+    let second = record(&system, "engine-0-0").expect("a record").order_id;
+    assert_ne!(first, second);
+    assert_no_conflict(&system);
+}
