Let a daemon that started after a death learn of it

Cause: a process was proven dead only by a list that no longer named its VM after one that did, or by its successor on the VM. A steward that started after the VM had left never saw either, so that the engine stayed with the dead issuer for good. Ruled out: the tracker, which waited as it must.

Change: a list also proves the death of a process that started more than 60 s before the list was made and whose VM it doesn't name, provided that it names the VM of a process known here (a list without daemons says nothing of them).

Before: that property fails. After: it and a focused test pass, as does the property that an engine that checks fencing can always be ordered again. What stays: an order whose answer was lost, on an engine that ignores fencing, blocks the engine's next order until its issuer is stopped or the engine restarts.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -5,7 +5,11 @@
 //! answers in its place, and a settling time has passed since, in which its
 //! kernel may still deliver what it had buffered.
 
-use std::{collections::HashMap, str::FromStr, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    str::FromStr,
+    time::Duration,
+};
 
 use smol_str::SmolStr;
 
@@ -16,6 +20,9 @@
 /// Greatest difference between the clocks of a VM and of the platform.
 const CLOCK_SKEW: Duration = Duration::from_secs(1);
 
+/// Time after the start of a process within which the list names its VM.
+const LISTING_LAG: Duration = Duration::from_secs(60);
+
 /// Names one process: a VM and the start of the process on it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ProcessIncarnation {
@@ -51,6 +58,15 @@
     vms: HashMap<SmolStr, VmMember>,
     /// Time at which the newest list was made.
     listed_at: Timestamp,
+    /// The lists that came within the settling time, and the newest before it.
+    listings: VecDeque<SeenListing>,
+}
+
+/// Says when a list was made and when it came.
+#[derive(Clone, Copy, Debug)]
+struct SeenListing {
+    made_at: Timestamp,
+    since: Timestamp,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -89,6 +105,11 @@
             return;
         }
         self.listed_at = made_at;
+        self.listings.push_back(SeenListing { made_at, since: now });
+        let settled = |listing: &SeenListing| now.since(listing.since) >= SETTLING_TIME;
+        while self.listings.get(1).is_some_and(settled) {
+            self.listings.pop_front();
+        }
         for member in self.vms.values_mut() {
             member.leaving = false;
             if std::mem::take(&mut member.listed) {
@@ -113,13 +134,38 @@
 
     /// Tells whether a process is proven dead and the settling time has passed.
     pub fn is_dead(&self, process: &ProcessIncarnation, now: Timestamp) -> bool {
-        let Some(member) = self.vms.get(&process.vm) else { return false };
+        let Some(member) = self.vms.get(&process.vm) else {
+            return self.is_unlisted(process, None, now);
+        };
         let replaced = member.newest.filter(|(newest, _)| *newest > process.incarnation);
         // A list says nothing of a process that started after it was made.
         let started = Timestamp::from_millis(process.incarnation);
         let gone = member.gone.filter(|gone| started + CLOCK_SKEW < gone.made_at);
         let proven = [gone.map(|gone| gone.since), replaced.map(|(_, since)| since)];
         proven.into_iter().flatten().any(|since| now.since(since) >= SETTLING_TIME)
+            || (!member.listed && self.is_unlisted(process, member.gone, now))
+    }
+
+    /// Tells whether a list that settled here was made so long after a process
+    /// started that it would name the VM, and doesn't.
+    ///
+    /// A daemon that started after the VM had left learns of the death so. The
+    /// list counts only if it names VMs of processes that are known here: a list
+    /// without daemons says nothing of them.
+    fn is_unlisted(
+        &self,
+        process: &ProcessIncarnation,
+        gone: Option<VmDeparture>,
+        now: Timestamp,
+    ) -> bool {
+        let names_daemons = self.vms.values().any(|it| it.listed && it.newest.is_some());
+        let started = Timestamp::from_millis(process.incarnation);
+        names_daemons
+            && self.listings.iter().any(|listing| {
+                now.since(listing.since) >= SETTLING_TIME
+                    && started + LISTING_LAG < listing.made_at
+                    && gone.is_none_or(|gone| gone.made_at <= listing.made_at)
+            })
     }
 
     /// Tells whether the platform lists a VM as about to leave, or no longer
--- a/crates/core/tests/order_world/mod.rs
+++ b/crates/core/tests/order_world/mod.rs
@@ -14,6 +14,10 @@
 use smol_str::{format_smolstr, SmolStr};
 
 const STEWARDS: usize = 3;
+/// Rounds of the stewards after all faults have ended.
+const HEALED_ROUNDS: usize = 24;
+/// Time of such a round, in milliseconds.
+const HEALED_ROUND_MS: u64 = 4000;
 /// Time that a change takes.
 const CHANGE: Duration = Duration::from_millis(1500);
 /// Time for which the first processes have run at the start.
@@ -199,6 +203,7 @@
     writes: Vec<Write>,
     down: bool,
     taken: Vec<SmolStr>,
+    taken_before: usize,
     /// The first broken invariant.
     pub fault: Option<String>,
 }
@@ -223,6 +228,7 @@
             writes: Vec::new(),
             down: false,
             taken: Vec::new(),
+            taken_before: 0,
             fault: None,
         };
         for index in 0..STEWARDS {
@@ -247,18 +253,68 @@
         self.record().state == RecordState::Settled
     }
 
+    /// Tells whether a process that lives holds the claim that stands.
+    pub fn is_held_by_live_issuer(&self) -> bool {
+        match &self.record().state {
+            RecordState::Settled => false,
+            RecordState::Pending(claim) => {
+                let holds = |it: &Steward| it.alive && it.process == claim.issuer;
+                self.stewards.iter().any(holds)
+            }
+        }
+    }
+
+    /// Tells whether the engine has taken an order since the faults ended.
+    pub fn taken_since_healed(&self) -> bool {
+        self.taken.len() > self.taken_before
+    }
+
+    /// Tells whether no steward lives.
+    pub fn all_dead(&self) -> bool {
+        !self.stewards.iter().any(|steward| steward.alive)
+    }
+
+    /// Ends all faults and lets the stewards go on for a while.
+    pub fn heal(&mut self, wants: bool) {
+        self.taken_before = self.taken.len();
+        self.apply(&Op::Platform { down: false });
+        for _ in 0..HEALED_ROUNDS {
+            self.apply(&Op::Advance(HEALED_ROUND_MS));
+            while !self.writes.is_empty() {
+                self.apply(&Op::DeliverWrite(0));
+            }
+            while !self.orders.is_empty() {
+                self.apply(&Op::DeliverOrder(0));
+            }
+            for steward in 0..STEWARDS {
+                self.apply(&Op::List { steward, back: 0 });
+                for about in 0..STEWARDS {
+                    self.apply(&Op::Hello { steward, about });
+                }
+                for _ in 0..3 {
+                    self.apply(&Op::Read { steward, back: 0 });
+                    self.apply(&Op::Report { steward, back: 0 });
+                    self.apply(&Op::Step { steward, wants, fate: WriteFate::Answered });
+                    self.apply(&Op::Fire { steward, fate: SendFate::Answered });
+                }
+            }
+        }
+    }
+
     fn new_steward(&self, index: usize) -> Steward {
         let vm = format_smolstr!("vm-{index}");
         let first = self.stewards.len() <= index;
         let started = if first { self.now - UPTIME } else { self.now };
         let process = ProcessIncarnation { vm, incarnation: started.as_millis() };
         let checks = self.kind == EngineKind::Checks || self.rule == Rule::ReplaceWithoutProof;
+        let mut membership = MembershipTable::default();
+        membership.observe_process(&process, self.now);
         Steward {
             tracker: OrderTracker::new(process.clone(), checks),
             process,
             alive: true,
             killed_at: START,
-            membership: MembershipTable::default(),
+            membership,
             armed: None,
             orders: 0,
         }
--- a/crates/core/tests/orders.rs
+++ b/crates/core/tests/orders.rs
@@ -44,6 +44,36 @@
     assert_eq!(search(EngineKind::Ignores, Rule::Proof, 20_000, 2), None);
 }
 
+/// Runs interleavings, ends all faults, and checks what stands then.
+fn check_healed(kind: EngineKind, wants: bool, seed: u8, holds: impl Fn(&OrderWorld) -> bool) {
+    let interleavings = prop::collection::vec(order_world::op(), 1..LONGEST);
+    let result = runner(4000, seed).run(&interleavings, |ops| {
+        let mut world = OrderWorld::new(kind, Rule::Proof);
+        ops.iter().for_each(|op| world.apply(op));
+        world.heal(wants);
+        prop_assert_eq!(&world.fault, &None);
+        prop_assert!(holds(&world));
+        Ok(())
+    });
+    result.expect("the stewards get on once the faults have ended");
+}
+
+/// What may be left is an order whose answer was lost and whose issuer lives.
+#[test]
+fn a_dead_issuer_never_blocks_an_engine_that_ignores_fencing_for_good() {
+    check_healed(EngineKind::Ignores, false, 4, |world| {
+        world.is_settled() || world.is_held_by_live_issuer() || world.all_dead()
+    });
+}
+
+/// While a steward lives, an engine that checks fencing can always be ordered.
+#[test]
+fn an_engine_that_checks_fencing_can_always_be_ordered_again() {
+    check_healed(EngineKind::Checks, true, 5, |world| {
+        world.taken_since_healed() || world.all_dead()
+    });
+}
+
 /// The invariants have teeth: claiming over a pending record without proof,
 /// which fencing makes safe, breaks them on an engine that ignores fencing.
 #[test]
@@ -201,3 +231,12 @@
     ops.extend([Op::Advance(1000), Op::DeliverOrder(0)]);
     assert_eq!(replay(EngineKind::Ignores, &ops).taken(), ["vm-0/940000/0"]);
 }
+
+#[test]
+fn a_steward_that_started_after_a_death_learns_of_it_from_the_list() {
+    let mut ops = vec![read(2), step(2), Op::Kill(2), Op::Kill(0), Op::Kill(1)];
+    ops.extend([Op::Advance(3000), Op::Restart(0), read(0), step(0)]);
+    let list = Op::List { steward: 0, back: 0 };
+    ops.extend([list, Op::Advance(4000), step(0), Op::Advance(2000), report(0), step(0)]);
+    assert!(replay(EngineKind::Ignores, &ops).is_settled());
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -70,12 +70,16 @@
 impl ControlState {
     /// Makes the state of a daemon that knows nothing yet.
     pub fn new(context: Arc<DaemonContext>) -> Self {
+        let vm = SmolStr::new(&context.settings.name);
+        let own = ProcessIncarnation { vm, incarnation: context.incarnation };
+        let mut membership = MembershipTable::default();
+        membership.observe_process(&own, context.clock.now());
         Self {
             context,
             fleet: Arc::default(),
             engines: HashMap::new(),
             plain_servers: HashMap::new(),
-            membership: MembershipTable::default(),
+            membership,
             changed: false,
         }
     }
