--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -161,8 +161,9 @@
     async fn hello(&self, secret: String, hello: PeerHello) -> RpcResult<PeerHello> {
         check_secret(&self.context, &secret)?;
         let _ = self.context.events.send(ControlEvent::Peer(hello.clone())).await;
+        let to_steward = hello.steward == Some(true);
         self.book.hear(hello, self.context.clock.now());
-        Ok(own_hello(&self.context))
+        Ok(own_hello(&self.context, to_steward))
     }
 
     async fn revision(&self, secret: String) -> RpcResult<Option<PeerRevision>> {
@@ -194,13 +195,13 @@
     }
 }
 
-/// Makes the introduction of this daemon.
-pub fn own_hello(context: &DaemonContext) -> PeerHello {
+/// Makes the introduction of this daemon; only a steward gets the demand.
+pub fn own_hello(context: &DaemonContext, to_steward: bool) -> PeerHello {
     PeerHello {
         steward: Some(context.orders.is_steward()),
         draining: context.orders.draining(),
         drained: context.orders.drained(&context.snapshot.load(), context.clock.now()),
-        demand: context.demand.rows(),
+        demand: if to_steward { context.demand.rows() } else { Vec::new() },
         daemon: context.settings.name.clone(),
         failure_domain: context.settings.failure_domain.clone(),
         incarnation: context.incarnation,
@@ -220,7 +221,7 @@
         queued: entry.view.queued,
         outstanding: entry.gauge.outstanding(),
     });
-    let hello = own_hello(context);
+    let hello = own_hello(context, false);
     DaemonStatus {
         daemon: hello.daemon,
         failure_domain: hello.failure_domain,
@@ -263,9 +264,11 @@
     let secret = &context.settings.peer_secret;
     let changes = revisions.changes();
     let mut told = 0;
+    let mut to_steward = false;
     loop {
         let hello: PeerHello =
-            client.request("hello", rpc_params![secret, own_hello(context)]).await?;
+            client.request("hello", rpc_params![secret, own_hello(context, to_steward)]).await?;
+        to_steward = hello.steward == Some(true);
         let offered = hello.revision;
         context.limits.locate(&hello.daemon, address);
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
