Resume silent streams at their engine, cancel what is left behind, tell when a request may have run

Change: a run counts as sent from the moment before the request goes out, unless the engine provably didn't take it. Only reads are sent again after a kept connection broke; kept connections that ended are skipped, and a silence forgets the others to that address. A silent stream is asked for at its engine once more, by its name and position, and only again after progress. Streams that are abandoned are cancelled at the engine. Streamed answers carry comment lines while no token comes, so that a caller that left is noticed; a caller that doesn't read holds an engine no longer than its deadline. Tokens that name another stream end the attempt.

A caller that leaves before the first token, or that asked for a whole answer, is still noticed only at its end or deadline.

--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_std::task;
 use gooseberry_core::{
     arena::{EngineKey, ModelKey},
     prefix,
@@ -14,7 +15,10 @@
     stream::{AttemptNumber, StreamAssembler, TokenVerdict},
     time::Timestamp,
 };
-use gooseberry_edges::engine::{EngineError, TokenStream};
+use gooseberry_edges::{
+    clock::Clock,
+    engine::{EngineError, TokenStream},
+};
 use gooseberry_wire::engine::{CompletionChunk, CompletionRequest};
 use smol_str::SmolStr;
 
@@ -24,7 +28,9 @@
     snapshot::{FleetSnapshot, OutstandingGuard},
 };
 
-/// Time without a token or heartbeat after which an attempt is given up.
+/// Time without a token or heartbeat after which a connection is given up. With
+/// one more try at the same engine, another engine goes on within twice this
+/// time and the time for opening a connection.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Runs one completion.
@@ -39,6 +45,10 @@
     current: Option<RunningAttempt>,
     attempts: u32,
     excluded: Vec<EngineKey>,
+    /// Engine whose connection went silent, to be asked for the stream again.
+    silent: Option<EngineKey>,
+    /// Position at which a stream was last resumed at its own engine.
+    resumed_at: Option<u32>,
     /// Whether bytes of the request may have reached an engine.
     sent: bool,
 }
@@ -48,9 +58,35 @@
     number: AttemptNumber,
     engine: EngineKey,
     stream: Box<dyn TokenStream>,
+    held: HeldStream,
     _outstanding: OutstandingGuard,
 }
 
+/// Cancels a stream at its engine when dropped, unless it has ended there.
+struct HeldStream {
+    context: Arc<DaemonContext>,
+    address: SmolStr,
+    stream_id: String,
+    ended: bool,
+}
+
+impl Drop for HeldStream {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let context = Arc::clone(&self.context);
+        let address = self.address.clone();
+        let stream_id = std::mem::take(&mut self.stream_id);
+        task::spawn(async move {
+            if let Err(error) = context.engines.cancel(&address, &stream_id).await {
+                // The engine drops a stream that nobody reads by itself.
+                tracing::debug!(%address, %error, "a stream isn't cancelled");
+            }
+        });
+    }
+}
+
 impl CompletionRun {
     /// Prepares a completion; nothing is sent yet.
     pub fn new(
@@ -71,6 +107,8 @@
             current: None,
             attempts: 0,
             excluded: Vec::new(),
+            silent: None,
+            resumed_at: None,
             sent: false,
         }
     }
@@ -86,14 +124,29 @@
     ///
     /// Returns the final refusal if the deadline passes or no engine can go on.
     pub async fn next(&mut self) -> Result<Option<CompletionChunk>, RequestRefusal> {
-        let left = self.deadline.since(self.context.clock.now());
+        let left = self.time_left();
         let clock = self.context.clock.clone();
         match clock.timeout(left, self.next_token()).await {
             Ok(result) => result,
-            Err(_) => Err(self.refuse(RefusalReason::DeadlineUnmeetable)),
+            Err(_) => Err(self.deadline_passed()),
         }
     }
 
+    /// Returns the clock that the run follows.
+    pub fn clock(&self) -> Clock {
+        self.context.clock.clone()
+    }
+
+    /// Returns the final refusal of a run whose deadline has passed.
+    pub fn deadline_passed(&self) -> RequestRefusal {
+        self.refuse(RefusalReason::DeadlineUnmeetable)
+    }
+
+    /// Returns the time that is left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
     async fn next_token(&mut self) -> Result<Option<CompletionChunk>, RequestRefusal> {
         loop {
             let Some(attempt) = &mut self.current else {
@@ -101,69 +154,146 @@
                 continue;
             };
             match attempt.stream.next().await {
-                Ok(Some(chunk)) => match self.assembler.accept(attempt.number, chunk.position) {
-                    TokenVerdict::Deliver => return Ok(Some(chunk)),
-                    TokenVerdict::Duplicate | TokenVerdict::Foreign => {}
-                    TokenVerdict::Gap { expected } => {
-                        tracing::warn!(expected, found = chunk.position, "gap in a stream");
-                        self.give_up_attempt();
+                Ok(Some(chunk)) => {
+                    if self.judge(&chunk) {
+                        return Ok(Some(chunk));
                     }
-                },
+                }
                 Ok(None) => {
-                    self.current = None;
+                    self.finish();
                     return Ok(None);
                 }
-                Err(error) => {
-                    let engine = &self.snapshot.fleet.engines[attempt.engine].name;
-                    tracing::warn!(%engine, %error, "an attempt failed");
-                    self.give_up_attempt();
-                }
+                Err(error) => self.give_up(&error),
+            }
+        }
+    }
+
+    /// Tells whether a token is the next one of this answer.
+    fn judge(&mut self, chunk: &CompletionChunk) -> bool {
+        let Some(attempt) = &self.current else { return false };
+        if Some(chunk.id.as_str()) != self.request.stream_id.as_deref() {
+            tracing::error!(found = chunk.id, "an engine sent a token of another stream");
+            self.exclude_current();
+            return false;
+        }
+        match self.assembler.accept(attempt.number, chunk.position) {
+            TokenVerdict::Deliver => true,
+            TokenVerdict::Duplicate | TokenVerdict::Foreign => false,
+            TokenVerdict::Gap { expected } => {
+                tracing::warn!(expected, found = chunk.position, "gap in a stream");
+                self.exclude_current();
+                false
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(mut attempt) = self.current.take() {
+            attempt.held.ended = true;
+        }
+    }
+
+    /// Ends a failed attempt. A silent connection says nothing about its
+    /// engine, so the stream is asked for there once more before another
+    /// engine computes the prompt again.
+    fn give_up(&mut self, error: &EngineError) {
+        let Some(attempt) = &mut self.current else { return };
+        let engine = attempt.engine;
+        if error.is_silence() && self.may_resume() {
+            if let Some(mut attempt) = self.current.take() {
+                attempt.held.ended = true;
             }
+            self.silent = Some(engine);
+            return;
         }
+        let engine_name = &self.snapshot.fleet.engines[engine].name;
+        tracing::warn!(engine = %engine_name, %error, "an attempt failed");
+        self.exclude_current();
+    }
+
+    /// Tells whether the answer went on since it was last resumed, so that a
+    /// silent engine isn't asked again and again.
+    fn may_resume(&self) -> bool {
+        self.resumed_at != Some(self.assembler.next_position())
     }
 
-    fn give_up_attempt(&mut self) {
+    fn exclude_current(&mut self) {
         if let Some(attempt) = self.current.take() {
             self.excluded.push(attempt.engine);
         }
     }
 
     async fn open(&mut self) -> Result<(), RequestRefusal> {
-        if self.attempts >= self.snapshot.fleet.limits.attempts {
-            return Err(self.refuse(RefusalReason::BackendFailed));
-        }
-        let Some(decision) = self.route() else {
-            let reason = if self.attempts == 0 {
-                RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
-            } else {
-                RefusalReason::BackendFailed
-            };
-            return Err(self.refuse(reason));
+        let engine = match self.silent.take() {
+            Some(engine) => self.resume_at(engine),
+            None => self.choose_engine()?,
         };
-        self.attempts += 1;
-        let engine = decision.engine;
         let outstanding = self.snapshot.engines[engine].gauge.start(self.prompt_tokens);
         let address = self.snapshot.fleet.engines[engine].address.clone();
         self.request.resume_from = self.assembler.next_position();
+        let mut held = self.hold(&address);
+        // The deadline may end the wait for the answer's head: from here on the
+        // engine may run the request, unless it provably didn't get it.
+        let sent_before = std::mem::replace(&mut self.sent, true);
         let context = Arc::clone(&self.context);
         match context.engines.complete(&address, &self.request, SILENCE_LIMIT).await {
             Ok(stream) => {
-                self.sent = true;
                 let number = self.assembler.start_attempt();
-                let attempt = RunningAttempt { number, engine, stream, _outstanding: outstanding };
+                let attempt =
+                    RunningAttempt { number, engine, stream, held, _outstanding: outstanding };
                 self.current = Some(attempt);
             }
             Err(error) => {
-                self.sent |=
-                    !matches!(error, EngineError::Unreachable(_) | EngineError::Refused(_));
+                self.sent = sent_before || error.may_have_run();
+                held.ended = !error.may_have_run();
                 let engine_name = &self.snapshot.fleet.engines[engine].name;
                 tracing::warn!(engine = %engine_name, %error, "an attempt failed");
-                self.excluded.push(engine);
+                if error.is_silence() && self.may_resume() {
+                    held.ended = true;
+                    self.silent = Some(engine);
+                } else {
+                    self.excluded.push(engine);
+                }
             }
         }
         Ok(())
     }
 
+    fn hold(&self, address: &SmolStr) -> HeldStream {
+        HeldStream {
+            context: Arc::clone(&self.context),
+            address: address.clone(),
+            stream_id: self.request.stream_id.clone().unwrap_or_default(),
+            ended: false,
+        }
+    }
+
+    fn resume_at(&mut self, engine: EngineKey) -> EngineKey {
+        let position = self.assembler.next_position();
+        self.resumed_at = Some(position);
+        let name = &self.snapshot.fleet.engines[engine].name;
+        let request = self.request.stream_id.as_deref();
+        tracing::info!(request, engine = %name, position, "resuming at the same engine");
+        engine
+    }
+
+    /// Chooses the engine of the next attempt.
+    fn choose_engine(&mut self) -> Result<EngineKey, RequestRefusal> {
+        if self.attempts >= self.snapshot.fleet.limits.attempts {
+            return Err(self.refuse(RefusalReason::BackendFailed));
+        }
+        let Some(decision) = self.route() else {
+            let reason = if self.attempts == 0 {
+                RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
+            } else {
+                RefusalReason::BackendFailed
+            };
+            return Err(self.refuse(reason));
+        };
+        self.attempts += 1;
+        Ok(decision.engine)
+    }
+
     fn route(&self) -> Option<RouteDecision> {
         // The newest view of the engines is used, but never another revision's
         // keys: a request ends under the revision that it was accepted with.
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -1,13 +1,17 @@
 //! Completions in the OpenAI style, whole or streamed.
 
-use std::{io, sync::Arc};
+use std::{io, pin::pin, sync::Arc, time::Duration};
 
 use async_std::task;
+use futures_lite::FutureExt;
 use gooseberry_core::{
     balance::RequestOutcome,
     refusal::{RefusalReason, RequestRefusal},
 };
-use gooseberry_edges::channel::{BodyPart, ChannelReader};
+use gooseberry_edges::{
+    channel::{BodyPart, ChannelReader},
+    clock::Clock,
+};
 use gooseberry_wire::engine::{
     CompletionAnswer, CompletionChoice, CompletionChunk, CompletionRequest, TokenUsage,
 };
@@ -26,6 +30,9 @@
 /// Parts of a body that wait for a slow caller.
 const BODY_PARTS: usize = 64;
 
+/// Interval of comment lines to a caller that waits for a token.
+const CALLER_HEARTBEAT: Duration = Duration::from_secs(1);
+
 /// Says in which style a caller reads its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerStyle {
@@ -162,15 +169,24 @@
     }
 
     async fn send(mut self, parts: async_channel::Sender<BodyPart>) {
+        let clock = self.run.clock();
         let mut next = self.first.take();
         while let Some(chunk) = next {
-            if parts.send(Ok(self.event(chunk))).await.is_err() {
-                // The caller left; the dropped ticket counts it as failed.
-                return;
+            // A caller that doesn't read holds its engine no longer than its
+            // deadline.
+            let sending = parts.send(Ok(self.event(chunk)));
+            match clock.timeout(self.run.time_left(), sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return self.note_departure(),
+                Err(_) => {
+                    let refusal = self.run.deadline_passed();
+                    return self.break_off(&refusal, &parts).await;
+                }
             }
-            next = match self.run.next().await {
-                Ok(next) => next,
-                Err(refusal) => return self.break_off(&refusal, &parts).await,
+            next = match next_while_read(&mut self.run, &clock, &parts).await {
+                Some(Ok(next)) => next,
+                Some(Err(refusal)) => return self.break_off(&refusal, &parts).await,
+                None => return self.note_departure(),
             };
         }
         if parts.send(Ok(b"data: [DONE]\n\n".to_vec())).await.is_ok() {
@@ -178,14 +194,22 @@
         }
     }
 
+    /// Notes that nobody reads the answer any more; the dropped run cancels the
+    /// stream at its engine, and the dropped ticket counts as failed.
+    fn note_departure(self) {
+        tracing::info!("the caller left");
+    }
+
     /// Ends a stream that can't be whole with an explicit error.
     async fn break_off(self, refusal: &RequestRefusal, parts: &async_channel::Sender<BodyPart>) {
+        self.ticket.end(RequestOutcome::Failed);
+        // The engine is free before a caller that reads slowly gets the error.
+        drop(self.run);
         let document = refusals::document(refusal);
         let body = serde_json::to_string(&document).expect("border types are valid JSON");
         let event = format!("event: error\ndata: {body}\n\n");
         let _ = parts.send(Ok(event.into_bytes())).await;
         let _ = parts.send(Err(io::ErrorKind::ConnectionAborted.into())).await;
-        self.ticket.end(RequestOutcome::Failed);
     }
 
     fn event(&self, chunk: CompletionChunk) -> Vec<u8> {
@@ -199,6 +223,30 @@
     }
 }
 
+/// Waits for the next token while the caller is there; nothing once it left.
+///
+/// A caller that left is seen only by a write that fails, so comment lines go
+/// out while there is no token.
+async fn next_while_read(
+    run: &mut CompletionRun,
+    clock: &Clock,
+    parts: &async_channel::Sender<BodyPart>,
+) -> Option<Result<Option<CompletionChunk>, RequestRefusal>> {
+    let mut waiting = pin!(run.next());
+    loop {
+        let next = async { Some(waiting.as_mut().await) };
+        let left = async {
+            parts.closed().await;
+            None
+        };
+        match clock.timeout(CALLER_HEARTBEAT, next.or(left)).await {
+            Ok(result) => return result,
+            // A full channel has enough to write.
+            Err(_) => drop(parts.try_send(Ok(b": heartbeat\n\n".to_vec()))),
+        }
+    }
+}
+
 fn whole_answer(
     text: String,
     usage: TokenUsage,
--- a/crates/edges/src/engine.rs
+++ b/crates/edges/src/engine.rs
@@ -20,6 +20,10 @@
 /// Event that ends a whole stream.
 const END_MARK: &str = "[DONE]";
 
+/// Statuses with which an engine says that it hasn't run a request: the
+/// request can't be taken as it is, or not now.
+const NOT_RUN_STATUSES: [u16; 8] = [400, 404, 409, 413, 422, 429, 501, 503];
+
 /// Says why a call to an engine failed.
 #[derive(Debug, thiserror::Error)]
 pub enum EngineError {
@@ -40,6 +44,27 @@
     Truncated,
 }
 
+impl EngineError {
+    /// Tells whether the engine may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Unreachable(_) => false,
+            Self::Refused(status) => !NOT_RUN_STATUSES.contains(status),
+            Self::Lost(_) | Self::Malformed(_) | Self::Truncated => true,
+        }
+    }
+
+    /// Tells whether the connection has gone silent, though the engine may live.
+    pub fn is_silence(&self) -> bool {
+        matches!(self, Self::Lost(HttpError::Silent { .. }))
+    }
+
+    /// Tells whether the connection ended, as it does when an engine crashes.
+    pub fn is_break(&self) -> bool {
+        matches!(self, Self::Lost(HttpError::AnswerLost { .. }) | Self::Truncated)
+    }
+}
+
 impl From<HttpError> for EngineError {
     fn from(error: HttpError) -> Self {
         if error.is_unsent() {
@@ -157,8 +182,8 @@
     ) -> EdgeFuture<'a, Result<Box<dyn TokenStream>, EngineError>> {
         Box::pin(async move {
             let request = post(address, "/v1/completions", wanted);
-            // A kept connection may have died unnoticed; a failed attempt goes
-            // through the retry budget like any other.
+            // A kept connection may have died unnoticed; that is a failed
+            // attempt like any other.
             let answer = self.http.send(address, &request, ConnectionUse::Kept, silence).await?;
             if answer.status() != StatusCode::Ok {
                 return Err(EngineError::Refused(answer.status().into()));
--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -3,7 +3,8 @@
 use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
 use async_std::{io::BufReadExt, net::TcpStream};
-use http_types::{headers::CONTENT_TYPE, Request, Response, StatusCode};
+use futures_lite::future;
+use http_types::{headers::CONTENT_TYPE, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -40,7 +41,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionUse {
     /// A kept connection may be used; if it turns out dead before an answer,
-    /// the request goes out again on a new one.
+    /// a request that only reads goes out again on a new one.
     Kept,
     /// A new connection is opened, so that a request that may not be repeated
     /// is never lost on a dead one.
@@ -118,9 +119,13 @@
         limit: Duration,
     ) -> Result<HttpAnswer, HttpError> {
         if connection == ConnectionUse::Kept {
-            if let Some(stream) = self.take_idle(address) {
-                match self.exchange(address, stream, call, limit).await {
-                    Err(HttpError::AnswerLost { .. }) => {}
+            if let Some(stream) = self.take_idle(address).await {
+                let result = self.exchange(address, stream, call, limit).await;
+                // A request that does work isn't sent again here: the first try
+                // may run, and the caller must know that it may.
+                let reads_only = call.head.method() == Method::Get;
+                match result {
+                    Err(HttpError::AnswerLost { .. }) if reads_only => {}
                     result => return result,
                 }
             }
@@ -151,12 +156,27 @@
         match answered {
             Ok(Ok(response)) => Ok(HttpAnswer { response, stream, address, client: self.clone() }),
             Ok(Err(error)) => Err(HttpError::AnswerLost { address, detail: error.to_string() }),
-            Err(_) => Err(HttpError::Silent { address }),
+            Err(_) => Err(self.note_silence(&address)),
         }
     }
 
-    fn take_idle(&self, address: &str) -> Option<TcpStream> {
-        self.idle.lock().get_mut(address)?.pop()
+    /// Takes a kept connection that its server hasn't closed meanwhile.
+    async fn take_idle(&self, address: &str) -> Option<TcpStream> {
+        loop {
+            let stream = self.idle.lock().get_mut(address)?.pop()?;
+            // An idle connection has nothing to read unless it has ended.
+            let peeked = future::poll_once(stream.peek(&mut [0])).await;
+            if peeked.is_none() {
+                return Some(stream);
+            }
+        }
+    }
+
+    /// Forgets the kept connections of an address: what made one connection
+    /// silent may have struck the others, while a new one works.
+    fn note_silence(&self, address: &SmolStr) -> HttpError {
+        self.idle.lock().remove(address);
+        HttpError::Silent { address: address.clone() }
     }
 
     fn keep(&self, address: &SmolStr, stream: TcpStream) {
@@ -198,7 +218,7 @@
             Ok(Err(error)) => {
                 return Err(HttpError::AnswerLost { address, detail: error.to_string() })
             }
-            Err(_) => return Err(HttpError::Silent { address }),
+            Err(_) => return Err(self.client.note_silence(&address)),
         };
         if expected.is_some_and(|expected| expected != bytes.len()) {
             let detail = "the body ended early".to_owned();
@@ -223,7 +243,7 @@
         match self.client.clock.timeout(limit, reading).await {
             Ok(Ok(length)) => Ok(length),
             Ok(Err(error)) => Err(HttpError::AnswerLost { address, detail: error.to_string() }),
-            Err(_) => Err(HttpError::Silent { address }),
+            Err(_) => Err(self.client.note_silence(&address)),
         }
     }
 
--- a/crates/harness/src/calls.rs
+++ b/crates/harness/src/calls.rs
@@ -5,8 +5,9 @@
 use async_std::task;
 use gooseberry_edges::{
     clock::Clock,
-    http::{ConnectionUse, HttpCall, HttpClient},
+    http::{ConnectionUse, HttpAnswer, HttpCall, HttpClient},
 };
+use gooseberry_wire::engine::CompletionChunk;
 use http_types::{Method, Request, Url};
 use serde::{de::DeserializeOwned, Serialize};
 
@@ -95,4 +96,50 @@
         let body = answer.into_bytes(ANSWER_LIMIT).await?;
         Ok(TestAnswer { status, retry_after, body })
     }
+
+    /// Sends the call and leaves its answer to be read event by event.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no head of an answer comes.
+    pub fn open_stream(&self) -> TestStream {
+        let client = HttpClient::new(Clock::system());
+        let sent = client.send(&self.address, &self.call, ConnectionUse::Fresh, ANSWER_LIMIT);
+        TestStream { answer: task::block_on(sent).expect("the head of an answer") }
+    }
+}
+
+/// Reads a streamed answer; dropping it closes the connection.
+#[derive(Debug)]
+pub struct TestStream {
+    answer: HttpAnswer,
+}
+
+impl TestStream {
+    /// Waits for the next token; nothing after the end mark.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stream ends early or carries something else.
+    pub fn next_token(&mut self) -> Option<CompletionChunk> {
+        loop {
+            let mut line = String::new();
+            let read = task::block_on(self.answer.read_line(&mut line, ANSWER_LIMIT));
+            assert_ne!(read.expect("a line of the stream"), 0, "the stream ended early");
+            match line.trim_end().strip_prefix("data: ") {
+                Some("[DONE]") => return None,
+                Some(event) => return Some(serde_json::from_str(event).expect("a token")),
+                None => {}
+            }
+        }
+    }
+
+    /// Reads the rest of the answer as one text.
+    pub fn rest(&mut self) -> String {
+        let mut text = String::new();
+        while let Some(chunk) = self.next_token() {
+            text.push_str(&chunk.choices[0].text);
+        }
+        text
+    }
 }
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -11,7 +11,7 @@
 use gooseberry_standins::plain::{PlainCounts, PlainFaults};
 use gooseberry_wire::{
     edit::ConfigurationEdit,
-    engine::EngineFaults,
+    engine::{EngineFaults, LoadReport},
     platform::{KvPut, PlatformCounts, PlatformFaults, VmEntry},
 };
 use http_types::Method;
@@ -68,11 +68,20 @@
     pub domains: usize,
     /// Further arguments of each engine.
     pub engine_arguments: Vec<String>,
+    /// Further lines of each daemon's settings.
+    pub daemon_settings: String,
 }
 
 impl Default for SystemSize {
     fn default() -> Self {
-        Self { daemons: 1, engines: 2, plain_servers: 1, domains: 1, engine_arguments: Vec::new() }
+        Self {
+            daemons: 1,
+            engines: 2,
+            plain_servers: 1,
+            domains: 1,
+            engine_arguments: Vec::new(),
+            daemon_settings: String::new(),
+        }
     }
 }
 
@@ -133,9 +142,10 @@
             let settings = format!(
                 "name: {name}\nfailure_domain: domain-{domain}\nlisten: {address}\n\
                  peer_listen: {peer_address}\nplatform: {}\npeer_secret: {PEER_SECRET}\n\
-                 peers: [{}]\ntraffic_threads: 2\n",
+                 peers: [{}]\ntraffic_threads: 2\n{}",
                 self.platform.address,
                 peers.join(", "),
+                self.size.daemon_settings,
             );
             let path = self.folder.path().join(format!("{name}.yaml"));
             fs::write(&path, settings).expect("a settings file");
@@ -248,6 +258,20 @@
     TestCall::new(Method::Post, address, "/v1/completions").account_key(ACCOUNT_KEY).json(&body)
 }
 
+/// Makes a call for a streamed completion.
+pub fn stream_call(address: &str, prompt: &str, tokens: u32) -> TestCall {
+    let body = serde_json::json!({
+        "model": "assistant", "prompt": prompt, "max_tokens": tokens, "stream": true,
+    });
+    TestCall::new(Method::Post, address, "/v1/completions").account_key(ACCOUNT_KEY).json(&body)
+}
+
+/// Reads the last load report of an engine, which lags.
+pub fn engine_load(engine: &TestServer) -> LoadReport {
+    let call = TestCall::new(Method::Get, &engine.address, "/load");
+    call.send().expect("an answer of the engine").json()
+}
+
 /// Makes a call that reserves something, which runs at most once.
 pub fn reservation_call(address: &str, key: &str) -> TestCall {
     TestCall::new(Method::Post, address, "/booking/reservations")
