Refuse bad input with its own status, bound what a refused caller can send, never run half a body

Ruled out: malformed JSON, wrong keys, deadlines and closed connections were refused as they should be before.

Change: the length of a body is compared with what was announced; reads after the answer end the request, and the rest is dropped for at most 1 s and 1 MiB before the connection closes, so that the caller still gets its answer; a head is cut off at 16 KiB, 431 from 8 KiB; 408 body-too-slow; an empty prompt, a chat without messages and max_tokens 0 are 400. The limits of head and body are settings (head_timeout_s, body_timeout_s).

A half-closed connection with a whole request is served.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -24,6 +24,8 @@
     BadRequest(SmolStr),
     #[error("the body exceeds the limit of {0} bytes")]
     BodyTooLarge(u64),
+    #[error("the body didn't come within {} s", .0.as_secs())]
+    BodyTooSlow(Duration),
     #[error("the account key is missing or unknown")]
     WrongKey,
     #[error("no service offers the model or path {0}")]
@@ -94,6 +96,7 @@
             | RefusalReason::KeyRequired => 400,
             RefusalReason::WrongKey => 401,
             RefusalReason::UnknownService(_) => 404,
+            RefusalReason::BodyTooSlow(_) => 408,
             RefusalReason::ClaimRunning => 409,
             RefusalReason::BodyTooLarge(_) => 413,
             RefusalReason::KeyReused | RefusalReason::Convicted => 422,
--- a/crates/daemon/src/callers/chat.rs
+++ b/crates/daemon/src/callers/chat.rs
@@ -27,6 +27,9 @@
     let snapshot = request.state().snapshot.load_full();
     let (account, body) = request::read(&mut request, &snapshot).await?;
     let chat: ChatRequest = completion::parse(&body)?;
+    if chat.messages.is_empty() {
+        return Err(request::bad_request("the chat has no messages"));
+    }
     let wanted = CompletionRequest {
         prompt: prompt(&chat.messages),
         model: chat.model,
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -86,6 +86,7 @@
         let reason = RefusalReason::UnknownService(wanted.model.into());
         return Err(RequestRefusal::not_executed(reason));
     };
+    check(&wanted)?;
     let accepted = request::accept(&request, Arc::clone(&snapshot), account, service)?;
     if let Err(refusal) = accepted.check_dependencies() {
         return Err(accepted.refuse(refusal));
@@ -113,6 +114,17 @@
     }
 }
 
+/// Refuses what no engine can give an answer to.
+fn check(wanted: &CompletionRequest) -> Result<(), RequestRefusal> {
+    if wanted.prompt.is_empty() {
+        return Err(request::bad_request("the prompt is empty"));
+    }
+    if wanted.max_tokens == 0 {
+        return Err(request::bad_request("max_tokens is 0, and an answer has at least one token"));
+    }
+    Ok(())
+}
+
 /// Holds a completion whose first token has come.
 struct RunningAnswer {
     run: CompletionRun,
--- a/crates/daemon/src/callers/refusals.rs
+++ b/crates/daemon/src/callers/refusals.rs
@@ -21,12 +21,24 @@
     if let Some(seconds) = document.retry_after_s {
         response.insert_header(headers::RETRY_AFTER, seconds.to_string());
     }
-    if matches!(refusal.reason, RefusalReason::ShuttingDown | RefusalReason::BodyTooLarge(_)) {
+    if closes_connection(&refusal.reason) {
         response.insert_header(headers::CONNECTION, "close");
     }
     response
 }
 
+/// Tells whether the connection ends with a refusal, because the daemon stops or
+/// the rest of the body isn't read.
+fn closes_connection(reason: &RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::ShuttingDown
+            | RefusalReason::BodyTooLarge(_)
+            | RefusalReason::BodyTooSlow(_)
+            | RefusalReason::WrongKey
+    )
+}
+
 /// Writes a refusal as a problem document.
 pub fn document(refusal: &RequestRefusal) -> ProblemDocument {
     let name: &'static str = (&refusal.reason).into();
--- a/crates/daemon/src/callers/request.rs
+++ b/crates/daemon/src/callers/request.rs
@@ -20,8 +20,6 @@
 
 /// Header with the absolute deadline, in milliseconds since the Unix epoch.
 pub const DEADLINE_HEADER: &str = "request-deadline";
-/// Longest time for the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Holds a request that was read and whose caller is known.
 pub struct AcceptedRequest {
@@ -49,15 +47,21 @@
     if request.len().is_some_and(|length| length as u64 > limit) {
         return Err(too_large());
     }
+    let expected = request.len();
     let clock = request.state().clock.clone();
+    let timeout = Duration::from_secs(request.state().settings.body_timeout_s.into());
     let mut body = Vec::new();
     let mut reader = request.take_body().into_reader().take(limit + 1);
-    let read = clock.timeout(BODY_TIMEOUT, reader.read_to_end(&mut body)).await;
+    let read = clock.timeout(timeout, reader.read_to_end(&mut body)).await;
     match read {
         Ok(Ok(length)) if length as u64 > limit => Err(too_large()),
+        // A caller that closes its side early must not have half a body run.
+        Ok(Ok(length)) if expected.is_some_and(|expected| expected != length) => {
+            Err(bad_request("the body ended before its announced length"))
+        }
         Ok(Ok(_)) => Ok((account, body)),
         Ok(Err(error)) => Err(bad_request(&format!("the body can't be read: {error}"))),
-        Err(_) => Err(bad_request("the body came too slowly")),
+        Err(_) => Err(RequestRefusal::not_executed(RefusalReason::BodyTooSlow(timeout))),
     }
 }
 
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -54,7 +54,8 @@
     let socket =
         TcpListener::bind(listen).await.with_context(|| format!("can't listen at {listen}"))?;
     tracing::info!(daemon = context.settings.name, incarnation = context.incarnation, "started");
-    let listener = HttpListener::new(context.clock.clone());
+    let head_timeout = Duration::from_secs(context.settings.head_timeout_s.into());
+    let listener = HttpListener::new(context.clock.clone()).head_timeout(head_timeout);
     let closed = StopSignal::new();
     let serving = task::spawn({
         let (listener, closed) = (listener.clone(), closed.clone());
--- a/crates/edges/src/listener.rs
+++ b/crates/edges/src/listener.rs
@@ -21,13 +21,27 @@
     net::{TcpListener, TcpStream},
     task,
 };
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
+use gooseberry_core::time::Timestamp;
 use parking_lot::Mutex;
 
 use crate::{clock::Clock, stop::StopSignal};
 
 /// Longest time for the head of a request, and for an idle connection.
 pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most bytes of a head: what `async_h1` reads of one, and its buffer.
+const HEAD_BYTES: usize = 16 * 1024;
+/// Bytes of a head from which `async_h1` refuses it.
+const HEAD_LIMIT: usize = 8 * 1024;
+/// Longest time for which a caller may leave an answer unread.
+pub const STALL_LIMIT: Duration = Duration::from_secs(20);
+/// Interval at which a connection looks whether its caller still reads.
+const STALL_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time for which the rest of a refused request is read and dropped, so
+/// that its caller gets the answer and no reset.
+pub const LINGER_LIMIT: Duration = Duration::from_secs(1);
+/// Most bytes that are read and dropped so.
+const LINGER_BYTES: u64 = 1024 * 1024;
 /// Pause after a failed accept, so that a shortage of files can pass.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which a drain looks for running requests.
@@ -105,15 +119,23 @@
     }
 
     /// Ends the wait for a request whose head doesn't come in time.
-    async fn limit_head(
-        &self,
-        activity: &ConnectionActivity,
-    ) -> http_types::Result<ConnectionStatus> {
+    async fn limit_head(&self, activity: &ConnectionActivity) -> RequestEnd {
         self.clock.sleep(self.head_timeout).await;
         if activity.answered.load(Ordering::SeqCst) {
             future::pending::<()>().await;
         }
-        Ok(ConnectionStatus::Close)
+        RequestEnd::HeadTimeout
+    }
+
+    /// Ends an answer whose caller has stopped reading.
+    async fn limit_stall(&self, activity: &ConnectionActivity) -> RequestEnd {
+        loop {
+            self.clock.sleep(STALL_INTERVAL).await;
+            let blocked_since = *activity.blocked_since.lock();
+            if blocked_since.is_some_and(|since| self.clock.now().since(since) >= STALL_LIMIT) {
+                return RequestEnd::Stalled;
+            }
+        }
     }
 
     fn spawn<S>(&self, stream: TcpStream, app: tide::Server<S>)
@@ -134,43 +156,119 @@
     where
         S: Clone + Send + Sync + 'static,
     {
-        let watched = WatchedStream::new(stream);
+        let watched = WatchedStream::new(stream, self.clock.clone());
         let activity = watched.activity.clone();
         let state = &self.shared;
         let endpoint = |request: http_types::Request| {
             activity.answered.store(true, Ordering::SeqCst);
             state.busy.fetch_add(1, Ordering::SeqCst);
-            let app = app.clone();
-            async move { app.respond::<_, http_types::Response>(request).await }
+            let (app, activity) = (app.clone(), activity.clone());
+            async move {
+                let response = app.respond::<_, http_types::Response>(request).await;
+                activity.responded.store(true, Ordering::SeqCst);
+                response
+            }
         };
         let mut server = Server::new(watched.clone(), endpoint);
         loop {
             activity.start_request();
-            let status = server.accept_one().or(self.limit_head(&activity)).await;
+            let served = async { RequestEnd::from(server.accept_one().await) };
+            let limits = self.limit_head(&activity).or(self.limit_stall(&activity));
+            let end = served.or(limits).await;
             if activity.answered.load(Ordering::SeqCst) {
                 state.busy.fetch_sub(1, Ordering::SeqCst);
-            } else if activity.received.load(Ordering::SeqCst) {
-                refuse_head(watched.clone(), status.is_ok()).await;
-                return;
+            } else if let Some(refusal) = HeadRefusal::of(&end, &activity) {
+                refuse_head(watched.clone(), refusal).await;
+                return self.linger(watched.inner).await;
             }
-            match status {
-                Ok(ConnectionStatus::KeepAlive) if !state.closing.load(Ordering::SeqCst) => {}
+            match end {
+                RequestEnd::KeepAlive if !state.closing.load(Ordering::SeqCst) => {}
+                RequestEnd::Broken if activity.unread.load(Ordering::SeqCst) => {
+                    return self.linger(watched.inner).await;
+                }
                 _ => return,
             }
         }
     }
+
+    /// Reads and drops what a refused caller still sends, for a short time.
+    async fn linger(&self, stream: TcpStream) {
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let discard =
+            futures_lite::io::copy((&stream).take(LINGER_BYTES), futures_lite::io::sink());
+        let _ = self.clock.timeout(LINGER_LIMIT, discard).await;
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+/// Says how the wait for a request and its answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestEnd {
+    /// The answer went out, and another request may follow.
+    KeepAlive,
+    /// The answer went out or the caller closed, and nothing follows.
+    Close,
+    /// The request couldn't be read or its answer not be written.
+    Broken,
+    /// The head of the request didn't come in time.
+    HeadTimeout,
+    /// The caller didn't read its answer in time.
+    Stalled,
+}
+
+impl From<http_types::Result<ConnectionStatus>> for RequestEnd {
+    fn from(result: http_types::Result<ConnectionStatus>) -> Self {
+        match result {
+            Ok(ConnectionStatus::KeepAlive) => Self::KeepAlive,
+            Ok(ConnectionStatus::Close) => Self::Close,
+            Err(_) => Self::Broken,
+        }
+    }
 }
 
-/// Answers a head that came too slowly or can't be read.
-async fn refuse_head(mut stream: WatchedStream, timed_out: bool) {
-    let (line, title) = if timed_out {
-        ("408 Request Timeout", "the head of the request came too slowly or ended early")
-    } else {
-        ("400 Bad Request", "the head of the request can't be read or is too long")
-    };
+/// Says why a head is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+enum HeadRefusal {
+    #[strum(serialize = "the head of the request didn't come in time")]
+    TooSlow,
+    #[strum(serialize = "the head of the request is longer than 8 KiB")]
+    TooLong,
+    #[strum(serialize = "the head of the request ended early")]
+    EndedEarly,
+    #[strum(serialize = "the head of the request can't be read")]
+    Unreadable,
+}
+
+impl HeadRefusal {
+    /// Returns the refusal of a head, or nothing if no byte of one came.
+    fn of(end: &RequestEnd, activity: &ConnectionActivity) -> Option<Self> {
+        let received = activity.received.load(Ordering::SeqCst);
+        if received == 0 {
+            return None;
+        }
+        Some(match end {
+            RequestEnd::HeadTimeout => Self::TooSlow,
+            RequestEnd::KeepAlive | RequestEnd::Close => Self::EndedEarly,
+            RequestEnd::Broken | RequestEnd::Stalled if received >= HEAD_LIMIT => Self::TooLong,
+            RequestEnd::Broken | RequestEnd::Stalled => Self::Unreadable,
+        })
+    }
+
+    fn status_line(self) -> &'static str {
+        match self {
+            Self::TooSlow => "408 Request Timeout",
+            Self::TooLong => "431 Request Header Fields Too Large",
+            Self::EndedEarly | Self::Unreadable => "400 Bad Request",
+        }
+    }
+}
+
+/// Answers a head that can't be taken with a problem document.
+async fn refuse_head(mut stream: WatchedStream, refusal: HeadRefusal) {
+    let line = refusal.status_line();
     let status = &line[..3];
     let body = format!(
-        r#"{{"type":"urn:gooseberrykeel:bad-request","title":"{title}","status":{status},"detail":"{title}","executed":"no"}}"#
+        r#"{{"type":"urn:gooseberrykeel:bad-request","title":"bad request","status":{status},"detail":"{refusal}","executed":"no"}}"#
     );
     let head = format!(
         "HTTP/1.1 {line}\r\ncontent-type: application/problem+json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
@@ -178,35 +276,53 @@
     );
     let _ = stream.write_all(head.as_bytes()).await;
     let _ = stream.write_all(body.as_bytes()).await;
-    let _ = stream.inner.shutdown(std::net::Shutdown::Write);
 }
 
 /// Notes what happened on a connection since the last request ended.
 #[derive(Default)]
 struct ConnectionActivity {
-    /// Bytes of a request have come in.
-    received: AtomicBool,
+    /// Bytes that came in before the request went to the application.
+    received: AtomicUsize,
     /// The request went to the application.
     answered: AtomicBool,
+    /// The application gave the head of its answer.
+    responded: AtomicBool,
+    /// Part of the request's body was left unread.
+    unread: AtomicBool,
+    /// Time since which the caller takes no bytes.
+    blocked_since: Mutex<Option<Timestamp>>,
 }
 
 impl ConnectionActivity {
     fn start_request(&self) {
-        self.received.store(false, Ordering::SeqCst);
+        self.received.store(0, Ordering::SeqCst);
         self.answered.store(false, Ordering::SeqCst);
+        self.responded.store(false, Ordering::SeqCst);
+        *self.blocked_since.lock() = None;
+    }
+
+    /// Notes whether a write had to wait.
+    fn note_write(&self, waits: bool, clock: &Clock) {
+        let mut blocked_since = self.blocked_since.lock();
+        if !waits {
+            *blocked_since = None;
+        } else if blocked_since.is_none() {
+            *blocked_since = Some(clock.now());
+        }
     }
 }
 
-/// A stream that notes whether bytes came in.
+/// A stream that notes what passes through it.
 #[derive(Clone)]
 struct WatchedStream {
     inner: TcpStream,
+    clock: Clock,
     activity: Arc<ConnectionActivity>,
 }
 
 impl WatchedStream {
-    fn new(inner: TcpStream) -> Self {
-        Self { inner, activity: Arc::default() }
+    fn new(inner: TcpStream, clock: Clock) -> Self {
+        Self { inner, clock, activity: Arc::default() }
     }
 }
 
@@ -216,9 +332,19 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        // After the answer, `async_h1` would read the rest of a refused body
+        // without a bound.
+        if self.activity.responded.load(Ordering::SeqCst) {
+            self.activity.unread.store(true, Ordering::SeqCst);
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let read = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if matches!(read, Poll::Ready(Ok(length)) if length > 0) {
-            self.activity.received.store(true, Ordering::SeqCst);
+        if let Poll::Ready(Ok(length)) = read {
+            let received = self.activity.received.fetch_add(length, Ordering::SeqCst) + length;
+            // A head without line ends would grow without a bound.
+            if received > HEAD_BYTES && !self.activity.answered.load(Ordering::SeqCst) {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
         }
         read
     }
@@ -230,7 +356,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, buffer)
+        let written = Pin::new(&mut self.inner).poll_write(context, buffer);
+        self.activity.note_write(written.is_pending(), &self.clock);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -7,10 +7,16 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct DaemonSettings {
+    #[doc = "Longest time for the body of a request, in seconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 20>")]
+    pub body_timeout_s: ::std::num::NonZeroU64,
     #[doc = "Longest time that a shutdown waits for running requests, in seconds."]
     #[serde(default = "defaults::default_u64::<u64, 30>")]
     pub drain_s: u64,
     pub failure_domain: ::std::string::String,
+    #[doc = "Longest time for the head of a request, and for an idle connection, in seconds."]
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 10>")]
+    pub head_timeout_s: ::std::num::NonZeroU64,
     #[doc = "IP address and port for callers."]
     pub listen: ::std::string::String,
     #[serde(default = "defaults::daemon_settings_log")]
@@ -65,6 +71,13 @@
     {
         T::try_from(V).unwrap()
     }
+    pub(super) fn default_nzu64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
+        <T as ::std::convert::TryFrom<::std::num::NonZeroU64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
+    }
     pub(super) fn daemon_settings_log() -> ::std::string::String {
         "info".to_string()
     }
