Run suspects on trial, convict at the second crash, tell all daemons before the request goes on

Cause: a request that crashes each engine that runs it was tried on up to three engines by each daemon that its caller asked, and took the requests of the same batches along until their attempts were used up.

Change: crates/core/src/poison.rs holds suspicion, trials and convictions. A request whose engine crashed is a suspect; its fingerprint is the model, adapter and prompt, not the number of tokens, priority or account, which a caller can change. A suspect runs again only on a trial that this daemon and every peer in reach grants: no other suspect on that engine, nor this one elsewhere. A crash on trial convicts. Notices reach the peers before the request runs again or is refused (422, executed unknown); convictions also go to one record of the key-value service, read every 5 s, through outages. Suspicion lasts 10 minutes, conviction an hour. A crash is told from a cut stream and from silence: the engine's address refuses connections, or another incarnation answers there.

And two tests could be given the same port, which the system had handed to an outgoing connection meanwhile: a configuration went to the platform of another test. Ports of tests now lie below the outgoing ones and are reserved until the test's process ends.

Ruled out: trials with innocents kept off the engine (costs an engine's whole capacity per suspect; an ordinary crash makes suspects of a whole batch).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod fleet;
 pub mod membership;
+pub mod poison;
 pub mod prefix;
 pub mod refusal;
 pub mod roles;
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -9,6 +9,7 @@
 use async_std::task;
 use gooseberry_core::{
     arena::{EngineKey, ModelKey},
+    poison::{PoisonVerdict, RequestFingerprint},
     prefix,
     refusal::{RefusalReason, RequestRefusal},
     routing::{self, RouteDecision, RouteRequest},
@@ -25,6 +26,7 @@
 use crate::{
     callers::refusals,
     context::DaemonContext,
+    poison::{self, HeldTrial},
     snapshot::{FleetSnapshot, OutstandingGuard},
 };
 
@@ -33,6 +35,9 @@
 /// time and the time for opening a connection.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Pause before a suspect asks for a trial again, in milliseconds.
+const TRIAL_PAUSE: std::ops::Range<u64> = 20..80;
+
 /// Runs one completion.
 pub struct CompletionRun {
     context: Arc<DaemonContext>,
@@ -46,11 +51,12 @@
     attempts: u32,
     excluded: Vec<EngineKey>,
     /// Engine whose connection went silent, to be asked for the stream again.
-    silent: Option<EngineKey>,
+    silent: Option<(EngineKey, Option<HeldTrial>)>,
     /// Position at which a stream was last resumed at its own engine.
     resumed_at: Option<u32>,
     /// Whether bytes of the request may have reached an engine.
     sent: bool,
+    fingerprint: RequestFingerprint,
 }
 
 /// Holds the attempt that runs now.
@@ -59,6 +65,10 @@
     engine: EngineKey,
     stream: Box<dyn TokenStream>,
     held: HeldStream,
+    /// Process of the engine when the attempt began.
+    incarnation: Option<u64>,
+    /// Trial that the attempt is, if the request is a suspect.
+    trial: Option<HeldTrial>,
     _outstanding: OutstandingGuard,
 }
 
@@ -98,6 +108,7 @@
     ) -> Self {
         Self {
             prompt_tokens: prefix::count_tokens(&request.prompt),
+            fingerprint: poison::fingerprint(&request),
             context,
             snapshot,
             model,
@@ -160,10 +171,10 @@
                     }
                 }
                 Ok(None) => {
-                    self.finish();
+                    self.finish().await;
                     return Ok(None);
                 }
-                Err(error) => self.give_up(&error),
+                Err(error) => self.give_up(&error).await,
             }
         }
     }
@@ -187,28 +198,51 @@
         }
     }
 
-    fn finish(&mut self) {
-        if let Some(mut attempt) = self.current.take() {
-            attempt.held.ended = true;
+    async fn finish(&mut self) {
+        let Some(mut attempt) = self.current.take() else { return };
+        attempt.held.ended = true;
+        let poison = &self.context.poison;
+        if poison.judge(self.fingerprint) == PoisonVerdict::Suspect {
+            poison.acquit(self.fingerprint).await;
         }
     }
 
     /// Ends a failed attempt. A silent connection says nothing about its
     /// engine, so the stream is asked for there once more before another
     /// engine computes the prompt again.
-    fn give_up(&mut self, error: &EngineError) {
-        let Some(attempt) = &mut self.current else { return };
-        let engine = attempt.engine;
-        if error.is_silence() && self.may_resume() {
-            if let Some(mut attempt) = self.current.take() {
-                attempt.held.ended = true;
-            }
-            self.silent = Some(engine);
+    async fn give_up(&mut self, error: &EngineError) {
+        let may_resume = error.is_silence() && self.may_resume();
+        let Some(mut attempt) = self.current.take() else { return };
+        if may_resume {
+            attempt.held.ended = true;
+            self.silent = Some((attempt.engine, attempt.trial.take()));
             return;
         }
-        let engine_name = &self.snapshot.fleet.engines[engine].name;
-        tracing::warn!(engine = %engine_name, %error, "an attempt failed");
-        self.exclude_current();
+        let engine = &self.snapshot.fleet.engines[attempt.engine].name;
+        tracing::warn!(%engine, %error, "an attempt failed");
+        self.excluded.push(attempt.engine);
+        if error.is_break() {
+            self.look_for_crash(attempt.engine, attempt.incarnation, attempt.trial).await;
+        }
+    }
+
+    /// Finds out whether the engine of a broken attempt has crashed, before the
+    /// request runs anywhere else.
+    async fn look_for_crash(
+        &self,
+        engine: EngineKey,
+        incarnation: Option<u64>,
+        trial: Option<HeldTrial>,
+    ) {
+        let context = &self.context;
+        let address = &self.snapshot.fleet.engines[engine].address;
+        let engines = context.engines.as_ref();
+        if poison::has_crashed(engines, &context.clock, address, incarnation).await {
+            context.poison.note_crash(self.fingerprint, trial.is_some()).await;
+        } else {
+            let engine = &self.snapshot.fleet.engines[engine].name;
+            tracing::info!(%engine, incarnation, "a connection broke without a crash");
+        }
     }
 
     /// Tells whether the answer went on since it was last resumed, so that a
@@ -224,12 +258,13 @@
     }
 
     async fn open(&mut self) -> Result<(), RequestRefusal> {
-        let engine = match self.silent.take() {
-            Some(engine) => self.resume_at(engine),
-            None => self.choose_engine()?,
+        let (engine, trial) = match self.silent.take() {
+            Some((engine, trial)) => (self.resume_at(engine), trial),
+            None => self.place().await?,
         };
         let outstanding = self.snapshot.engines[engine].gauge.start(self.prompt_tokens);
         let address = self.snapshot.fleet.engines[engine].address.clone();
+        let incarnation = self.incarnation(engine);
         self.request.resume_from = self.assembler.next_position();
         let mut held = self.hold(&address);
         // The deadline may end the wait for the answer's head: from here on the
@@ -239,26 +274,86 @@
         match context.engines.complete(&address, &self.request, SILENCE_LIMIT).await {
             Ok(stream) => {
                 let number = self.assembler.start_attempt();
-                let attempt =
-                    RunningAttempt { number, engine, stream, held, _outstanding: outstanding };
-                self.current = Some(attempt);
+                self.current = Some(RunningAttempt {
+                    number,
+                    engine,
+                    stream,
+                    held,
+                    incarnation,
+                    trial,
+                    _outstanding: outstanding,
+                });
             }
             Err(error) => {
                 self.sent = sent_before || error.may_have_run();
-                held.ended = !error.may_have_run();
-                let engine_name = &self.snapshot.fleet.engines[engine].name;
-                tracing::warn!(engine = %engine_name, %error, "an attempt failed");
+                let name = &self.snapshot.fleet.engines[engine].name;
+                tracing::warn!(engine = %name, %error, "an attempt failed");
                 if error.is_silence() && self.may_resume() {
                     held.ended = true;
-                    self.silent = Some(engine);
-                } else {
-                    self.excluded.push(engine);
+                    self.silent = Some((engine, trial));
+                    return Ok(());
+                }
+                held.ended = !error.may_have_run();
+                self.excluded.push(engine);
+                if error.is_break() {
+                    self.look_for_crash(engine, incarnation, trial).await;
                 }
             }
         }
         Ok(())
     }
 
+    /// Returns the process that an engine last reported.
+    fn incarnation(&self, engine: EngineKey) -> Option<u64> {
+        let newest = self.context.snapshot.load();
+        let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
+        let snapshot = if same_revision { &newest } else { &self.snapshot };
+        snapshot.engines[engine].incarnation
+    }
+
+    /// Chooses an engine; a suspect waits until it can run on trial.
+    async fn place(&mut self) -> Result<(EngineKey, Option<HeldTrial>), RequestRefusal> {
+        loop {
+            match self.context.poison.judge(self.fingerprint) {
+                PoisonVerdict::Innocent => return Ok((self.choose_engine()?, None)),
+                PoisonVerdict::Convicted => {
+                    return Err(RequestRefusal::unknown(RefusalReason::Convicted));
+                }
+                PoisonVerdict::Suspect => {}
+            }
+            if let Some((engine, trial)) = self.begin_trial().await? {
+                return Ok((engine, Some(trial)));
+            }
+            // Daemons that refuse each other must not ask again at once.
+            let pause = rand::random_range(TRIAL_PAUSE);
+            self.context.clock.sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Asks for a trial on an engine without one.
+    async fn begin_trial(&mut self) -> Result<Option<(EngineKey, HeldTrial)>, RequestRefusal> {
+        let has_attempts = self.attempts < self.snapshot.fleet.limits.attempts;
+        let excluded = self.excluded.len();
+        let poison = Arc::clone(&self.context.poison);
+        let engines = self.snapshot.fleet.engines.iter();
+        let on_trial = engines.filter(|(_, row)| poison.is_on_trial(&row.name));
+        self.excluded.extend(on_trial.map(|(engine, _)| engine));
+        let has_trials = self.excluded.len() > excluded;
+        let chosen = self.choose_engine();
+        self.excluded.truncate(excluded);
+        let engine = match chosen {
+            Ok(engine) => engine,
+            Err(_) if has_trials && has_attempts => return Ok(None),
+            Err(refusal) => return Err(refusal),
+        };
+        let name = &self.snapshot.fleet.engines[engine].name;
+        let trial = poison.begin_trial(self.fingerprint, name, self.time_left()).await;
+        if trial.is_none() {
+            self.attempts -= 1;
+        }
+        Ok(trial.map(|trial| (engine, trial)))
+    }
+
     fn hold(&self, address: &SmolStr) -> HeldStream {
         HeldStream {
             context: Arc::clone(&self.context),
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     balance::BalanceBook, claims::ClaimStore, control::ControlEvent, logs::LogLevels,
-    metrics::MetricClient, snapshot::FleetSnapshot,
+    metrics::MetricClient, poison::PoisonBook, snapshot::FleetSnapshot,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -30,6 +30,7 @@
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
     pub balance: BalanceBook,
+    pub poison: Arc<PoisonBook>,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -67,6 +67,7 @@
                 outstanding: 0,
                 unreported_tokens: 0,
             },
+            incarnation: report.map(|report| report.incarnation),
             piece_tokens: report.map_or(DEFAULT_PIECE_TOKENS, |report| report.kv_piece_tokens),
             gauge: Arc::clone(&status.gauge),
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod poison;
 pub mod pollers;
 pub mod program;
 pub mod revisions;
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -15,7 +15,12 @@
 use parking_lot::Mutex;
 use subtle::ConstantTimeEq;
 
-use crate::{context::DaemonContext, control::ControlEvent, revisions::RevisionStore};
+use crate::{
+    context::DaemonContext,
+    control::ControlEvent,
+    poison::rpc::{PoisonApiServer, PoisonServer},
+    revisions::RevisionStore,
+};
 
 /// Interval of heartbeats between daemons.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -100,7 +105,10 @@
         book: Arc<PeerBook>,
     ) -> anyhow::Result<ServerHandle> {
         let server = Server::builder().build(&context.settings.peer_listen).await?;
-        Ok(server.start(Self { context, revisions, book }.into_rpc()))
+        let poison = PoisonServer::new(Arc::clone(&context.poison));
+        let mut module = Self { context, revisions, book }.into_rpc();
+        module.merge(poison.into_rpc())?;
+        Ok(server.start(module))
     }
 
     fn check(&self, secret: &str) -> RpcResult<()> {
--- /dev/null
+++ b/crates/daemon/src/poison/convictions.rs
@@ -0,0 +1,73 @@
+//! Convictions in the key-value service, for other failure domains and daemons
+//! that start later.
+
+use std::{sync::Arc, time::Duration};
+
+use gooseberry_core::{poison::RequestFingerprint, time::Timestamp};
+use gooseberry_edges::platform::{PlatformError, PutOutcome};
+use gooseberry_wire::{
+    peer::{ConvictionEntry, ConvictionList},
+    platform::{KvPut, KvRecord},
+};
+
+use crate::{context::DaemonContext, poison::PoisonBook};
+
+/// Key of the record that holds all convictions in force.
+const KEY: &str = "convictions";
+/// Interval at which the record is read.
+const READ_INTERVAL: Duration = Duration::from_secs(5);
+/// Pause before a write that failed or lost a race is tried again.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Reads the convictions of others for ever.
+pub async fn read(context: Arc<DaemonContext>) {
+    loop {
+        if let Ok(Some(record)) = context.platform.get(KEY).await {
+            take(&context.poison, &record);
+        }
+        context.clock.sleep(READ_INTERVAL).await;
+    }
+}
+
+/// Records convictions as they come, through outages of the platform.
+pub async fn write(context: Arc<DaemonContext>, news: async_channel::Receiver<()>) {
+    while news.recv().await.is_ok() {
+        loop {
+            match write_once(&context).await {
+                Ok(PutOutcome::Written(_)) => break,
+                Ok(PutOutcome::Conflict(_)) => {}
+                Err(error) => tracing::debug!(%error, "a conviction isn't recorded yet"),
+            }
+            context.clock.sleep(WRITE_PAUSE).await;
+        }
+    }
+}
+
+/// Merges the record with what is known here; a lost answer does no harm,
+/// because the next try finds its own entries.
+async fn write_once(context: &DaemonContext) -> Result<PutOutcome, PlatformError> {
+    let record = context.platform.get(KEY).await?;
+    if let Some(record) = &record {
+        take(&context.poison, record);
+    }
+    let entries = context.poison.convictions().into_iter();
+    let convictions = entries.map(|(fingerprint, until)| ConvictionEntry {
+        fingerprint: fingerprint.0,
+        until_ms: until.as_millis(),
+    });
+    let list = ConvictionList { convictions: convictions.collect() };
+    let value = serde_json::to_string(&list).expect("border types are valid JSON");
+    let expected = Some(record.map_or(0, |record| record.revision));
+    context.platform.put(KEY, &KvPut { value, expected, lease: None }).await
+}
+
+fn take(book: &PoisonBook, record: &KvRecord) {
+    let Ok(list) = serde_json::from_str::<ConvictionList>(&record.value) else {
+        tracing::warn!(revision = record.revision, "the record of convictions can't be read");
+        return;
+    };
+    for entry in list.convictions {
+        let until = Timestamp::from_millis(entry.until_ms);
+        book.take_conviction(RequestFingerprint(entry.fingerprint), until);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/poison/rpc.rs
@@ -0,0 +1,126 @@
+//! Calls between daemons about requests that crash engines.
+
+use std::{sync::Arc, time::Duration};
+
+use gooseberry_wire::peer::{PoisonNotice, TrialRequest};
+use jsonrpsee::{
+    core::{async_trait, client::ClientT, traits::ToRpcParams, RpcResult},
+    proc_macros::rpc,
+    types::ErrorObjectOwned,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use crate::poison::PoisonBook;
+
+/// Longest time for an answer of a peer, which a request waits for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Code of the error for a wrong secret.
+const WRONG_SECRET: i32 = 401;
+
+/// Calls about suspects and convictions.
+#[rpc(server)]
+pub trait PoisonApi {
+    /// Takes the standing of a request.
+    #[method(name = "poison_notice")]
+    async fn notice(&self, secret: String, notice: PoisonNotice) -> RpcResult<()>;
+
+    /// Reserves an engine for the trial of a suspect, if it is free.
+    #[method(name = "poison_trial")]
+    async fn trial(&self, secret: String, trial: TrialRequest) -> RpcResult<bool>;
+
+    /// Ends the trial of a suspect.
+    #[method(name = "poison_trial_end")]
+    async fn trial_end(&self, secret: String, trial: TrialRequest) -> RpcResult<()>;
+}
+
+/// Answers the calls of peers.
+pub struct PoisonServer {
+    book: Arc<PoisonBook>,
+}
+
+impl PoisonServer {
+    /// Makes a server that writes to a book.
+    pub fn new(book: Arc<PoisonBook>) -> Self {
+        Self { book }
+    }
+
+    fn check(&self, secret: &str) -> RpcResult<()> {
+        let known = self.book.secret().as_bytes();
+        if bool::from(known.ct_eq(secret.as_bytes())) {
+            return Ok(());
+        }
+        Err(ErrorObjectOwned::owned(WRONG_SECRET, "the secret is wrong", None::<()>))
+    }
+}
+
+#[async_trait]
+impl PoisonApiServer for PoisonServer {
+    async fn notice(&self, secret: String, notice: PoisonNotice) -> RpcResult<()> {
+        self.check(&secret)?;
+        self.book.take_notice(&notice);
+        Ok(())
+    }
+
+    async fn trial(&self, secret: String, trial: TrialRequest) -> RpcResult<bool> {
+        self.check(&secret)?;
+        Ok(self.book.reserve(&trial))
+    }
+
+    async fn trial_end(&self, secret: String, trial: TrialRequest) -> RpcResult<()> {
+        self.check(&secret)?;
+        self.book.release(&trial);
+        Ok(())
+    }
+}
+
+/// Keeps a connection to one peer, opened when it is first needed.
+pub struct PeerLink {
+    address: SmolStr,
+    client: Mutex<Option<Arc<WsClient>>>,
+}
+
+impl PeerLink {
+    /// Makes a link without a connection.
+    pub fn new(address: &str) -> Self {
+        Self { address: address.into(), client: Mutex::new(None) }
+    }
+
+    /// Calls the peer; nothing if it can't be reached in time.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        method: &str,
+        params: impl ToRpcParams + Send + Clone,
+    ) -> Option<T> {
+        // A kept connection may have ended since its last use.
+        for _ in 0..2 {
+            let (client, is_new) = self.client().await?;
+            match client.request(method, params.clone()).await {
+                Ok(answer) => return Some(answer),
+                Err(error) => {
+                    tracing::debug!(peer = %self.address, %error, "a call to a peer failed");
+                    *self.client.lock() = None;
+                }
+            }
+            if is_new {
+                return None;
+            }
+        }
+        None
+    }
+
+    async fn client(&self) -> Option<(Arc<WsClient>, bool)> {
+        if let Some(client) = &*self.client.lock() {
+            return Some((Arc::clone(client), false));
+        }
+        let builder = WsClientBuilder::default()
+            .connection_timeout(ANSWER_TIMEOUT)
+            .request_timeout(ANSWER_TIMEOUT);
+        let client = Arc::new(builder.build(format!("ws://{}", self.address)).await.ok()?);
+        *self.client.lock() = Some(Arc::clone(&client));
+        Some((client, true))
+    }
+}
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -25,6 +25,7 @@
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
+    poison::{convictions, PoisonBook},
     pollers,
     revisions::{self, RevisionStore},
     snapshot::FleetSnapshot,
@@ -86,6 +87,7 @@
     let metrics = Arc::new(MetricClient::new(settings.metrics.as_deref())?);
     let incarnation = clock.now().as_millis();
     let (sender, events) = async_channel::unbounded();
+    let (poison, news) = PoisonBook::new(&settings, clock.clone());
     let context = DaemonContext {
         holder: smol_str::format_smolstr!("{}/{incarnation}", settings.name),
         incarnation,
@@ -97,12 +99,16 @@
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
+        poison,
         metrics,
         levels,
         clock,
         settings,
     };
-    Ok((Arc::new(context), events))
+    let context = Arc::new(context);
+    task::spawn(convictions::read(Arc::clone(&context)));
+    task::spawn(convictions::write(Arc::clone(&context), news));
+    Ok((context, events))
 }
 
 /// Starts the thread that owns all control state.
--- a/crates/daemon/src/snapshot.rs
+++ b/crates/daemon/src/snapshot.rs
@@ -32,6 +32,8 @@
     /// The view that routing reads; its counts of own work are taken from the
     /// gauge at the time of the decision.
     pub view: EngineView,
+    /// Time at which the engine's process started, as last reported.
+    pub incarnation: Option<u64>,
     /// Tokens in each piece of the engine's cache.
     pub piece_tokens: u32,
     pub gauge: Arc<EngineGauge>,
--- a/crates/edges/src/engine.rs
+++ b/crates/edges/src/engine.rs
@@ -1,6 +1,6 @@
 //! Model engines: completions, load reports, orders and cache events.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use gooseberry_wire::engine::{
     CacheEvents, CompletionChunk, CompletionRequest, EngineOrder, KvImport, LoadReport, OrderAnswer,
@@ -59,6 +59,18 @@
         matches!(self, Self::Lost(HttpError::Silent { .. }))
     }
 
+    /// Tells whether nothing listens at the engine's address. A listener that
+    /// ends at that moment may reset a connection instead of refusing it.
+    pub fn is_refused_connection(&self) -> bool {
+        matches!(self, Self::Unreachable(HttpError::Connect { source, .. })
+        if matches!(
+            source.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+        ))
+    }
+
     /// Tells whether the connection ended, as it does when an engine crashes.
     pub fn is_break(&self) -> bool {
         matches!(self, Self::Lost(HttpError::AnswerLost { .. }) | Self::Truncated)
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -3,9 +3,10 @@
 use std::{
     env,
     fs::File,
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{Mutex, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -18,6 +19,13 @@
 /// Interval at which conditions are looked at.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// First port that tests listen at.
+const FIRST_PORT: u16 = 10_000;
+/// Ports that tests listen at.
+const PORT_COUNT: u16 = 10_000;
+/// Reservations of this process.
+static RESERVED_PORTS: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
 /// A process that ends with its handle.
 #[derive(Debug)]
 pub struct TestProcess {
@@ -104,10 +112,28 @@
     folder.join(program)
 }
 
-/// Returns a loopback address that nothing listens at.
+/// Returns a loopback address that nothing listens at, for this test alone.
+///
+/// The ports lie below those that the system gives to outgoing connections. A
+/// port is reserved by a UDP socket that is held until the test's process ends,
+/// so that tests that run side by side never share one.
+///
+/// # Panics
+///
+/// Panics if no port is free.
 pub fn free_address() -> String {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address").to_string()
+    let mut reserved = RESERVED_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
+    let first = std::process::id() as u16 % PORT_COUNT;
+    let ports = (0..PORT_COUNT).map(|step| FIRST_PORT + (first + step) % PORT_COUNT);
+    for port in ports {
+        let address = format!("127.0.0.1:{port}");
+        let Ok(reservation) = UdpSocket::bind(&address) else { continue };
+        if TcpListener::bind(&address).is_ok() {
+            reserved.push(reservation);
+            return address;
+        }
+    }
+    panic!("no port is free");
 }
 
 /// Waits until a condition holds.
--- a/crates/standins/src/engine/http.rs
+++ b/crates/standins/src/engine/http.rs
@@ -74,6 +74,9 @@
     /// Age of cache events, in milliseconds
     #[bpaf(long, argument("MS"), fallback(500))]
     pub event_lag_ms: u64,
+    /// Text in a prompt that ends the process, from the start
+    #[bpaf(long, argument("TEXT"))]
+    pub crash_on: Option<String>,
 }
 
 /// Holds the state of the stand-in engine.
@@ -120,7 +123,10 @@
         Arc::new(Self {
             incarnation: clock.now().as_millis(),
             inner: Mutex::new(inner),
-            faults: Mutex::new(no_faults()),
+            faults: Mutex::new(EngineFaults {
+                crash_on: options.crash_on.clone(),
+                ..EngineFaults::default()
+            }),
             clock,
             options,
         })
@@ -227,17 +233,6 @@
     }
 }
 
-fn no_faults() -> EngineFaults {
-    EngineFaults {
-        stuck: false,
-        silent_streams: false,
-        crash_on: None,
-        step_delay_ms: 0,
-        refuse_export: false,
-        lie_idle: false,
-    }
-}
-
 /// Builds the application that the daemons call.
 pub fn app(server: Arc<EngineServer>) -> tide::Server<Arc<EngineServer>> {
     let mut app = tide::with_state(server);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,6 +15,18 @@
     pub unknown: u64,
     pub whole: u64,
 }
+#[doc = "Records a conviction for other failure domains."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct ConvictionEntry {
+    pub fingerprint: u64,
+    #[doc = "Time at which it expires, in milliseconds since the epoch."]
+    pub until_ms: u64,
+}
+#[doc = "Lists the convictions in force."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct ConvictionList {
+    pub convictions: ::std::vec::Vec<ConvictionEntry>,
+}
 #[doc = "Reports the state of one daemon."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct DaemonStatus {
@@ -75,6 +87,77 @@
     pub revision: u64,
     pub text: ::std::string::String,
 }
+#[doc = "Tells daemons the standing of a request."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct PoisonNotice {
+    pub fingerprint: u64,
+    pub standing: PoisonStanding,
+}
+#[doc = "Says what is held of a request that was in flight at a crash."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum PoisonStanding {
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "convicted")]
+    Convicted,
+    #[serde(rename = "acquitted")]
+    Acquitted,
+}
+impl ::std::fmt::Display for PoisonStanding {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Suspect => f.write_str("suspect"),
+            Self::Convicted => f.write_str("convicted"),
+            Self::Acquitted => f.write_str("acquitted"),
+        }
+    }
+}
+impl ::std::str::FromStr for PoisonStanding {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "suspect" => Ok(Self::Suspect),
+            "convicted" => Ok(Self::Convicted),
+            "acquitted" => Ok(Self::Acquitted),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PoisonStanding {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PoisonStanding {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+#[doc = "Asks daemons to run no other suspect on an engine, nor this one elsewhere."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct TrialRequest {
+    pub engine: ::std::string::String,
+    pub fingerprint: u64,
+    #[doc = "Daemon that runs the suspect."]
+    pub holder: ::std::string::String,
+    #[doc = "Longest time that the trial takes, in milliseconds."]
+    pub span_ms: u64,
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
