Grant retries from a budget for each service

Cause: each request was tried up to three times whatever the state of the fleet, so a brown-out was made three times as heavy by its own retries.

Completions and repeatable plain calls spend from it; an attempt that reached no server costs nothing, and the resume of a stream at its own engine isn't a retry. A spent budget refuses at once with retry-budget-spent and Retry-After: 5. A plain call whose servers couldn't be reached at all is now refused as "executed: no" instead of "unknown".

Ruled out: a bucket that saves unused retries; its full bucket comes on top of the share just when a brown-out begins.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod poison;
 pub mod prefix;
 pub mod refusal;
+pub mod retries;
 pub mod roles;
 pub mod routing;
 pub mod stream;
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -24,9 +24,10 @@
 use smol_str::SmolStr;
 
 use crate::{
-    callers::refusals,
+    callers::{refusals, request::AcceptedRequest},
     context::DaemonContext,
     poison::{self, HeldTrial},
+    retries::SPENT_RETRY,
     snapshot::{FleetSnapshot, OutstandingGuard},
 };
 
@@ -56,7 +57,10 @@
     resumed_at: Option<u32>,
     /// Whether bytes of the request may have reached an engine.
     sent: bool,
+    /// Whether the last attempt reached its engine.
+    reached: bool,
     fingerprint: RequestFingerprint,
+    service: SmolStr,
 }
 
 /// Holds the attempt that runs now.
@@ -99,20 +103,15 @@
 
 impl CompletionRun {
     /// Prepares a completion; nothing is sent yet.
-    pub fn new(
-        context: Arc<DaemonContext>,
-        snapshot: Arc<FleetSnapshot>,
-        model: ModelKey,
-        deadline: Timestamp,
-        request: CompletionRequest,
-    ) -> Self {
+    pub fn new(accepted: &AcceptedRequest, model: ModelKey, request: CompletionRequest) -> Self {
         Self {
+            service: accepted.snapshot.fleet.services[accepted.service].name.clone(),
             prompt_tokens: prefix::count_tokens(&request.prompt),
             fingerprint: poison::fingerprint(&request),
-            context,
-            snapshot,
+            context: Arc::clone(&accepted.context),
+            snapshot: Arc::clone(&accepted.snapshot),
             model,
-            deadline,
+            deadline: accepted.deadline,
             request,
             assembler: StreamAssembler::default(),
             current: None,
@@ -121,6 +120,7 @@
             silent: None,
             resumed_at: None,
             sent: false,
+            reached: false,
         }
     }
 
@@ -260,7 +260,11 @@
     async fn open(&mut self) -> Result<(), RequestRefusal> {
         let (engine, trial) = match self.silent.take() {
             Some((engine, trial)) => (self.resume_at(engine), trial),
-            None => self.place().await?,
+            None => {
+                let placed = self.place().await?;
+                self.spend_attempt()?;
+                placed
+            }
         };
         let outstanding = self.snapshot.engines[engine].gauge.start(self.prompt_tokens);
         let address = self.snapshot.fleet.engines[engine].address.clone();
@@ -286,6 +290,7 @@
             }
             Err(error) => {
                 self.sent = sent_before || error.may_have_run();
+                self.reached = !matches!(error, EngineError::Unreachable(_));
                 let name = &self.snapshot.fleet.engines[engine].name;
                 tracing::warn!(engine = %name, %error, "an attempt failed");
                 if error.is_silence() && self.may_resume() {
@@ -354,6 +359,21 @@
         Ok(trial.map(|trial| (engine, trial)))
     }
 
+    /// Counts an attempt against the service's retry budget. Only an engine
+    /// that was reached has had work from the attempt before.
+    fn spend_attempt(&mut self) -> Result<(), RequestRefusal> {
+        let retries = &self.context.retries;
+        let share = self.snapshot.fleet.limits.retry_share;
+        if self.attempts == 1 {
+            retries.note_first(&self.service);
+        } else if self.reached && !retries.try_retry(&self.service, share) {
+            let refusal = self.refuse(RefusalReason::RetryBudgetSpent);
+            return Err(refusal.retry_after(SPENT_RETRY));
+        }
+        self.reached = true;
+        Ok(())
+    }
+
     fn hold(&self, address: &SmolStr) -> HeldStream {
         HeldStream {
             context: Arc::clone(&self.context),
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -97,8 +97,7 @@
     wanted.model = snapshot.fleet.models[model].name.to_string();
     wanted.stream_id = Some(attempts::stream_name(&context).to_string());
     let started = context.clock.now();
-    let mut run =
-        CompletionRun::new(Arc::clone(&context), snapshot, model, accepted.deadline, wanted);
+    let mut run = CompletionRun::new(&accepted, model, wanted);
     // The head of the answer goes out with the first token, so that a request
     // that can't be run gets its refusal as a status.
     let first = match run.next().await {
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -21,6 +21,7 @@
         request::{self, AcceptedRequest},
     },
     claims::{ClaimOutcome, HeldClaim},
+    retries::SPENT_RETRY,
 };
 
 /// Header that names a call that runs at most once.
@@ -117,25 +118,35 @@
     accepted: &AcceptedRequest,
     call: &PlainCall,
 ) -> Result<Response, RequestRefusal> {
+    let fleet = &accepted.snapshot.fleet;
+    let name = fleet.services[accepted.service].name.clone();
+    let retries = &accepted.context.retries;
+    retries.note_first(&name);
     let mut tried = Vec::new();
-    let attempts = accepted.snapshot.fleet.limits.attempts;
-    while (tried.len() as u32) < attempts {
+    let mut sent = false;
+    let mut reason = RefusalReason::BackendFailed;
+    while (tried.len() as u32) < fleet.limits.attempts {
         let Some(server) = choose(accepted, &tried) else { break };
+        if sent && !retries.try_retry(&name, fleet.limits.retry_share) {
+            reason = RefusalReason::RetryBudgetSpent;
+            break;
+        }
         match send(accepted, call, server).await {
             Ok(answer) => return Ok(respond(answer)),
             Err(error) => {
                 tracing::warn!(%error, "a plain service's server failed");
+                sent |= !error.is_unsent();
                 tried.push(server);
             }
         }
     }
-    let name = accepted.snapshot.fleet.services[accepted.service].name.clone();
-    let refusal = if tried.is_empty() {
-        RequestRefusal::not_executed(RefusalReason::NoBackend(name))
-    } else {
-        RequestRefusal::unknown(RefusalReason::BackendFailed)
-    };
-    Err(refusal.retry_after(refusals::SHORT_RETRY))
+    if !sent {
+        let refusal = RequestRefusal::not_executed(RefusalReason::NoBackend(name));
+        return Err(refusal.retry_after(refusals::SHORT_RETRY));
+    }
+    let is_spent = reason == RefusalReason::RetryBudgetSpent;
+    let pause = if is_spent { SPENT_RETRY } else { refusals::SHORT_RETRY };
+    Err(RequestRefusal::unknown(reason).retry_after(pause))
 }
 
 /// Runs a call at most once over all daemons and tries.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     balance::BalanceBook, claims::ClaimStore, control::ControlEvent, logs::LogLevels,
-    metrics::MetricClient, poison::PoisonBook, snapshot::FleetSnapshot,
+    metrics::MetricClient, poison::PoisonBook, retries::RetryBook, snapshot::FleetSnapshot,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -31,6 +31,7 @@
     pub claims: ClaimStore,
     pub balance: BalanceBook,
     pub poison: Arc<PoisonBook>,
+    pub retries: RetryBook,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod poison;
 pub mod pollers;
 pub mod program;
+pub mod retries;
 pub mod revisions;
 pub mod snapshot;
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -27,6 +27,7 @@
     peers::{self, PeerBook, PeerServer},
     poison::{convictions, PoisonBook},
     pollers,
+    retries::RetryBook,
     revisions::{self, RevisionStore},
     snapshot::FleetSnapshot,
 };
@@ -100,6 +101,7 @@
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
         poison,
+        retries: RetryBook::new(clock.clone()),
         metrics,
         levels,
         clock,
--- /dev/null
+++ b/crates/daemon/src/retries.rs
@@ -0,0 +1,41 @@
+//! The retry budgets of this daemon, one for each service.
+
+use std::{collections::HashMap, time::Duration};
+
+use gooseberry_core::retries::RetryBudget;
+use gooseberry_edges::clock::Clock;
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+/// Time after which a caller may come back when a service's budget is spent.
+pub const SPENT_RETRY: Duration = Duration::from_secs(5);
+
+/// Grants retries of all services.
+#[derive(Debug)]
+pub struct RetryBook {
+    clock: Clock,
+    budgets: Mutex<HashMap<SmolStr, RetryBudget>>,
+}
+
+impl RetryBook {
+    /// Makes a book in which nothing is spent.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, budgets: Mutex::default() }
+    }
+
+    /// Counts the first attempt of a request.
+    pub fn note_first(&self, service: &SmolStr) {
+        let now = self.clock.now();
+        self.budgets.lock().entry(service.clone()).or_default().note_first(now);
+    }
+
+    /// Grants a retry, unless the service's budget is spent.
+    pub fn try_retry(&self, service: &SmolStr, share: f64) -> bool {
+        let now = self.clock.now();
+        let granted = self.budgets.lock().entry(service.clone()).or_default().try_retry(share, now);
+        if !granted {
+            tracing::warn!(%service, "the retry budget is spent");
+        }
+        granted
+    }
+}
