Test the graceful stop of every program under load

Daemons with streams in flight, with the platform up, killed and paused; an engine and a plain server with requests in flight; the platform with watches in flight: each finishes what runs and exits with 0. A daemon whose stream lasts longer than its drain limit cuts it (the log counts it) and exits with 0.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -55,6 +55,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the file that the process logs to.
+    pub fn log_path(&self) -> PathBuf {
+        self.log.clone()
+    }
+
     /// Ends the process at once, as a crash does.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- /dev/null
+++ b/crates/harness/tests/shutdown.rs
@@ -0,0 +1,166 @@
+//! Every program stops gracefully under load and exits with 0.
+
+use std::thread;
+
+use gooseberry_harness::{
+    calls::TestCall,
+    process,
+    system::{self, SystemSize, TestServer, TestSystem},
+};
+use gooseberry_standins::{
+    plain::{PlainCounts, PlainFaults},
+    token,
+};
+use gooseberry_wire::engine::{CompletionAnswer, CompletionRequest, LoadReport};
+use http_types::Method;
+
+/// Requests that run while a program stops.
+const RUNNING: usize = 8;
+/// Tokens of each answer.
+const TOKENS: u32 = 400;
+
+fn check(call: &TestCall, prompt: &str) {
+    let answer = call.send().expect("an answer");
+    assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
+    let answer: CompletionAnswer = answer.json();
+    assert_eq!(answer.choices[0].text, token::whole(prompt, TOKENS));
+}
+
+/// Runs calls at a server and terminates it once `is_running` holds.
+fn stop_under_load(
+    server: &mut TestServer,
+    call: impl Fn(&str) -> TestCall,
+    is_running: impl Fn() -> bool,
+) {
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..RUNNING)
+            .map(|index| {
+                let prompt = format!("running {index}");
+                let call = call(&prompt);
+                scope.spawn(move || check(&call, &prompt))
+            })
+            .collect();
+        process::wait_until("the requests run", &is_running);
+        server.process.terminate();
+        let failed = calls.into_iter().map(|call| call.join()).filter(Result::is_err).count();
+        assert_eq!(failed, 0, "requests without a whole answer");
+    });
+    assert!(server.process.wait().success());
+}
+
+fn routed(daemon: &TestServer) -> usize {
+    daemon.process.log().matches("\"routed\"").count()
+}
+
+#[test]
+fn a_daemon_with_streams_in_flight() {
+    let mut system = TestSystem::start(SystemSize::default());
+    let address = system.daemons[0].address.clone();
+    let before = routed(&system.daemons[0]);
+    let log = system.daemons[0].process.log_path();
+    let is_running = || {
+        let log = std::fs::read_to_string(&log).unwrap_or_default();
+        log.matches("\"routed\"").count() >= before + RUNNING
+    };
+    let call = |prompt: &str| system::completion_call(&address, prompt, TOKENS);
+    stop_under_load(&mut system.daemons[0], call, is_running);
+}
+
+#[test]
+fn a_daemon_with_streams_in_flight_while_the_platform_is_down() {
+    let mut system = TestSystem::start(SystemSize::default());
+    let address = system.daemons[0].address.clone();
+    system.platform.process.kill();
+    let before = routed(&system.daemons[0]);
+    let log = system.daemons[0].process.log_path();
+    let is_running = || {
+        let log = std::fs::read_to_string(&log).unwrap_or_default();
+        log.matches("\"routed\"").count() >= before + RUNNING
+    };
+    let call = |prompt: &str| system::completion_call(&address, prompt, TOKENS);
+    stop_under_load(&mut system.daemons[0], call, is_running);
+}
+
+#[test]
+fn a_daemon_while_the_platform_is_paused() {
+    let mut system = TestSystem::start(SystemSize::default());
+    system.platform.process.pause();
+    system.daemons[0].process.terminate();
+    assert!(system.daemons[0].process.wait().success());
+}
+
+#[test]
+fn an_engine_with_streams_in_flight() {
+    let mut system = TestSystem::start(SystemSize { engines: 1, ..SystemSize::default() });
+    let address = system.engines[0].address.clone();
+    let call = |prompt: &str| {
+        let wanted = CompletionRequest {
+            model: "sample".to_owned(),
+            prompt: prompt.to_owned(),
+            max_tokens: TOKENS,
+            stream: false,
+            stream_id: None,
+            resume_from: 0,
+            priority: 1,
+            kv_handle: None,
+            adapter: None,
+            export_kv: false,
+        };
+        TestCall::new(Method::Post, &address, "/v1/completions").json(&wanted)
+    };
+    let load = TestCall::new(Method::Get, &address, "/load");
+    let is_running = || {
+        let report: LoadReport = load.send().expect("an answer of the engine").json();
+        report.running as usize == RUNNING
+    };
+    stop_under_load(&mut system.engines[0], call, is_running);
+}
+
+#[test]
+fn a_plain_server_with_calls_in_flight() {
+    let mut system = TestSystem::start(SystemSize::default());
+    let server = &mut system.plain_servers[0];
+    server.set_faults(&PlainFaults { delay_ms: 1000, ..system::no_plain_faults() });
+    let address = server.address.clone();
+    let before: PlainCounts = server.counts();
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..RUNNING)
+            .map(|_| {
+                let call = TestCall::new(Method::Get, &address, "/availability");
+                scope.spawn(move || call.send().expect("an answer").status)
+            })
+            .collect();
+        process::wait_until("the calls run", || {
+            let counts: PlainCounts = server.counts();
+            counts.unkeyed >= before.unkeyed + RUNNING as u64
+        });
+        server.process.terminate();
+        for call in calls {
+            assert_eq!(call.join().expect("a thread without panic"), 200);
+        }
+    });
+    assert!(server.process.wait().success());
+}
+
+#[test]
+fn the_platform_with_a_watch_in_flight() {
+    let mut system = TestSystem::start(SystemSize::default());
+    system.platform.process.terminate();
+    assert!(system.platform.process.wait().success());
+    let call = system::completion_call(&system.daemons[0].address, "still serving", 3);
+    assert_eq!(call.send().expect("an answer").status, 200);
+}
+
+#[test]
+fn a_daemon_with_a_stream_longer_than_its_drain() {
+    let settings = "drain_s: 2\n".to_owned();
+    let mut system =
+        TestSystem::start(SystemSize { daemon_settings: settings, ..SystemSize::default() });
+    let mut stream =
+        system::stream_call(&system.daemons[0].address, "endless", 100_000).open_stream();
+    stream.next_token().expect("a first token");
+    system.daemons[0].process.terminate();
+    // The stream is longer than the limit of the drain, which then cuts it.
+    assert!(system.daemons[0].process.wait().success());
+    assert!(system.daemons[0].process.log().contains("\"cut\":1"));
+}
