--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -55,6 +55,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the process's identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the file that the process logs to.
     pub fn log_path(&self) -> PathBuf {
         self.log.clone()
@@ -110,10 +115,14 @@
     }
 }
 
-/// Finds a program beside the test's own folder.
+/// Finds a program beside this one or, for a test, beside its folder.
 fn program_path(program: &str) -> PathBuf {
-    let test = env::current_exe().expect("the test's own path");
-    let folder = test.ancestors().nth(2).expect("the target folder");
+    let own = env::current_exe().expect("the program's own path");
+    let beside = own.with_file_name(program);
+    if beside.exists() {
+        return beside;
+    }
+    let folder = own.ancestors().nth(2).expect("the target folder");
     folder.join(program)
 }
 
