Let the look for a crash outlast its request; give held streams their own file

Cause: a deadline that ended while the daemon looked whether an engine had crashed dropped the look, and the suspicion with it; found by reading. The look now runs on by itself.

No test drives the deadline into the look.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod chat;
 pub mod completion;
+pub mod held;
 pub mod identity;
 pub mod plain;
 pub mod refusals;
--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -4,7 +4,7 @@
 //! gets the prompt and the position to go on from, and the assembler lets each
 //! position pass once.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::Range, sync::Arc, time::Duration};
 
 use async_std::task;
 use gooseberry_core::{
@@ -24,7 +24,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    callers::{refusals, request::AcceptedRequest},
+    callers::{held::HeldStream, refusals, request::AcceptedRequest},
     context::DaemonContext,
     poison::{self, HeldTrial},
     retries::SPENT_RETRY,
@@ -37,7 +37,7 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Pause before a suspect asks for a trial again, in milliseconds.
-const TRIAL_PAUSE: std::ops::Range<u64> = 20..80;
+const TRIAL_PAUSE: Range<u64> = 20..80;
 
 /// Runs one completion.
 pub struct CompletionRun {
@@ -76,31 +76,6 @@
     _outstanding: OutstandingGuard,
 }
 
-/// Cancels a stream at its engine when dropped, unless it has ended there.
-struct HeldStream {
-    context: Arc<DaemonContext>,
-    address: SmolStr,
-    stream_id: String,
-    ended: bool,
-}
-
-impl Drop for HeldStream {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let context = Arc::clone(&self.context);
-        let address = self.address.clone();
-        let stream_id = std::mem::take(&mut self.stream_id);
-        task::spawn(async move {
-            if let Err(error) = context.engines.cancel(&address, &stream_id).await {
-                // The engine drops a stream that nobody reads by itself.
-                tracing::debug!(%address, %error, "a stream isn't cancelled");
-            }
-        });
-    }
-}
-
 impl CompletionRun {
     /// Prepares a completion; nothing is sent yet.
     pub fn new(accepted: &AcceptedRequest, model: ModelKey, request: CompletionRequest) -> Self {
@@ -200,7 +175,7 @@
 
     async fn finish(&mut self) {
         let Some(mut attempt) = self.current.take() else { return };
-        attempt.held.ended = true;
+        attempt.held.keep();
         let poison = &self.context.poison;
         if poison.judge(self.fingerprint) == PoisonVerdict::Suspect {
             poison.acquit(self.fingerprint).await;
@@ -214,7 +189,7 @@
         let may_resume = error.is_silence() && self.may_resume();
         let Some(mut attempt) = self.current.take() else { return };
         if may_resume {
-            attempt.held.ended = true;
+            attempt.held.keep();
             self.silent = Some((attempt.engine, attempt.trial.take()));
             return;
         }
@@ -227,22 +202,27 @@
     }
 
     /// Finds out whether the engine of a broken attempt has crashed, before the
-    /// request runs anywhere else.
+    /// request runs anywhere else. The look goes on if the deadline ends the
+    /// wait for it, so that the next try finds what it shows.
     async fn look_for_crash(
         &self,
         engine: EngineKey,
         incarnation: Option<u64>,
         trial: Option<HeldTrial>,
     ) {
-        let context = &self.context;
-        let address = &self.snapshot.fleet.engines[engine].address;
-        let engines = context.engines.as_ref();
-        if poison::has_crashed(engines, &context.clock, address, incarnation).await {
-            context.poison.note_crash(self.fingerprint, trial.is_some()).await;
-        } else {
-            let engine = &self.snapshot.fleet.engines[engine].name;
-            tracing::info!(%engine, incarnation, "a connection broke without a crash");
-        }
+        let context = Arc::clone(&self.context);
+        let row = &self.snapshot.fleet.engines[engine];
+        let (name, address) = (row.name.clone(), row.address.clone());
+        let fingerprint = self.fingerprint;
+        let look = task::spawn(async move {
+            let engines = context.engines.as_ref();
+            if poison::has_crashed(engines, &context.clock, &address, incarnation).await {
+                context.poison.note_crash(fingerprint, trial.is_some()).await;
+            } else {
+                tracing::info!(engine = %name, incarnation, "a connection broke without a crash");
+            }
+        });
+        look.await;
     }
 
     /// Tells whether the answer went on since it was last resumed, so that a
@@ -270,7 +250,8 @@
         let address = self.snapshot.fleet.engines[engine].address.clone();
         let incarnation = self.incarnation(engine);
         self.request.resume_from = self.assembler.next_position();
-        let mut held = self.hold(&address);
+        let stream_id = self.request.stream_id.as_deref().unwrap_or_default();
+        let mut held = HeldStream::new(&self.context, &address, stream_id);
         // The deadline may end the wait for the answer's head: from here on the
         // engine may run the request, unless it provably didn't get it.
         let sent_before = std::mem::replace(&mut self.sent, true);
@@ -294,11 +275,13 @@
                 let name = &self.snapshot.fleet.engines[engine].name;
                 tracing::warn!(engine = %name, %error, "an attempt failed");
                 if error.is_silence() && self.may_resume() {
-                    held.ended = true;
+                    held.keep();
                     self.silent = Some((engine, trial));
                     return Ok(());
                 }
-                held.ended = !error.may_have_run();
+                if !error.may_have_run() {
+                    held.keep();
+                }
                 self.excluded.push(engine);
                 if error.is_break() {
                     self.look_for_crash(engine, incarnation, trial).await;
@@ -374,15 +357,6 @@
         Ok(())
     }
 
-    fn hold(&self, address: &SmolStr) -> HeldStream {
-        HeldStream {
-            context: Arc::clone(&self.context),
-            address: address.clone(),
-            stream_id: self.request.stream_id.clone().unwrap_or_default(),
-            ended: false,
-        }
-    }
-
     fn resume_at(&mut self, engine: EngineKey) -> EngineKey {
         let position = self.assembler.next_position();
         self.resumed_at = Some(position);
