--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -4,32 +4,44 @@
 //! gets the prompt and the position to go on from, and the assembler lets each
 //! position pass once.
 
+mod choice;
+
 use std::{sync::Arc, time::Duration};
 
+use async_std::task;
 use gooseberry_core::{
     arena::{EngineKey, ModelKey},
+    poison::{PoisonVerdict, RequestFingerprint},
     prefix,
     refusal::{RefusalReason, RequestRefusal},
-    routing::{RouteDecision, RoutePhase},
+    routing::RouteDecision,
     stream::{AttemptNumber, StreamAssembler, TokenVerdict},
     time::Timestamp,
 };
-use gooseberry_edges::engine::{EngineError, TokenStream};
+use gooseberry_edges::{
+    clock::Clock,
+    engine::{EngineError, TokenStream},
+};
 use gooseberry_wire::engine::{CompletionChunk, CompletionRequest};
 use smol_str::SmolStr;
 
 use crate::{
     callers::{
-        placement::{self, PlacedSend, PlacementQuery},
+        held::HeldStream,
+        placement::{self, PlacedSend},
         refusals,
-        split::{self, SplitPlan},
+        request::AcceptedRequest,
+        split::SplitPlan,
     },
     context::DaemonContext,
+    poison::{self, HeldTrial},
     routing::AdmissionGuard,
     snapshot::FleetSnapshot,
 };
 
-/// Time without a token or heartbeat after which an attempt is given up.
+/// Time without a token or heartbeat after which a connection is given up. With
+/// one more try at the same engine, another engine goes on within twice this
+/// time and the time for opening a connection.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Runs one completion.
@@ -51,8 +63,16 @@
     current: Option<RunningAttempt>,
     attempts: u32,
     excluded: Vec<EngineKey>,
+    /// Attempt whose connection went silent, to be asked for the stream again.
+    silent: Option<PlacedAttempt>,
+    /// Position at which a stream was last resumed at its own engine.
+    resumed_at: Option<u32>,
     /// Whether bytes of the request may have reached an engine.
     sent: bool,
+    /// Whether the last attempt reached its engine.
+    reached: bool,
+    fingerprint: RequestFingerprint,
+    service: SmolStr,
 }
 
 /// Holds the attempt that runs now.
@@ -60,34 +80,45 @@
     number: AttemptNumber,
     engine: EngineKey,
     stream: Box<dyn TokenStream>,
+    held: HeldStream,
+    /// Process of the engine when the attempt began.
+    incarnation: Option<u64>,
+    /// Trial that the attempt is, if the request is a suspect.
+    trial: Option<HeldTrial>,
+    placed: PlacedSend,
+}
+
+/// Holds where an attempt goes.
+struct PlacedAttempt {
+    engine: EngineKey,
+    trial: Option<HeldTrial>,
     placed: PlacedSend,
 }
 
 impl CompletionRun {
     /// Prepares a completion; nothing is sent yet.
-    pub fn new(
-        context: Arc<DaemonContext>,
-        snapshot: Arc<FleetSnapshot>,
-        model: ModelKey,
-        deadline: Timestamp,
-        request: CompletionRequest,
-    ) -> Self {
+    pub fn new(accepted: &AcceptedRequest, model: ModelKey, request: CompletionRequest) -> Self {
         Self {
+            service: accepted.snapshot.fleet.services[accepted.service].name.clone(),
             prompt_tokens: prefix::count_tokens(&request.prompt),
-            pieces: placement::pieces(&snapshot, model, &request.prompt),
+            pieces: placement::pieces(&accepted.snapshot, model, &request.prompt),
             planned: None,
             admission: None,
             split: None,
-            context,
-            snapshot,
+            fingerprint: poison::fingerprint(&request),
+            context: Arc::clone(&accepted.context),
+            snapshot: Arc::clone(&accepted.snapshot),
             model,
-            deadline,
+            deadline: accepted.deadline,
             request,
             assembler: StreamAssembler::default(),
             current: None,
             attempts: 0,
             excluded: Vec::new(),
+            silent: None,
+            resumed_at: None,
             sent: false,
+            reached: false,
         }
     }
 
@@ -101,14 +132,6 @@
         self.request.max_tokens
     }
 
-    /// Decides on the first attempt, so that admission can weigh it.
-    pub fn plan(&mut self) -> Option<RouteDecision> {
-        let whole = self.route()?;
-        self.planned = Some(whole);
-        self.split = split::plan(&self.context, &self.snapshot, &self.query(), &whole);
-        self.split.map(|plan| plan.as_decision()).or(self.planned)
-    }
-
     /// Keeps an admission until the completion ends.
     pub fn hold(&mut self, admission: AdmissionGuard) {
         self.admission = Some(admission);
@@ -120,14 +143,29 @@
     ///
     /// Returns the final refusal if the deadline passes or no engine can go on.
     pub async fn next(&mut self) -> Result<Option<CompletionChunk>, RequestRefusal> {
-        let left = self.deadline.since(self.context.clock.now());
+        let left = self.time_left();
         let clock = self.context.clock.clone();
         match clock.timeout(left, self.next_token()).await {
             Ok(result) => result,
-            Err(_) => Err(self.refuse(RefusalReason::DeadlineUnmeetable)),
+            Err(_) => Err(self.deadline_passed()),
         }
     }
 
+    /// Returns the clock that the run follows.
+    pub fn clock(&self) -> Clock {
+        self.context.clock.clone()
+    }
+
+    /// Returns the final refusal of a run whose deadline has passed.
+    pub fn deadline_passed(&self) -> RequestRefusal {
+        self.refuse(RefusalReason::DeadlineUnmeetable)
+    }
+
+    /// Returns the time that is left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
     async fn next_token(&mut self) -> Result<Option<CompletionChunk>, RequestRefusal> {
         loop {
             let Some(attempt) = &mut self.current else {
@@ -135,175 +173,172 @@
                 continue;
             };
             match attempt.stream.next().await {
-                Ok(Some(chunk)) => match self.assembler.accept(attempt.number, chunk.position) {
-                    TokenVerdict::Deliver => {
-                        let entry = &self.snapshot.engines[attempt.engine];
-                        let bytes = chunk.choices.first().map_or(0, |choice| choice.text.len());
-                        attempt.placed.token(&self.context, entry, &self.pieces, bytes);
+                Ok(Some(chunk)) => {
+                    if self.judge(&chunk) {
                         return Ok(Some(chunk));
                     }
-                    TokenVerdict::Duplicate | TokenVerdict::Foreign => {}
-                    TokenVerdict::Gap { expected } => {
-                        tracing::warn!(expected, found = chunk.position, "gap in a stream");
-                        self.give_up_attempt();
-                    }
-                },
+                }
                 Ok(None) => {
-                    self.current = None;
+                    self.finish().await;
                     return Ok(None);
                 }
-                Err(error) => {
-                    let engine = &self.snapshot.fleet.engines[attempt.engine].name;
-                    tracing::warn!(%engine, %error, "an attempt failed");
-                    self.give_up_attempt();
-                }
+                Err(error) => self.give_up(&error).await,
             }
         }
     }
 
-    fn give_up_attempt(&mut self) {
+    /// Tells whether a token is the next one of this answer.
+    fn judge(&mut self, chunk: &CompletionChunk) -> bool {
+        let Some(attempt) = &self.current else { return false };
+        if Some(chunk.id.as_str()) != self.request.stream_id.as_deref() {
+            tracing::error!(found = chunk.id, "an engine sent a token of another stream");
+            self.exclude_current();
+            return false;
+        }
+        match self.assembler.accept(attempt.number, chunk.position) {
+            TokenVerdict::Deliver => {
+                self.note_token(chunk);
+                true
+            }
+            TokenVerdict::Duplicate | TokenVerdict::Foreign => false,
+            TokenVerdict::Gap { expected } => {
+                tracing::warn!(expected, found = chunk.position, "gap in a stream");
+                self.exclude_current();
+                false
+            }
+        }
+    }
+
+    fn note_token(&mut self, chunk: &CompletionChunk) {
+        let Some(attempt) = &mut self.current else { return };
+        let entry = &self.snapshot.engines[attempt.engine];
+        let bytes = chunk.choices.first().map_or(0, |choice| choice.text.len());
+        attempt.placed.token(&self.context, entry, &self.pieces, bytes);
+    }
+
+    async fn finish(&mut self) {
+        let Some(mut attempt) = self.current.take() else { return };
+        attempt.held.keep();
+        let poison = &self.context.poison;
+        if poison.judge(self.fingerprint) == PoisonVerdict::Suspect {
+            poison.acquit(self.fingerprint).await;
+        }
+    }
+
+    /// Ends a failed attempt. A silent connection says nothing about its
+    /// engine, so the stream is asked for there once more before another
+    /// engine computes the prompt again.
+    async fn give_up(&mut self, error: &EngineError) {
+        let may_resume = error.is_silence() && self.may_resume();
+        let Some(mut attempt) = self.current.take() else { return };
+        if may_resume {
+            attempt.held.keep();
+            let RunningAttempt { engine, trial, placed, .. } = attempt;
+            self.silent = Some(PlacedAttempt { engine, trial, placed });
+            return;
+        }
+        let engine = &self.snapshot.fleet.engines[attempt.engine].name;
+        tracing::warn!(%engine, %error, "an attempt failed");
+        self.excluded.push(attempt.engine);
+        if error.is_break() {
+            self.look_for_crash(attempt.engine, attempt.incarnation, attempt.trial).await;
+        }
+    }
+
+    /// Finds out whether the engine of a broken attempt has crashed, before the
+    /// request runs anywhere else. The look goes on if the deadline ends the
+    /// wait for it, so that the next try finds what it shows.
+    async fn look_for_crash(
+        &self,
+        engine: EngineKey,
+        incarnation: Option<u64>,
+        trial: Option<HeldTrial>,
+    ) {
+        let context = Arc::clone(&self.context);
+        let row = &self.snapshot.fleet.engines[engine];
+        let (name, address) = (row.name.clone(), row.address.clone());
+        let fingerprint = self.fingerprint;
+        let look = task::spawn(async move {
+            let engines = context.engines.as_ref();
+            if poison::has_crashed(engines, &context.clock, &address, incarnation).await {
+                context.poison.note_crash(fingerprint, trial.is_some()).await;
+            } else {
+                tracing::info!(engine = %name, incarnation, "a connection broke without a crash");
+            }
+        });
+        look.await;
+    }
+
+    /// Tells whether the answer went on since it was last resumed, so that a
+    /// silent engine isn't asked again and again.
+    fn may_resume(&self) -> bool {
+        self.resumed_at != Some(self.assembler.next_position())
+    }
+
+    fn exclude_current(&mut self) {
         if let Some(attempt) = self.current.take() {
             self.excluded.push(attempt.engine);
         }
     }
 
     async fn open(&mut self) -> Result<(), RequestRefusal> {
-        if self.attempts >= self.snapshot.fleet.limits.attempts {
-            return Err(self.refuse(RefusalReason::BackendFailed));
-        }
-        let Some(decision) = self.next_decision().await else {
-            let reason = if self.attempts == 0 {
-                RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
-            } else {
-                RefusalReason::BackendFailed
-            };
-            return Err(self.refuse(reason));
+        let PlacedAttempt { engine, trial, placed } = match self.silent.take() {
+            Some(attempt) => {
+                self.note_resumption(attempt.engine);
+                attempt
+            }
+            None => self.place_attempt().await?,
         };
-        self.attempts += 1;
-        let engine = decision.engine;
-        let placed = self.begin(&decision);
         let address = self.snapshot.fleet.engines[engine].address.clone();
+        let incarnation = self.incarnation(engine);
         self.request.resume_from = self.assembler.next_position();
+        let stream_id = self.request.stream_id.as_deref().unwrap_or_default();
+        let mut held = HeldStream::new(&self.context, &address, stream_id);
+        // The deadline may end the wait for the answer's head: from here on the
+        // engine may run the request, unless it provably didn't get it.
+        let sent_before = std::mem::replace(&mut self.sent, true);
         let context = Arc::clone(&self.context);
-        let was_sent = self.sent;
-        // The deadline may end this wait, and then bytes may have left.
-        self.sent = true;
         match context.engines.complete(&address, &self.request, SILENCE_LIMIT).await {
             Ok(stream) => {
                 let number = self.assembler.start_attempt();
-                let attempt = RunningAttempt { number, engine, stream, placed };
-                self.current = Some(attempt);
+                self.current = Some(RunningAttempt {
+                    number,
+                    engine,
+                    stream,
+                    held,
+                    incarnation,
+                    trial,
+                    placed,
+                });
             }
             Err(error) => {
-                self.sent = was_sent
-                    || !matches!(error, EngineError::Unreachable(_) | EngineError::Refused(_));
-                let engine_name = &self.snapshot.fleet.engines[engine].name;
-                tracing::warn!(engine = %engine_name, %error, "an attempt failed");
+                self.sent = sent_before || error.may_have_run();
+                self.reached = !matches!(error, EngineError::Unreachable(_));
+                let name = &self.snapshot.fleet.engines[engine].name;
+                tracing::warn!(engine = %name, %error, "an attempt failed");
+                if error.is_silence() && self.may_resume() {
+                    held.keep();
+                    self.silent = Some(PlacedAttempt { engine, trial, placed });
+                    return Ok(());
+                }
+                if !error.may_have_run() {
+                    held.keep();
+                }
                 self.excluded.push(engine);
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns where the next attempt goes; a split is tried once, first.
-    async fn next_decision(&mut self) -> Option<RouteDecision> {
-        self.request.kv_handle = None;
-        let planned = self.planned.take();
-        if let Some(plan) = self.split.take() {
-            if let Some(decode) = self.hand_over(&plan).await {
-                return Some(decode);
-            }
-            if self.attempts >= self.snapshot.fleet.limits.attempts {
-                return None;
-            }
-        }
-        planned
-            .filter(|decision| !self.excluded.contains(&decision.engine))
-            .or_else(|| self.route())
-    }
-
-    /// Has the prompt computed elsewhere, or notes why that failed.
-    async fn hand_over(&mut self, plan: &SplitPlan) -> Option<RouteDecision> {
-        let was_sent = self.sent;
-        // The deadline may end this wait, and then bytes may have left.
-        self.sent = true;
-        let handed = split::hand_over(
-            &self.context,
-            &self.snapshot,
-            plan,
-            &self.request,
-            &self.pieces,
-            SILENCE_LIMIT,
-        );
-        match handed.await {
-            Ok(handoff) => {
-                self.request.kv_handle = Some(handoff.handle);
-                Some(handoff.decode)
-            }
-            Err(error) => {
-                tracing::warn!(request = self.request.stream_id.as_deref(), %error, "not split");
-                self.sent = was_sent || !error.is_unsent();
-                if let Some(engine) = error.lost_engine() {
-                    self.attempts += 1;
-                    self.excluded.push(engine);
+                if error.is_break() {
+                    self.look_for_crash(engine, incarnation, trial).await;
                 }
-                None
             }
         }
+        Ok(())
     }
 
-    fn route(&self) -> Option<RouteDecision> {
-        // The newest view of the engines is used, but never another revision's
-        // keys: a request ends under the revision that it was accepted with.
-        let newest = self.context.snapshot.load_full();
+    /// Returns the process that an engine last reported.
+    fn incarnation(&self, engine: EngineKey) -> Option<u64> {
+        let newest = self.context.snapshot.load();
         let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
         let snapshot = if same_revision { &newest } else { &self.snapshot };
-        let decision = placement::choose(
-            &self.context.desk,
-            snapshot,
-            &self.query(),
-            self.context.clock.now(),
-        )?;
-        self.log(&decision);
-        Some(decision)
-    }
-
-    fn query(&self) -> PlacementQuery<'_> {
-        PlacementQuery {
-            model: self.model,
-            phase: RoutePhase::Whole,
-            prompt_tokens: self.prompt_tokens,
-            output_tokens: self.request.max_tokens.saturating_sub(self.request.resume_from),
-            time_left: self.deadline.since(self.context.clock.now()),
-            pieces: &self.pieces,
-            bytes: self.request.prompt.len() as u64,
-            excluded: &self.excluded,
-        }
-    }
-
-    fn begin(&self, decision: &RouteDecision) -> PlacedSend {
-        let entry = &self.snapshot.engines[decision.engine];
-        let bytes = self.request.prompt.len() as u64;
-        // With imported KV cache only the last prompt token is computed.
-        let imported = self.request.kv_handle.is_some();
-        let prompt_tokens = if imported { 1 } else { self.prompt_tokens };
-        placement::begin(&self.context, entry, decision, prompt_tokens, bytes)
-    }
-
-    fn log(&self, decision: &RouteDecision) {
-        let name = |engine: EngineKey| &self.snapshot.fleet.engines[engine].name;
-        tracing::info!(
-            request = self.request.stream_id.as_deref(),
-            engine = %name(decision.engine),
-            reason = %decision.reason,
-            place = %decision.place,
-            cached = decision.cached_tokens,
-            wait_ms = decision.wait.as_millis() as u64,
-            runner_up = decision.runner_up.map(|engine| name(engine).as_str()),
-            attempt = self.attempts + 1,
-            revision = self.snapshot.fleet.revision,
-            "routed"
-        );
+        snapshot.engines[engine].report.as_ref().map(|report| report.incarnation)
     }
 
     fn refuse(&self, reason: RefusalReason) -> RequestRefusal {
--- /dev/null
+++ b/crates/daemon/src/callers/attempts/choice.rs
@@ -0,0 +1,249 @@
+//! Where the attempts of a completion go, and whether there is one more.
+
+use std::{ops::Range, sync::Arc, time::Duration};
+
+use gooseberry_core::{
+    arena::EngineKey,
+    poison::PoisonVerdict,
+    refusal::{RefusalReason, RequestRefusal},
+    routing::{RouteDecision, RoutePhase},
+};
+
+use crate::{
+    callers::{
+        attempts::{CompletionRun, PlacedAttempt, SILENCE_LIMIT},
+        placement::{self, PlacedSend, PlacementQuery},
+        split::{self, SplitPlan},
+    },
+    poison::HeldTrial,
+    retries::SPENT_RETRY,
+};
+
+/// Pause before a suspect asks for a trial again, in milliseconds.
+const TRIAL_PAUSE: Range<u64> = 20..80;
+
+impl CompletionRun {
+    /// Decides on the first attempt, so that admission can weigh it.
+    pub fn plan(&mut self) -> Option<RouteDecision> {
+        let whole = self.route()?;
+        self.planned = Some(whole);
+        self.split = split::plan(&self.context, &self.snapshot, &self.query(), &whole);
+        self.split.map(|plan| plan.as_decision()).or(self.planned)
+    }
+
+    /// Chooses where the next attempt goes and counts it.
+    pub(super) async fn place_attempt(&mut self) -> Result<PlacedAttempt, RequestRefusal> {
+        let (decision, trial) = self.place().await?;
+        self.spend_attempt()?;
+        let placed = self.begin(&decision);
+        Ok(PlacedAttempt { engine: decision.engine, trial, placed })
+    }
+
+    /// Notes that a silent stream is asked for again at its engine.
+    pub(super) fn note_resumption(&mut self, engine: EngineKey) {
+        let position = self.assembler.next_position();
+        self.resumed_at = Some(position);
+        let name = &self.snapshot.fleet.engines[engine].name;
+        let request = self.request.stream_id.as_deref();
+        tracing::info!(request, engine = %name, position, "resuming at the same engine");
+    }
+
+    /// Chooses an engine; a suspect waits until it can run on trial.
+    async fn place(&mut self) -> Result<(RouteDecision, Option<HeldTrial>), RequestRefusal> {
+        loop {
+            match self.context.poison.judge(self.fingerprint) {
+                PoisonVerdict::Innocent => return Ok((self.decide().await?, None)),
+                PoisonVerdict::Convicted => {
+                    return Err(RequestRefusal::unknown(RefusalReason::Convicted));
+                }
+                PoisonVerdict::Suspect => {}
+            }
+            if let Some((decision, trial)) = self.begin_trial().await? {
+                return Ok((decision, Some(trial)));
+            }
+            // Daemons that refuse each other must not ask again at once.
+            let pause = rand::random_range(TRIAL_PAUSE);
+            self.context.clock.sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Asks for a trial on an engine without one.
+    async fn begin_trial(&mut self) -> Result<Option<(RouteDecision, HeldTrial)>, RequestRefusal> {
+        let has_attempts = self.attempts < self.snapshot.fleet.limits.attempts;
+        let excluded = self.excluded.len();
+        let poison = Arc::clone(&self.context.poison);
+        let engines = self.snapshot.fleet.engines.iter();
+        let on_trial = engines.filter(|(_, row)| poison.is_on_trial(&row.name));
+        self.excluded.extend(on_trial.map(|(engine, _)| engine));
+        let has_trials = self.excluded.len() > excluded;
+        let chosen = self.decide_alone();
+        self.excluded.truncate(excluded);
+        let decision = match chosen {
+            Ok(decision) => decision,
+            Err(_) if has_trials && has_attempts => return Ok(None),
+            Err(refusal) => return Err(refusal),
+        };
+        let name = &self.snapshot.fleet.engines[decision.engine].name;
+        let trial = poison.begin_trial(self.fingerprint, name, self.time_left()).await;
+        if trial.is_none() {
+            self.attempts -= 1;
+        }
+        Ok(trial.map(|trial| (decision, trial)))
+    }
+
+    /// Counts an attempt against the service's retry budget. Only an engine
+    /// that was reached has had work from the attempt before.
+    fn spend_attempt(&mut self) -> Result<(), RequestRefusal> {
+        let retries = &self.context.retries;
+        let share = self.snapshot.fleet.limits.retry_share;
+        if self.attempts == 1 {
+            retries.note_first(&self.service);
+        } else if self.reached && !retries.try_retry(&self.service, share) {
+            let refusal = self.refuse(RefusalReason::RetryBudgetSpent);
+            return Err(refusal.retry_after(SPENT_RETRY));
+        }
+        self.reached = true;
+        Ok(())
+    }
+
+    /// Decides on the next attempt of a request without suspicion.
+    async fn decide(&mut self) -> Result<RouteDecision, RequestRefusal> {
+        self.check_attempts()?;
+        let decision = self.next_decision().await;
+        self.count_attempt(decision)
+    }
+
+    /// Decides on an attempt at one engine alone, as a trial needs it.
+    fn decide_alone(&mut self) -> Result<RouteDecision, RequestRefusal> {
+        self.check_attempts()?;
+        self.request.kv_handle = None;
+        self.planned = None;
+        self.split = None;
+        let decision = self.route();
+        self.count_attempt(decision)
+    }
+
+    fn check_attempts(&self) -> Result<(), RequestRefusal> {
+        if self.attempts >= self.snapshot.fleet.limits.attempts {
+            return Err(self.refuse(RefusalReason::BackendFailed));
+        }
+        Ok(())
+    }
+
+    fn count_attempt(
+        &mut self,
+        decision: Option<RouteDecision>,
+    ) -> Result<RouteDecision, RequestRefusal> {
+        let Some(decision) = decision else {
+            let reason = if self.attempts == 0 {
+                RefusalReason::NoBackend(self.snapshot.fleet.models[self.model].name.clone())
+            } else {
+                RefusalReason::BackendFailed
+            };
+            return Err(self.refuse(reason));
+        };
+        self.attempts += 1;
+        Ok(decision)
+    }
+
+    /// Returns where the next attempt goes; a split is tried once, first.
+    async fn next_decision(&mut self) -> Option<RouteDecision> {
+        self.request.kv_handle = None;
+        let planned = self.planned.take();
+        if let Some(plan) = self.split.take() {
+            if let Some(decode) = self.hand_over(&plan).await {
+                return Some(decode);
+            }
+            if self.attempts >= self.snapshot.fleet.limits.attempts {
+                return None;
+            }
+        }
+        planned
+            .filter(|decision| !self.excluded.contains(&decision.engine))
+            .or_else(|| self.route())
+    }
+
+    /// Has the prompt computed elsewhere, or notes why that failed.
+    async fn hand_over(&mut self, plan: &SplitPlan) -> Option<RouteDecision> {
+        let was_sent = self.sent;
+        // The deadline may end this wait, and then bytes may have left.
+        self.sent = true;
+        let handed = split::hand_over(
+            &self.context,
+            &self.snapshot,
+            plan,
+            &self.request,
+            &self.pieces,
+            SILENCE_LIMIT,
+        );
+        match handed.await {
+            Ok(handoff) => {
+                self.request.kv_handle = Some(handoff.handle);
+                Some(handoff.decode)
+            }
+            Err(error) => {
+                tracing::warn!(request = self.request.stream_id.as_deref(), %error, "not split");
+                self.sent = was_sent || !error.is_unsent();
+                if let Some(engine) = error.lost_engine() {
+                    self.attempts += 1;
+                    self.excluded.push(engine);
+                }
+                None
+            }
+        }
+    }
+
+    fn route(&self) -> Option<RouteDecision> {
+        // The newest view of the engines is used, but never another revision's
+        // keys: a request ends under the revision that it was accepted with.
+        let newest = self.context.snapshot.load_full();
+        let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
+        let snapshot = if same_revision { &newest } else { &self.snapshot };
+        let decision = placement::choose(
+            &self.context.desk,
+            snapshot,
+            &self.query(),
+            self.context.clock.now(),
+        )?;
+        self.log(&decision);
+        Some(decision)
+    }
+
+    fn query(&self) -> PlacementQuery<'_> {
+        PlacementQuery {
+            model: self.model,
+            phase: RoutePhase::Whole,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.request.max_tokens.saturating_sub(self.request.resume_from),
+            time_left: self.deadline.since(self.context.clock.now()),
+            pieces: &self.pieces,
+            bytes: self.request.prompt.len() as u64,
+            excluded: &self.excluded,
+        }
+    }
+
+    fn begin(&self, decision: &RouteDecision) -> PlacedSend {
+        let entry = &self.snapshot.engines[decision.engine];
+        let bytes = self.request.prompt.len() as u64;
+        // With imported KV cache only the last prompt token is computed.
+        let imported = self.request.kv_handle.is_some();
+        let prompt_tokens = if imported { 1 } else { self.prompt_tokens };
+        placement::begin(&self.context, entry, decision, prompt_tokens, bytes)
+    }
+
+    fn log(&self, decision: &RouteDecision) {
+        let name = |engine: EngineKey| &self.snapshot.fleet.engines[engine].name;
+        tracing::info!(
+            request = self.request.stream_id.as_deref(),
+            engine = %name(decision.engine),
+            reason = %decision.reason,
+            place = %decision.place,
+            cached = decision.cached_tokens,
+            wait_ms = decision.wait.as_millis() as u64,
+            runner_up = decision.runner_up.map(|engine| name(engine).as_str()),
+            attempt = self.attempts + 1,
+            revision = self.snapshot.fleet.revision,
+            "routed"
+        );
+    }
+}
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, demand::DemandMeter,
-    limits::LimitDesk, logs::LogLevels, metrics::MetricClient, routing::RoutingDesk,
-    snapshot::FleetSnapshot, steward::OrderBoard,
+    limits::LimitDesk, logs::LogLevels, metrics::MetricClient, poison::PoisonBook,
+    retries::RetryBook, routing::RoutingDesk, snapshot::FleetSnapshot, steward::OrderBoard,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -40,6 +40,8 @@
     pub balance: BalanceBook,
     pub desk: Arc<RoutingDesk>,
     pub limits: LimitDesk,
+    pub poison: Arc<PoisonBook>,
+    pub retries: RetryBook,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,6 +21,7 @@
     history::HistoryBook,
     limits::{QuotaApiServer, QuotaServer},
     operators::{OperatorApiServer, OperatorServer},
+    poison::rpc::{PoisonApiServer, PoisonServer},
     revisions::RevisionStore,
     steward,
 };
@@ -136,9 +137,11 @@
         let server = Server::builder().build(&context.settings.peer_listen).await?;
         let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
         let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
+        let poison = PoisonServer::new(Arc::clone(&context.poison)).into_rpc();
         let mut methods = Self { context, revisions, book }.into_rpc();
         methods.merge(operators)?;
         methods.merge(quota)?;
+        methods.merge(poison)?;
         Ok(server.start(methods))
     }
 }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -32,7 +32,9 @@
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
+    poison::{convictions, PoisonBook},
     pollers,
+    retries::RetryBook,
     revisions::{self, RevisionStore},
     routing::RoutingDesk,
     snapshot::FleetSnapshot,
@@ -67,7 +69,8 @@
     let socket =
         TcpListener::bind(listen).await.with_context(|| format!("can't listen at {listen}"))?;
     tracing::info!(daemon = context.settings.name, incarnation = context.incarnation, "started");
-    let listener = HttpListener::new(context.clock.clone());
+    let head_timeout = Duration::from_secs(context.settings.head_timeout_s.into());
+    let listener = HttpListener::new(context.clock.clone()).head_timeout(head_timeout);
     let closed = StopSignal::new();
     let serving = task::spawn({
         let (listener, closed) = (listener.clone(), closed.clone());
@@ -101,6 +104,7 @@
     let metrics = Arc::new(MetricClient::new(settings.metrics.as_deref())?);
     let incarnation = clock.now().as_millis();
     let (sender, events) = async_channel::unbounded();
+    let (poison, news) = PoisonBook::new(&settings, clock.clone());
     let context = DaemonContext {
         holder: smol_str::format_smolstr!("{}/{incarnation}", settings.name),
         incarnation,
@@ -117,12 +121,17 @@
         balance: BalanceBook::new(Arc::clone(&metrics)),
         limits: LimitDesk::default(),
         desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
+        poison,
+        retries: RetryBook::new(clock.clone()),
         metrics,
         levels,
         clock,
         settings,
     };
-    Ok((Arc::new(context), events))
+    let context = Arc::new(context);
+    task::spawn(convictions::read(Arc::clone(&context)));
+    task::spawn(convictions::write(Arc::clone(&context), news));
+    Ok((context, events))
 }
 
 /// Starts the thread that owns all control state.
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -51,14 +51,19 @@
         Self { name: name.to_owned(), child, log }
     }
 
-    /// Returns the identifier of the process.
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns the process's identifier.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
 
-    /// Returns what the process has logged.
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+    /// Returns the file that the process logs to.
+    pub fn log_path(&self) -> PathBuf {
+        self.log.clone()
     }
 
     /// Ends the process at once, as a crash does.
