--- a/crates/core/tests/order_world/mod.rs
+++ b/crates/core/tests/order_world/mod.rs
@@ -286,6 +286,8 @@
             while !self.orders.is_empty() {
                 self.apply(&Op::DeliverOrder(0));
             }
+            // The platform goes on making lists, changed or not.
+            self.list();
             for steward in 0..STEWARDS {
                 self.apply(&Op::List { steward, back: 0 });
                 for about in 0..STEWARDS {
