Print the orders of the engines

Cause: the daemons list the orders' records, but no command printed them. Change: gooseberryctl orders asks the first named daemon that answers.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -82,6 +82,9 @@
         /// Print the engines that each daemon knows, too
         engines: bool,
     },
+    /// Print the orders of the engines and who gave them
+    #[bpaf(command)]
+    Orders,
     /// Edit the recorded text so that an engine or plain server gets no new work
     #[bpaf(command)]
     Drain {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -38,6 +38,7 @@
         Action::History => text::history(target, style).await,
         Action::Drain { author, name } => text::drain(target, author, name, style).await,
         Action::Status { engines } => state::status(target, *engines, style).await,
+        Action::Orders => state::orders(target, style).await,
         Action::LogLevel { level } => state::log_level(target, level).await,
         Action::Report { html } => balance::report(target, html.as_deref(), style).await,
     }
--- a/crates/ctl/src/commands/state.rs
+++ b/crates/ctl/src/commands/state.rs
@@ -28,6 +28,27 @@
     Ok(())
 }
 
+pub(super) async fn orders(target: &Target, style: OutputStyle) -> Result<(), CommandError> {
+    let rows = daemons::orders(target).await?;
+    style.print(&rows, || {
+        let header = ["engine", "phase", "change", "reason", "issuer", "outcome", "revision"];
+        let mut table = output::table(&header);
+        for row in &rows {
+            table.add_row([
+                row.engine.as_str(),
+                &row.phase,
+                &row.change,
+                &row.reason,
+                &row.issuer,
+                row.outcome.as_deref().unwrap_or("-"),
+                &row.revision.to_string(),
+            ]);
+        }
+        table.to_string()
+    });
+    Ok(())
+}
+
 pub(super) async fn log_level(target: &Target, level: &str) -> Result<(), CommandError> {
     for address in &target.daemon {
         daemons::set_log_level(address, &target.secret, level).await?;
--- a/crates/ctl/src/daemons.rs
+++ b/crates/ctl/src/daemons.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use gooseberry_wire::peer::{DaemonHistory, DaemonStatus};
+use gooseberry_wire::peer::{DaemonHistory, DaemonStatus, OrderRow};
 use jsonrpsee::{
     core::client::ClientT,
     rpc_params,
@@ -33,6 +33,23 @@
     ask_all(target, "history").await
 }
 
+/// Asks the first named daemon that answers for the orders of the engines.
+///
+/// # Errors
+///
+/// Returns an error if none is named or none answers.
+pub async fn orders(target: &Target) -> anyhow::Result<Vec<OrderRow>> {
+    let answers = ask_all(target, "orders").await;
+    let mut last = anyhow::anyhow!("name a daemon with --daemon ADDRESS");
+    for daemon in answers {
+        match daemon.answer {
+            Ok(rows) => return Ok(rows),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
 async fn ask_all<T: DeserializeOwned>(target: &Target, method: &str) -> Vec<DaemonAnswer<T>> {
     let mut answers = Vec::new();
     for address in &target.daemon {
