--- a/crates/daemon/src/callers/attempts/choice.rs
+++ b/crates/daemon/src/callers/attempts/choice.rs
@@ -52,7 +52,10 @@
     async fn place(&mut self) -> Result<(RouteDecision, Option<HeldTrial>), RequestRefusal> {
         loop {
             match self.context.poison.judge(self.fingerprint) {
-                PoisonVerdict::Innocent => return Ok((self.decide().await?, None)),
+                PoisonVerdict::Innocent => match self.decide().await? {
+                    Some(decision) => return Ok((decision, None)),
+                    None => continue,
+                },
                 PoisonVerdict::Convicted => {
                     return Err(RequestRefusal::unknown(RefusalReason::Convicted));
                 }
@@ -106,11 +109,21 @@
         Ok(())
     }
 
-    /// Decides on the next attempt of a request without suspicion.
-    async fn decide(&mut self) -> Result<RouteDecision, RequestRefusal> {
+    /// Decides on the next attempt of a request without suspicion; nothing if a
+    /// split failed, which may have made the request a suspect.
+    async fn decide(&mut self) -> Result<Option<RouteDecision>, RequestRefusal> {
         self.check_attempts()?;
-        let decision = self.next_decision().await;
-        self.count_attempt(decision)
+        self.request.kv_handle = None;
+        let planned = self.planned.filter(|it| !self.excluded.contains(&it.engine));
+        let decision = match self.split.take() {
+            Some(plan) => match self.hand_over(&plan).await {
+                Some(decode) => Some(decode),
+                None => return Ok(None),
+            },
+            None => planned.or_else(|| self.route()),
+        };
+        self.planned = None;
+        self.count_attempt(decision).map(Some)
     }
 
     /// Decides on an attempt at one engine alone, as a trial needs it.
@@ -146,26 +159,10 @@
         Ok(decision)
     }
 
-    /// Returns where the next attempt goes; a split is tried once, first.
-    async fn next_decision(&mut self) -> Option<RouteDecision> {
-        self.request.kv_handle = None;
-        let planned = self.planned.take();
-        if let Some(plan) = self.split.take() {
-            if let Some(decode) = self.hand_over(&plan).await {
-                return Some(decode);
-            }
-            if self.attempts >= self.snapshot.fleet.limits.attempts {
-                return None;
-            }
-        }
-        planned
-            .filter(|decision| !self.excluded.contains(&decision.engine))
-            .or_else(|| self.route())
-    }
-
     /// Has the prompt computed elsewhere, or notes why that failed.
     async fn hand_over(&mut self, plan: &SplitPlan) -> Option<RouteDecision> {
         let was_sent = self.sent;
+        let incarnation = self.incarnation(plan.prefill());
         // The deadline may end this wait, and then bytes may have left.
         self.sent = true;
         let handed = split::hand_over(
@@ -185,9 +182,15 @@
                 tracing::warn!(request = self.request.stream_id.as_deref(), %error, "not split");
                 self.sent = was_sent || !error.is_unsent();
                 if let Some(engine) = error.lost_engine() {
+                    // The prompt was an attempt of its own; the next one is a retry.
+                    self.context.retries.note_first(&self.service);
+                    self.reached = true;
                     self.attempts += 1;
                     self.excluded.push(engine);
                 }
+                if error.is_break() {
+                    self.look_for_crash(plan.prefill(), incarnation, None).await;
+                }
                 None
             }
         }
--- a/crates/daemon/src/callers/split.rs
+++ b/crates/daemon/src/callers/split.rs
@@ -39,6 +39,11 @@
         self.prefill.wait + HANDOFF_TIME + self.decode.finish
     }
 
+    /// Returns the engine that computes the prompt.
+    pub fn prefill(&self) -> EngineKey {
+        self.prefill.engine
+    }
+
     /// Returns the decision as admission weighs it.
     pub fn as_decision(&self) -> RouteDecision {
         let wait = self.prefill.wait + HANDOFF_TIME + self.decode.wait;
@@ -80,6 +85,12 @@
         }
     }
 
+    /// Tells whether the connection to the prefill engine ended, as it does when
+    /// the engine crashes.
+    pub fn is_break(&self) -> bool {
+        matches!(self, Self::Export { source, .. } if source.is_break())
+    }
+
     /// Returns the engine that was lost while it ran the prompt.
     pub fn lost_engine(&self) -> Option<EngineKey> {
         match self {
--- a/crates/harness/tests/split.rs
+++ b/crates/harness/tests/split.rs
@@ -150,3 +150,19 @@
 fn other(system: &TestSystem, engine: usize) -> u32 {
     system.engines[1 - engine].counts::<OrderCounts>().exported
 }
+
+#[test]
+fn a_poison_prompt_costs_two_engines_although_it_is_split() {
+    let mut system = start(&["prefill", "prefill", "prefill", "prefill", "decode"]);
+    let faults = EngineFaults { crash_on: Some("poison".to_owned()), ..system::no_engine_faults() };
+    for engine in &system.engines {
+        engine.set_faults(&faults);
+    }
+    let poison = prompt("poison");
+    for _ in 0..3 {
+        let call = system::completion_call(&system.daemons[0].address, &poison, TOKENS);
+        assert_eq!(call.send().expect("a final answer").status, 422);
+    }
+    let running = system.engines.iter_mut().filter_map(|it| it.process.is_running().then_some(()));
+    assert!(running.count() >= 3, "more than two of five engines are lost");
+}
