Give the endless streams of the tests a deadline that admission takes

Cause: admission refuses 100,000 tokens within the usual 30 s, so two tests of callers that leave never got their first token. Change: these calls name a deadline an hour ahead; what they assert is unchanged.

--- a/crates/harness/tests/streams.rs
+++ b/crates/harness/tests/streams.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gooseberry_harness::{
+    calls::TestCall,
     process,
     system::{self, SystemSize, TestServer, TestSystem},
 };
@@ -77,10 +78,16 @@
     });
 }
 
+/// Makes a call that admission takes, since its deadline is far away.
+fn endless_call(system: &TestSystem, prompt: &str) -> TestCall {
+    system::stream_call(&system.daemons[0].address, prompt, ENDLESS)
+        .header("request-deadline", &deadline_in(Duration::from_secs(3600)))
+}
+
 #[test]
 fn a_caller_that_leaves_has_its_stream_cancelled() {
     let system = TestSystem::start(SystemSize::default());
-    let mut stream = system::stream_call(&system.daemons[0].address, "left", ENDLESS).open_stream();
+    let mut stream = endless_call(&system, "left").open_stream();
     stream.next_token().expect("a first token");
     let engine = &system.engines[routed_engine(&system)];
     process::wait_until("the engine reports the stream", || {
@@ -95,7 +102,7 @@
 #[test]
 fn a_caller_that_leaves_is_noticed_while_no_token_comes() {
     let system = TestSystem::start(SystemSize::default());
-    let mut stream = system::stream_call(&system.daemons[0].address, "left", ENDLESS).open_stream();
+    let mut stream = endless_call(&system, "left").open_stream();
     stream.next_token().expect("a first token");
     let stuck = EngineFaults { stuck: true, ..system::no_engine_faults() };
     system.engines[routed_engine(&system)].set_faults(&stuck);
