--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -37,8 +37,6 @@
     #[doc = "Secret that the platform asks for."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub platform_secret: ::std::option::Option<::std::string::String>,
-    #[serde(default = "defaults::default_u64::<u64, 86400>")]
-    pub retry_horizon_s: u64,
     #[serde(default = "defaults::default_u64::<u32, 4>")]
     pub traffic_threads: u32,
 }
