End requests that are longer than the drain with a refusal instead of a cut

Cause: a stopping daemon waited for drain_s and then closed all connections, so a stream that was still running ended without an error event, and an unstreamed answer, a plain call or a reservation with a broken connection. Ruled out: the engine or the stream's task; the listener alone closed them.

Half a second before the drain's limit a signal now ends what still runs: a stream with the error event, everything else with its refusal, each shutting-down with Retry-After and executed unknown if bytes may have left. A body that is still read is refused as not run. The listener closes then.

Before: the test of a stream longer than its drain asserted that one request is cut. That was the fault, so it is replaced by a stricter one: a stream, an unstreamed completion, a plain call and a reservation all get their refusal, and nothing is cut.

--- a/crates/daemon/src/callers/attempts.rs
+++ b/crates/daemon/src/callers/attempts.rs
@@ -9,6 +9,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
+use futures_lite::FutureExt;
 use gooseberry_core::{
     arena::{EngineKey, ModelKey},
     poison::{PoisonVerdict, RequestFingerprint},
@@ -21,6 +22,7 @@
 use gooseberry_edges::{
     clock::Clock,
     engine::{EngineError, TokenStream},
+    stop::StopSignal,
 };
 use gooseberry_wire::engine::{CompletionChunk, CompletionRequest};
 use smol_str::SmolStr;
@@ -141,12 +143,20 @@
     ///
     /// # Errors
     ///
-    /// Returns the final refusal if the deadline passes or no engine can go on.
+    /// Returns the final refusal if the deadline passes, the daemon's drain ends
+    /// or no engine can go on.
     pub async fn next(&mut self) -> Result<Option<CompletionChunk>, RequestRefusal> {
         let left = self.time_left();
         let clock = self.context.clock.clone();
-        match clock.timeout(left, self.next_token()).await {
-            Ok(result) => result,
+        let cutoff = self.context.cutoff.clone();
+        let token = async { Some(self.next_token().await) };
+        let cut_off = async {
+            cutoff.wait().await;
+            None
+        };
+        match clock.timeout(left, token.or(cut_off)).await {
+            Ok(Some(result)) => result,
+            Ok(None) => Err(self.cut_off()),
             Err(_) => Err(self.deadline_passed()),
         }
     }
@@ -156,11 +166,22 @@
         self.context.clock.clone()
     }
 
+    /// Returns the signal that ends the requests of a stopping daemon.
+    pub fn cutoff(&self) -> StopSignal {
+        self.context.cutoff.clone()
+    }
+
     /// Returns the final refusal of a run whose deadline has passed.
     pub fn deadline_passed(&self) -> RequestRefusal {
         self.refuse(RefusalReason::DeadlineUnmeetable)
     }
 
+    /// Returns the final refusal of a run that is longer than the drain of its
+    /// daemon.
+    pub fn cut_off(&self) -> RequestRefusal {
+        self.refuse(RefusalReason::ShuttingDown)
+    }
+
     /// Returns the time that is left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -190,16 +190,26 @@
 
     async fn send(mut self, parts: async_channel::Sender<BodyPart>) {
         let clock = self.run.clock();
+        let cutoff = self.run.cutoff();
         let mut next = self.first.take();
         let mut tokens = 0;
         while let Some(chunk) = next {
             tokens += 1;
             // A caller that doesn't read holds its engine no longer than its
-            // deadline.
-            let sending = parts.send(Ok(self.event(chunk)));
-            match clock.timeout(self.run.time_left(), sending).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return self.note_departure(),
+            // deadline or the daemon's drain.
+            let event = self.event(chunk);
+            let sending = async { Some(parts.send(Ok(event)).await) };
+            let cut_off = async {
+                cutoff.wait().await;
+                None
+            };
+            match clock.timeout(self.run.time_left(), sending.or(cut_off)).await {
+                Ok(Some(Ok(()))) => {}
+                Ok(Some(Err(_))) => return self.note_departure(),
+                Ok(None) => {
+                    let refusal = self.run.cut_off();
+                    return self.break_off(&refusal, &parts).await;
+                }
                 Err(_) => {
                     let refusal = self.run.deadline_passed();
                     return self.break_off(&refusal, &parts).await;
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_lite::FutureExt;
 use gooseberry_core::{
     arena::PlainKey,
     balance::RequestOutcome,
@@ -137,6 +138,9 @@
                 tracing::warn!(%error, "a plain service's server failed");
                 sent |= !error.is_unsent();
                 tried.push(server);
+                if sent && accepted.context.cutoff.is_given() {
+                    return Err(refusals::cut_off());
+                }
             }
         }
     }
@@ -170,7 +174,12 @@
         retry_horizon: service.retry_horizon,
     };
     let members = || context.snapshot.load().membership.clone();
-    match context.claims.claim(&claim, members).await {
+    let claiming = context.claims.claim(&claim, members);
+    let cut_off = async {
+        context.cutoff.wait().await;
+        ClaimOutcome::Refused(refusals::cut_off())
+    };
+    match claiming.or(cut_off).await {
         ClaimOutcome::Held(held) => send_claimed(accepted, call, *held).await,
         ClaimOutcome::Answered(answer) => Ok(kept(answer)),
         ClaimOutcome::Refused(refusal) => Err(refusal),
@@ -207,6 +216,9 @@
         Err(error) => {
             tracing::warn!(%error, "the answer of a claimed call is lost");
             claims.settle(held, ClaimState::Lost);
+            if accepted.context.cutoff.is_given() {
+                return Err(refusals::cut_off());
+            }
             Err(RequestRefusal::unknown(RefusalReason::OutcomeUnknown))
         }
     }
@@ -237,8 +249,16 @@
     let _outstanding = accepted.snapshot.plain_servers[server].gauge.start();
     let call = call.towards(&address);
     let plain = Arc::clone(&accepted.context.plain);
-    let answer = plain.forward(&address, &call, accepted.time_left()).await?;
-    read_answer(answer, accepted.time_left()).await
+    let answering = async {
+        let answer = plain.forward(&address, &call, accepted.time_left()).await?;
+        read_answer(answer, accepted.time_left()).await
+    };
+    let cut_off = async {
+        accepted.context.cutoff.wait().await;
+        let detail = "the daemon stops".to_owned();
+        Err(HttpError::AnswerLost { address: address.clone(), detail })
+    };
+    answering.or(cut_off).await
 }
 
 async fn read_answer(answer: HttpAnswer, limit: Duration) -> Result<KeptAnswer, HttpError> {
--- a/crates/daemon/src/callers/refusals.rs
+++ b/crates/daemon/src/callers/refusals.rs
@@ -11,6 +11,12 @@
 /// Start of the types of problem documents.
 const TYPE_PREFIX: &str = "urn:gooseberrykeel:";
 
+/// Refuses a request that is longer than the drain of a stopping daemon and may
+/// have run.
+pub fn cut_off() -> RequestRefusal {
+    RequestRefusal::unknown(RefusalReason::ShuttingDown).retry_after(SHORT_RETRY)
+}
+
 /// Answers a request that is refused.
 pub fn answer(refusal: &RequestRefusal) -> Response {
     let document = document(refusal);
--- a/crates/daemon/src/callers/request.rs
+++ b/crates/daemon/src/callers/request.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, FutureExt};
 use gooseberry_core::{
     arena::{AccountKey, ServiceKey},
     balance::{BalanceKey, RequestOutcome},
@@ -53,7 +53,16 @@
     let timeout = Duration::from_secs(request.state().settings.body_timeout_s.into());
     let mut body = Vec::new();
     let mut reader = request.take_body().into_reader().take(limit + 1);
-    let read = clock.timeout(timeout, reader.read_to_end(&mut body)).await;
+    let cutoff = request.state().cutoff.clone();
+    let reading = async { Some(reader.read_to_end(&mut body).await) };
+    let cut_off = async {
+        cutoff.wait().await;
+        None
+    };
+    let Some(read) = clock.timeout(timeout, reading.or(cut_off)).await.transpose() else {
+        let refusal = RequestRefusal::not_executed(RefusalReason::ShuttingDown);
+        return Err(refusal.retry_after(super::refusals::SHORT_RETRY));
+    };
     match read {
         Ok(Ok(length)) if length as u64 > limit => Err(too_large()),
         // A caller that closes its side early must not have half a body run.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -27,6 +27,9 @@
     pub incarnation: u64,
     pub clock: Clock,
     pub stop: StopSignal,
+    /// Given shortly before the drain of a stopping daemon reaches its limit:
+    /// requests that still run end with a refusal.
+    pub cutoff: StopSignal,
     pub snapshot: ArcSwap<FleetSnapshot>,
     pub events: async_channel::Sender<ControlEvent>,
     pub platform: Arc<dyn PlatformEdge>,
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -44,6 +44,9 @@
 /// Time for which a stopping daemon answers new requests with a refusal, so
 /// that the balancer notices before the listener closes.
 const REFUSAL_PERIOD: Duration = Duration::from_millis(500);
+/// Part of the drain's limit that is left for the refusals of requests which
+/// are longer than it.
+const LAST_WORD: Duration = Duration::from_millis(500);
 /// Longest time that a stop waits until the platform has all claims.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -82,12 +85,15 @@
     context.clock.sleep(REFUSAL_PERIOD).await;
     closed.give();
     serving.await;
-    let cut = listener.drain(drain_limit).await;
+    let last_word = LAST_WORD.min(drain_limit);
+    let ended = listener.finish(drain_limit - last_word).await;
+    context.cutoff.give();
+    let cut = listener.drain(last_word).await;
     steward.await;
     let unsettled = context.claims.local().drain(&context.clock, SETTLE_LIMIT).await;
     record::close(&context).await;
     let _ = server.stop();
-    tracing::info!(cut, unsettled, balance = ?context.balance.rows(), "stopped");
+    tracing::info!(ended, cut, unsettled, balance = ?context.balance.rows(), "stopped");
     Ok(())
 }
 
@@ -109,6 +115,7 @@
         holder: smol_str::format_smolstr!("{}/{incarnation}", settings.name),
         incarnation,
         stop,
+        cutoff: StopSignal::new(),
         snapshot: ArcSwap::from_pointee(FleetSnapshot::empty()),
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
--- a/crates/edges/src/listener.rs
+++ b/crates/edges/src/listener.rs
@@ -103,15 +103,21 @@
         }
     }
 
-    /// Waits until no request runs, at most for the limit, then closes all
-    /// connections. Returns the number of requests that were cut.
-    pub async fn drain(&self, limit: Duration) -> usize {
+    /// Waits until no request runs, at most for the limit, and takes no further
+    /// request on any connection. Returns the number of requests that still run.
+    pub async fn finish(&self, limit: Duration) -> usize {
         self.shared.closing.store(true, Ordering::SeqCst);
         let deadline = self.clock.now() + limit;
         while self.running() > 0 && self.clock.now() < deadline {
             self.clock.sleep(DRAIN_INTERVAL).await;
         }
-        let cut = self.running();
+        self.running()
+    }
+
+    /// Waits as [`Self::finish`] does, then closes all connections. Returns the
+    /// number of requests that were cut.
+    pub async fn drain(&self, limit: Duration) -> usize {
+        let cut = self.finish(limit).await;
         for (_, stream) in self.shared.connections.lock().drain() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
--- a/crates/harness/src/calls.rs
+++ b/crates/harness/src/calls.rs
@@ -7,7 +7,7 @@
     clock::Clock,
     http::{ConnectionUse, HttpAnswer, HttpCall, HttpClient},
 };
-use gooseberry_wire::engine::CompletionChunk;
+use gooseberry_wire::{engine::CompletionChunk, problem::ProblemDocument};
 use http_types::{Method, Request, Url};
 use serde::{de::DeserializeOwned, Serialize};
 
@@ -134,6 +134,28 @@
         }
     }
 
+    /// Reads tokens until the error event that ends the stream, and returns its
+    /// problem document.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stream ends without an error event.
+    pub fn error_event(&mut self) -> ProblemDocument {
+        let mut is_error = false;
+        loop {
+            let mut line = String::new();
+            let read = task::block_on(self.answer.read_line(&mut line, ANSWER_LIMIT));
+            assert_ne!(read.expect("a line of the stream"), 0, "the stream ended without an error");
+            match line.trim_end().strip_prefix("data: ") {
+                Some(event) if is_error => {
+                    return serde_json::from_str(event).expect("a problem document");
+                }
+                Some(event) => assert_ne!(event, "[DONE]", "the stream was whole"),
+                None => is_error |= line.trim_end() == "event: error",
+            }
+        }
+    }
+
     /// Reads the rest of the answer as one text.
     pub fn rest(&mut self) -> String {
         let mut text = String::new();
--- a/crates/harness/tests/shutdown.rs
+++ b/crates/harness/tests/shutdown.rs
@@ -11,7 +11,10 @@
     plain::{PlainCounts, PlainFaults},
     token,
 };
-use gooseberry_wire::engine::{CompletionAnswer, CompletionRequest, LoadReport};
+use gooseberry_wire::{
+    engine::{CompletionAnswer, CompletionRequest, LoadReport},
+    problem::{ProblemDocument, RequestExecuted},
+};
 use http_types::Method;
 
 /// Requests that run while a program stops.
@@ -48,6 +51,11 @@
     assert!(server.process.wait().success());
 }
 
+fn check_shutting_down(document: &ProblemDocument) {
+    assert_eq!(document.type_, "urn:gooseberrykeel:shutting-down");
+    assert_eq!(document.executed, RequestExecuted::Unknown);
+}
+
 fn routed(daemon: &TestServer) -> usize {
     daemon.process.log().matches("\"routed\"").count()
 }
@@ -156,11 +164,34 @@
     let settings = "drain_s: 2\n".to_owned();
     let mut system =
         TestSystem::start(SystemSize { daemon_settings: settings, ..SystemSize::default() });
+    system.plain_servers[0]
+        .set_faults(&PlainFaults { delay_ms: 30_000, ..system::no_plain_faults() });
+    let address = system.daemons[0].address.clone();
+    let before = routed(&system.daemons[0]);
     // Admission takes it as short enough for its deadline of 30 s.
-    let mut stream = system::stream_call(&system.daemons[0].address, "long", 2500).open_stream();
+    let mut stream = system::stream_call(&address, "long", 2500).open_stream();
+    let others = [
+        system::completion_call(&address, "long and unstreamed", 2500),
+        TestCall::new(Method::Get, &address, "/booking/availability")
+            .account_key(system::ACCOUNT_KEY),
+        system::reservation_call(&address, "long"),
+    ];
+    let others = others.map(|call| thread::spawn(move || call.send().expect("an answer")));
     stream.next_token().expect("a first token");
+    process::wait_until("the requests run", || routed(&system.daemons[0]) >= before + 4);
     system.daemons[0].process.terminate();
-    // The stream is longer than the limit of the drain, which then cuts it.
+    // They are longer than the limit of the drain, which ends them with a
+    // refusal and not by a cut.
+    let document = stream.error_event();
+    check_shutting_down(&document);
+    assert!(document.retry_after_s.is_some());
+    for other in others {
+        let answer = other.join().expect("a thread without panic");
+        assert_eq!(answer.status, 503, "{}", String::from_utf8_lossy(&answer.body));
+        assert!(answer.retry_after.is_some());
+        check_shutting_down(&answer.json());
+    }
     assert!(system.daemons[0].process.wait().success());
-    assert!(system.daemons[0].process.log().contains("\"cut\":1"));
+    let log = system.daemons[0].process.log();
+    assert!(log.contains("\"ended\":4") && log.contains("\"cut\":0"), "{log}");
 }
