Cut and freeze failure domains in tests, and show that each goes on serving

Cause: no test separated two failure domains from each other, or one of them from the platform; the programs were only killed, paused or made slow.

A small forwarder of the harness carries the connections between the daemons of two domains and from a domain to the platform.

One try found an address taken by another test's look for a free one, so a link keeps the socket that found its address.

Not covered: the engines of a cut domain stay reachable from the other one, since the configuration gives each engine one address.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -133,13 +133,18 @@
 /// The address of the host comes from this process, so that no outgoing
 /// connection (from 127.0.0.1) and no other test takes the port meanwhile.
 pub fn free_address() -> String {
+    free_listener().local_addr().expect("an address").to_string()
+}
+
+/// Listens at a new address, of the kind that [`free_address`] gives.
+pub fn free_listener() -> TcpListener {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, FIRST_NETWORK | (high & NETWORK_MASK), middle, low);
     loop {
         let socket = TcpListener::bind((host, 0)).expect("a free port");
         let address = socket.local_addr().expect("an address");
         if GIVEN_PORTS.lock().expect("no test panics here").insert(address.port()) {
-            return address.to_string();
+            return socket;
         }
     }
 }
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     calls::TestCall,
+    link::TestLink,
     process::{self, TestProcess},
 };
 
@@ -71,6 +72,9 @@
     pub engine_arguments: Vec<String>,
     /// Further lines of each daemon's settings.
     pub daemon_settings: String,
+    /// Whether daemons reach the platform and other domains over links that a
+    /// test can cut.
+    pub links: bool,
 }
 
 impl Default for SystemSize {
@@ -82,6 +86,7 @@
             domains: 1,
             engine_arguments: Vec::new(),
             daemon_settings: String::new(),
+            links: false,
         }
     }
 }
@@ -93,6 +98,10 @@
     pub engines: Vec<TestServer>,
     pub plain_servers: Vec<TestServer>,
     pub daemons: Vec<TestServer>,
+    /// Links between the daemons of different domains.
+    pub domain_links: Vec<TestLink>,
+    /// Link to the platform for each domain.
+    pub platform_links: Vec<TestLink>,
     pub size: SystemSize,
 }
 
@@ -125,8 +134,16 @@
                 plain_servers.push(start_server(&folder, &name, "standin-plain", &arguments));
             }
         }
-        let mut system =
-            Self { folder, platform, engines, plain_servers, daemons: Vec::new(), size };
+        let mut system = Self {
+            folder,
+            platform,
+            engines,
+            plain_servers,
+            daemons: Vec::new(),
+            domain_links: Vec::new(),
+            platform_links: Vec::new(),
+            size,
+        };
         system.start_daemons();
         system
     }
@@ -135,16 +152,31 @@
         let count = self.size.daemons * self.size.domains;
         let addresses: Vec<_> =
             (0..count).map(|_| (process::free_address(), process::free_address())).collect();
+        if self.size.links {
+            let platform = &self.platform.address;
+            self.platform_links =
+                (0..self.size.domains).map(|_| TestLink::open(platform)).collect();
+        }
         for (index, (address, peer_address)) in addresses.iter().enumerate() {
             let name = format!("daemon-{index}");
             let domain = index / self.size.daemons;
-            let others = addresses.iter().map(|(_, peer)| peer.as_str());
-            let peers: Vec<_> = others.filter(|peer| peer != peer_address).collect();
+            let mut peers = Vec::new();
+            for (other, (_, peer)) in addresses.iter().enumerate() {
+                if self.size.links && other / self.size.daemons != domain {
+                    let link = TestLink::open(peer);
+                    peers.push(link.address.clone());
+                    self.domain_links.push(link);
+                } else if other != index {
+                    peers.push(peer.clone());
+                }
+            }
+            let platform = self.platform_links.get(domain);
+            let platform = platform.map_or(&self.platform.address, |link| &link.address);
             let settings = format!(
                 "name: {name}\nfailure_domain: domain-{domain}\nlisten: {address}\n\
                  peer_listen: {peer_address}\nplatform: {}\npeer_secret: {PEER_SECRET}\n\
                  peers: [{}]\ntraffic_threads: 2\n{}",
-                self.platform.address,
+                platform,
                 peers.join(", "),
                 self.size.daemon_settings,
             );
