--- a/crates/core/src/revisions.rs
+++ b/crates/core/src/revisions.rs
@@ -21,6 +21,16 @@
 /// Time for which one watch waits; a connection that has gone silent is given
 /// up soon enough for a change to be in force within 4 s.
 pub const WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Time beyond that for which the answer to a watch may be late.
+pub const WATCH_ANSWER: Duration = Duration::from_secs(2);
+/// Pause after a failed watch, and of a daemon that leaves it to its peers.
+pub const WATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Interval of heartbeats between daemons.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time for an answer of a peer.
+pub const PEER_ANSWER: Duration = Duration::from_secs(2);
+/// Pause before a lost connection to a peer is opened again.
+pub const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 
 /// Says what becomes of an offered revision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -93,6 +103,31 @@
     }
 }
 
+/// Says what a daemon does after a peer has told its revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+pub enum PeerExchange {
+    /// The peer has a higher one, which is asked for.
+    Ask,
+    /// The peer has a lower one and gets this daemon's.
+    Tell,
+    /// Nothing is exchanged.
+    Nothing,
+}
+
+/// Compares revisions with a peer on one connection.
+///
+/// `told` is the highest one that the peer was told before: a peer that refuses
+/// a text isn't told it again and again.
+pub fn exchange(own: u64, peer: u64, told: u64) -> PeerExchange {
+    if peer > own {
+        PeerExchange::Ask
+    } else if own > peer.max(told) {
+        PeerExchange::Tell
+    } else {
+        PeerExchange::Nothing
+    }
+}
+
 /// Describes a live daemon of the same failure domain.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchCandidate<'a> {
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gooseberry_core::time::Timestamp;
+use gooseberry_core::{
+    revisions::{self, PeerExchange, HEARTBEAT_INTERVAL, PEER_ANSWER, RECONNECT_PAUSE},
+    time::Timestamp,
+};
 use gooseberry_wire::peer::{DaemonStatus, EngineStatus, OrderRow, PeerHello, PeerRevision};
 use jsonrpsee::{
     core::{async_trait, client::ClientT, RpcResult},
@@ -26,13 +29,8 @@
     steward,
 };
 
-/// Interval of heartbeats between daemons.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time for an answer of a peer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause before a lost connection is opened again.
-const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
-/// The same while this daemon starts and its peers may be starting too.
+/// Pause before a lost connection is opened again while this daemon starts and
+/// its peers may be starting too.
 const START_PAUSE: Duration = Duration::from_millis(100);
 /// Age at which a peer that says nothing is no longer listed.
 const PEER_EXPIRY: Duration = Duration::from_secs(5);
@@ -256,16 +254,15 @@
 
 async fn follow_once(
     context: &DaemonContext,
-    revisions: &RevisionStore,
+    store: &RevisionStore,
     book: &PeerBook,
     address: &str,
 ) -> anyhow::Result<()> {
-    let builder = WsClientBuilder::default()
-        .connection_timeout(ANSWER_TIMEOUT)
-        .request_timeout(ANSWER_TIMEOUT);
+    let builder =
+        WsClientBuilder::default().connection_timeout(PEER_ANSWER).request_timeout(PEER_ANSWER);
     let client = builder.build(format!("ws://{address}")).await?;
     let secret = &context.settings.peer_secret;
-    let changes = revisions.changes();
+    let changes = store.changes();
     let mut told = 0;
     let mut to_steward = false;
     loop {
@@ -276,17 +273,17 @@
         context.limits.locate(&hello.daemon, address);
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
         book.hear(hello, context.clock.now());
-        if offered > revisions.revision() {
+        if revisions::exchange(store.revision(), offered, told) == PeerExchange::Ask {
             let newest: Option<PeerRevision> =
                 client.request("revision", rpc_params![secret]).await?;
             if let Some(newest) = newest {
-                revisions.offer(context, newest.revision, &newest.text).await;
+                store.offer(context, newest.revision, &newest.text).await;
             }
         }
-        revisions.peer_asked(context, address).await;
-        let newest = revisions.newest().filter(|newest| newest.revision > offered.max(told));
+        store.peer_asked(context, address).await;
+        let exchange = revisions::exchange(store.revision(), offered, told);
+        let newest = store.newest().filter(|_| exchange == PeerExchange::Tell);
         if let Some(newest) = newest {
-            // A peer that refuses a text isn't offered it again and again.
             told = newest.revision;
             let newest = PeerRevision::from(newest);
             let () = client.request("offer", rpc_params![secret, newest]).await?;
--- a/crates/daemon/src/revisions.rs
+++ b/crates/daemon/src/revisions.rs
@@ -2,12 +2,14 @@
 //!
 //! Revisions only grow: whoever offers one, a lower revision is never applied.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use gooseberry_config::fleet;
 use gooseberry_core::{
     fleet::FleetTable,
-    revisions::{self, RevisionTable, RevisionVerdict, WatchCandidate, START_TICK, WATCH_WAIT},
+    revisions::{
+        self, RevisionTable, RevisionVerdict, WatchCandidate, START_TICK, WATCH_PAUSE, WATCH_WAIT,
+    },
 };
 use gooseberry_edges::platform::PlatformError;
 use gooseberry_wire::{edit::ConfigurationEdit, peer::PeerRevision, platform::KvRecord};
@@ -18,8 +20,6 @@
 
 /// Key of the configuration text in the key-value service.
 pub const CONFIGURATION_KEY: &str = "configuration";
-/// Pause after a failed watch, and of a daemon that leaves it to its peers.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Holds the newest accepted text, for peers that ask.
 #[derive(Debug)]
@@ -163,12 +163,12 @@
             tracing::info!(watches, "whether this daemon waits on the platform has changed");
         }
         if !watches {
-            context.clock.sleep(RETRY_PAUSE).await;
+            context.clock.sleep(WATCH_PAUSE).await;
             continue;
         }
         if let Err(error) = watch_once(&context, &store).await {
             tracing::warn!(%error, "can't watch the configuration");
-            context.clock.sleep(RETRY_PAUSE).await;
+            context.clock.sleep(WATCH_PAUSE).await;
         }
     }
 }
@@ -197,7 +197,7 @@
     offer_record(context, store, &record).await;
     if store.revision() < record.revision {
         // An invalid text would be handed out again at once.
-        context.clock.sleep(RETRY_PAUSE).await;
+        context.clock.sleep(WATCH_PAUSE).await;
     }
     Ok(())
 }
