Test under a manual clock when a drain that is too long puts its change off

Cause: nothing tried a drain past its limit; the longest answers of the tests end long before the two minutes.

put_off.rs steps a change through its drain: requests that don't end, a daemon that goes on sending, an end at the last moment, an idle report from before the drain, a wait for the weight store, and an order that may still be sent, which holds the change. The last rule becomes a method of the change so that the test and the steward share it; it is the same as before.

Not covered: the opening of the engine after the change was put off, with real processes.

--- a/crates/daemon/src/steward.rs
+++ b/crates/daemon/src/steward.rs
@@ -6,7 +6,7 @@
 //! platform no order is given, and traffic goes on.
 
 mod board;
-mod change;
+pub mod change;
 mod lease;
 mod planning;
 mod records;
@@ -397,8 +397,7 @@
     fn put_off_unsent(&mut self, engine: &SmolStr, reason: &'static str) {
         let Some(change) = self.changes.get(engine) else { return };
         let now = self.context.clock.now();
-        let sendable = change.is_claimed() && !change.is_too_late(now);
-        if !sendable && !self.engines[engine].tracker.holds_claim() {
+        if !change.is_sendable(now) && !self.engines[engine].tracker.holds_claim() {
             self.end_change(engine, reason);
         }
     }
--- a/crates/daemon/src/steward/change.rs
+++ b/crates/daemon/src/steward/change.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 
 /// Longest time for an engine's requests to end; then the change is put off.
-const DRAIN_LIMIT: Duration = Duration::from_secs(120);
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(120);
 
 /// Says why an engine is to change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -87,6 +87,12 @@
         self.order.as_ref().is_some_and(|(_, begun)| now.since(*begun) > SEND_AGE)
     }
 
+    /// Tells whether an order for this change may still be sent, so that the
+    /// change can't be put off.
+    pub fn is_sendable(&self, now: Timestamp) -> bool {
+        self.is_claimed() && !self.is_too_late(now)
+    }
+
     /// Tells whether the engine must get no new work.
     pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
--- /dev/null
+++ b/crates/daemon/tests/put_off.rs
@@ -0,0 +1,90 @@
+//! When a steward puts a planned change off, under a manual clock.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    changes::EngineTarget,
+    fleet::EngineRole,
+    orders::{CLOCK_SKEW, SEND_AGE},
+    time::Timestamp,
+};
+use gooseberry_daemon::steward::change::{ChangeReason, ChangeStep, EngineChange, DRAIN_LIMIT};
+use gooseberry_wire::engine::LoadReport;
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// Interval at which a steward goes on with a drain.
+const STEP: Duration = Duration::from_millis(200);
+
+fn change(not_before: Timestamp) -> EngineChange {
+    let target = EngineTarget { role: Some(EngineRole::Decode), ..EngineTarget::default() };
+    EngineChange::new(target, ChangeReason::Demand, "sample".into(), not_before)
+}
+
+fn report(made_at: Timestamp, running: u32) -> LoadReport {
+    serde_json::from_value(serde_json::json!({
+        "engine": "engine-0", "incarnation": 1, "made_at_ms": made_at.as_millis(),
+        "state": "serving", "role": "mixed", "model": "sample",
+        "running": running, "queued": 0, "prefill_backlog_tokens": 0, "sequence": 1, "steps": 1,
+        "kv_pieces_free": 1, "kv_pieces_total": 1, "kv_piece_tokens": 1, "highest_fencing": 0,
+    }))
+    .expect("a valid report")
+}
+
+/// Steps a change until its drain ends, and returns how and when.
+fn drain(
+    change: &mut EngineChange,
+    closed: bool,
+    running: impl Fn(Duration) -> u32,
+) -> (ChangeStep, Duration) {
+    let mut now = START;
+    loop {
+        let passed = now.since(START);
+        let step = change.step(closed, Some(&report(now, running(passed))), now);
+        if !matches!(step, ChangeStep::Draining | ChangeStep::Reserved) {
+            return (step, passed);
+        }
+        now = now + STEP;
+    }
+}
+
+#[test]
+fn a_drain_whose_requests_do_not_end_is_overdue_after_its_limit_and_not_before() {
+    let mut change = change(START);
+    assert_eq!(drain(&mut change, true, |_| 1), (ChangeStep::Overdue, DRAIN_LIMIT + STEP));
+    // Nothing was claimed, so that the change is put off.
+    assert!(!change.is_sendable(START + DRAIN_LIMIT + STEP));
+}
+
+#[test]
+fn a_drain_while_some_daemon_still_sends_is_overdue_although_the_engine_is_idle() {
+    let ended = drain(&mut change(START), false, |_| 0);
+    assert_eq!(ended, (ChangeStep::Overdue, DRAIN_LIMIT + STEP));
+}
+
+#[test]
+fn a_drain_whose_requests_end_at_the_last_moment_is_not_put_off() {
+    let running = |passed| u32::from(passed < DRAIN_LIMIT);
+    let ended = drain(&mut change(START), true, running);
+    assert_eq!(ended, (ChangeStep::Drained, DRAIN_LIMIT));
+}
+
+#[test]
+fn an_idle_report_counts_only_if_it_is_newer_than_the_drain() {
+    let ended = drain(&mut change(START), true, |_| 0);
+    assert_eq!(ended, (ChangeStep::Drained, CLOCK_SKEW + STEP));
+}
+
+#[test]
+fn the_wait_for_the_weight_store_is_no_part_of_the_drain() {
+    let wait = DRAIN_LIMIT * 2;
+    let ended = drain(&mut change(START + wait), true, |_| 1);
+    assert_eq!(ended, (ChangeStep::Overdue, wait + DRAIN_LIMIT + STEP));
+}
+
+#[test]
+fn a_change_whose_order_may_still_be_sent_is_not_put_off() {
+    let mut change = change(START);
+    change.order = Some(("steward/1".into(), START));
+    assert!(change.is_sendable(START + SEND_AGE));
+    assert!(!change.is_sendable(START + SEND_AGE + STEP));
+}
