Read the load of each engine at one daemon of its domain

Change: daemons rank each other for an engine by rendezvous hashing, one piece of code with the homes of accounts. A daemon reads an engine unless it hears news of it from one that ranks before it; reports go to the peers of the domain each 200 ms, as pulses where only sequence, time and steps moved. A reader that falls silent is succeeded after 1 s, and a step of 100 ms for each live daemon between, 1 s at most; two readers are harmless. Engines of other domains are read each second, with a silence limit of 2.5 s and an expiry of 4 s. Tells of the load are counted as load_bytes, and the capacity command sums them. Ruled out: following the live view alone, whose expiry of 5 s would close healthy engines, whose reports expire after 2 s. Result: tests of core readers and limits pass, and of the harness poison, orders, leaving, routing and peers.

--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -5,6 +5,7 @@
 //! stand-in: to a daemon each is an engine with a connection of its own.
 
 mod fleet;
+mod metric_sink;
 mod process_cost;
 mod sweep;
 
--- a/crates/capacity/src/sweep.rs
+++ b/crates/capacity/src/sweep.rs
@@ -11,7 +11,7 @@
 use gooseberry_wire::platform::PlatformCounts;
 use serde::Serialize;
 
-use crate::{fleet, process_cost};
+use crate::{fleet, metric_sink::MetricSink, process_cost};
 
 /// Time for which a system runs before it is measured.
 const SETTLING: Duration = Duration::from_secs(4);
@@ -33,6 +33,8 @@
     pub core_percent: f64,
     /// Resident memory of each daemon, in MiB.
     pub resident_mib: f64,
+    /// Bytes of load reports that each daemon tells its peers in a second.
+    pub load_bytes: f64,
     /// Calls of the platform for each daemon and second.
     pub platform_reads: f64,
     pub platform_watches: f64,
@@ -42,9 +44,10 @@
 /// Grows the number of engines.
 pub fn engines(seconds: u64) -> Vec<SweepRow> {
     let measure = |count| {
-        let system = start(1);
+        let sink = MetricSink::start("load_bytes");
+        let system = start_counted(1, &sink);
         let text = fleet::with_engines(&system, count);
-        measure(&system, &text, Counts { engines: count, accounts: 1 }, seconds)
+        measure(&system, &text, Counts { engines: count, accounts: 1 }, seconds, &sink)
     };
     ENGINE_COUNTS.into_iter().map(measure).collect()
 }
@@ -52,9 +55,10 @@
 /// Grows the number of daemons.
 pub fn daemons(seconds: u64) -> Vec<SweepRow> {
     let measure = |count| {
-        let system = start(count);
+        let sink = MetricSink::start("load_bytes");
+        let system = start_counted(count, &sink);
         let text = fleet::with_engines(&system, 78);
-        measure(&system, &text, Counts { engines: 78, accounts: 1 }, seconds)
+        measure(&system, &text, Counts { engines: 78, accounts: 1 }, seconds, &sink)
     };
     DAEMON_COUNTS.into_iter().map(measure).collect()
 }
@@ -62,9 +66,10 @@
 /// Grows the number of accounts.
 pub fn accounts(seconds: u64) -> Vec<SweepRow> {
     let measure = |count| {
-        let system = start(1);
+        let sink = MetricSink::start("load_bytes");
+        let system = start_counted(1, &sink);
         let text = fleet::with_accounts(&system, count);
-        measure(&system, &text, Counts { engines: 1, accounts: count }, seconds)
+        measure(&system, &text, Counts { engines: 1, accounts: count }, seconds, &sink)
     };
     ACCOUNT_COUNTS.into_iter().map(measure).collect()
 }
@@ -75,12 +80,24 @@
     accounts: usize,
 }
 
-fn start(daemons: usize) -> TestSystem {
-    let size = SystemSize { daemons, engines: 1, plain_servers: 0, ..SystemSize::default() };
-    TestSystem::start(size)
+/// Starts a system whose daemons send their metrics to a sink.
+fn start_counted(daemons: usize, sink: &MetricSink) -> TestSystem {
+    TestSystem::start(SystemSize {
+        daemons,
+        engines: 1,
+        plain_servers: 0,
+        daemon_settings: format!("metrics: {}\n", sink.address()),
+        ..SystemSize::default()
+    })
 }
 
-fn measure(system: &TestSystem, text: &str, counts: Counts, seconds: u64) -> SweepRow {
+fn measure(
+    system: &TestSystem,
+    text: &str,
+    counts: Counts,
+    seconds: u64,
+    sink: &MetricSink,
+) -> SweepRow {
     let started = Instant::now();
     checked::build(1, text).expect("a valid text");
     let build_ms = started.elapsed().as_secs_f64() * 1000.0;
@@ -88,9 +105,11 @@
     let _ = system.try_put(system.recorded_revision(), text);
     thread::sleep(SETTLING);
     let pids: Vec<_> = system.daemons.iter().map(|daemon| daemon.process.id()).collect();
+    let told_before = sink.sum();
     let before = system::platform_counts(system);
     let cost = process_cost::mean_cost(&pids, Duration::from_secs(seconds));
     let after = system::platform_counts(system);
+    let told = sink.sum() - told_before;
     let rate = |count: fn(&PlatformCounts) -> u64| {
         (count(&after) - count(&before)) as f64 / seconds as f64 / pids.len() as f64
     };
@@ -102,6 +121,7 @@
         build_ms,
         core_percent: cost.core_percent,
         resident_mib: cost.resident_mib,
+        load_bytes: told as f64 / seconds as f64 / pids.len() as f64,
         platform_reads: rate(|counts| counts.reads + counts.lists),
         platform_watches: rate(|counts| counts.watches),
         platform_writes: rate(|counts| counts.writes + counts.leases),
@@ -119,6 +139,7 @@
         "build ms",
         "core %",
         "MiB",
+        "load B/s",
         "reads/s",
         "watches/s",
         "writes/s",
@@ -132,6 +153,7 @@
             format!("{:.1}", row.build_ms),
             format!("{:.2}", row.core_percent),
             format!("{:.1}", row.resident_mib),
+            format!("{:.0}", row.load_bytes),
             format!("{:.2}", row.platform_reads),
             format!("{:.2}", row.platform_watches),
             format!("{:.2}", row.platform_writes),
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -21,11 +21,11 @@
 use std::{collections::HashMap, time::Duration};
 
 use smol_str::SmolStr;
-use xxhash_rust::xxh3;
 
 use crate::{
     bucket::TokenBucket,
     refusal::{RefusalReason, RequestRefusal},
+    rendezvous,
     time::Timestamp,
 };
 
@@ -61,10 +61,7 @@
 impl DomainView {
     /// Returns the home daemon of an account.
     pub fn home(&self, account: &str) -> Option<&SmolStr> {
-        let weight = |daemon: &SmolStr| {
-            xxh3::xxh3_64_with_seed(daemon.as_bytes(), xxh3::xxh3_64(account.as_bytes()))
-        };
-        self.live.iter().max_by_key(|daemon| (weight(daemon), daemon.as_str()))
+        rendezvous::choose(&self.live, account)
     }
 
     /// Returns the share that each daemon may always use.
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, demand::DemandMeter,
-    limits::LimitDesk, logs::LogLevels, metrics::MetricClient, poison::PoisonBook,
+    limits::LimitDesk, loads::LoadDesk, logs::LogLevels, metrics::MetricClient, poison::PoisonBook,
     retries::RetryBook, routing::RoutingDesk, snapshot::FleetSnapshot, steward::OrderBoard,
 };
 
@@ -40,6 +40,7 @@
     pub balance: BalanceBook,
     pub desk: Arc<RoutingDesk>,
     pub limits: LimitDesk,
+    pub loads: LoadDesk,
     pub poison: Arc<PoisonBook>,
     pub retries: RetryBook,
     pub metrics: Arc<MetricClient>,
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -34,9 +34,7 @@
     /// A higher configuration revision was accepted.
     Fleet(Arc<FleetTable>),
     /// An engine answered with its load.
-    Report { engine: SmolStr, report: Box<LoadReport> },
-    /// An engine gave no load report.
-    ReportMissing { engine: SmolStr },
+    Report { engine: SmolStr, report: Arc<LoadReport> },
     /// A backend server of a plain service answered, or didn't.
     PlainHealth { server: SmolStr, healthy: bool },
     /// The platform's list of VMs came in.
@@ -113,9 +111,8 @@
         match event {
             ControlEvent::Fleet(fleet) => self.change_fleet(fleet),
             ControlEvent::Report { engine, report } => {
-                self.observe_report(engine, *report, now);
+                self.observe_report(engine, report, now);
             }
-            ControlEvent::ReportMissing { .. } => {}
             ControlEvent::PlainHealth { server, healthy } => {
                 self.plain_servers.entry(server).or_default().healthy = healthy;
             }
@@ -132,7 +129,7 @@
     }
 
     /// Notes a load report; one that came before shows nothing new.
-    fn observe_report(&mut self, engine: SmolStr, report: LoadReport, now: Timestamp) {
+    fn observe_report(&mut self, engine: SmolStr, report: Arc<LoadReport>, now: Timestamp) {
         // A report may come in after its engine has left the configuration.
         let Some(status) = self.engines.get_mut(&engine) else { return };
         if let Some(last) = &status.report {
@@ -161,7 +158,7 @@
         }
         status.gauge.reported(made_at);
         status.received = now;
-        status.report = Some(Arc::new(report));
+        status.report = Some(report);
     }
 
     /// Puts a higher revision in force; a lower one is never applied.
@@ -171,14 +168,14 @@
         }
         tracing::info!(revision = fleet.revision, "configuration in force");
         self.context.metrics.revision(fleet.revision);
+        let domain = &self.context.settings.failure_domain;
+        self.context.loads.change_fleet(&fleet, domain, self.context.clock.now());
         for (_, engine) in fleet.engines.iter() {
             let status = self.engines.entry(engine.name.clone()).or_default();
             status.cache = self.context.desk.cache(&engine.name);
-            if !std::mem::replace(&mut status.polled, true) {
-                pollers::spawn_engine(&self.context, engine.name.clone());
-                if fleet.domains[engine.domain].name == self.context.settings.failure_domain {
-                    pollers::spawn_cache(&self.context, engine.name.clone());
-                }
+            let is_home = fleet.domains[engine.domain].name == *domain;
+            if !std::mem::replace(&mut status.polled, true) && is_home {
+                pollers::spawn_cache(&self.context, engine.name.clone());
             }
         }
         for (_, server) in fleet.plain_servers.iter() {
@@ -209,7 +206,9 @@
 
     fn tick(&mut self, now: Timestamp) {
         self.share_links(now);
-        self.context.limits.observe(self.domain_view(now), now);
+        let view = self.domain_view(now);
+        self.context.loads.observe(&view);
+        self.context.limits.observe(view, now);
         // Reports expire with time, so the view may change without an event.
         if self.changed || !self.engines.is_empty() {
             self.context.snapshot.store(Arc::new(self.view(now)));
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -13,11 +13,10 @@
 
 use crate::{
     control::ControlState,
+    loads,
     snapshot::{EngineEntry, FleetSnapshot, PlainEntry},
 };
 
-/// Age at which a load report no longer shows that its engine is alive.
-const REPORT_EXPIRY: Duration = Duration::from_secs(2);
 /// Cache piece assumed until an engine reports its own.
 const DEFAULT_PIECE_TOKENS: u32 = 16;
 
@@ -54,7 +53,9 @@
         now: Timestamp,
     ) -> EngineEntry {
         let status = &self.engines[&row.name];
-        let report = status.report.as_ref().filter(|_| now.since(status.received) < REPORT_EXPIRY);
+        let place = self.place(domain, row.domain);
+        let expiry = report_expiry(place);
+        let report = status.report.as_ref().filter(|_| now.since(status.received) < expiry);
         let leaving = row.leaving || self.membership.is_leaving(&row.name);
         let draining = self.context.orders.is_draining(&row.name, now);
         let serving = report.is_some_and(|report| report.state == EngineState::Serving);
@@ -71,7 +72,7 @@
                 model,
                 role: role.unwrap_or(row.role),
                 open,
-                place: self.place(domain, row.domain),
+                place,
                 latency: self.latency(domain, row.domain),
                 price_per_gb: self.price(domain, row.domain),
                 speed: EngineSpeed::default(),
@@ -129,3 +130,12 @@
         }
     }
 }
+
+/// Returns the age at which a load report no longer shows that its engine is
+/// alive.
+fn report_expiry(place: EnginePlace) -> Duration {
+    match place {
+        EnginePlace::Home => loads::HOME_EXPIRY,
+        EnginePlace::SameRegion | EnginePlace::OtherRegion => loads::AWAY_EXPIRY,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gauge;
 pub mod history;
 pub mod limits;
+pub mod loads;
 pub mod logs;
 pub mod metrics;
 pub mod operators;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -61,6 +61,11 @@
         self.addresses.lock().insert(SmolStr::new(daemon), address.to_owned());
     }
 
+    /// Returns the address at which a daemon has answered.
+    pub fn address(&self, daemon: &str) -> Option<String> {
+        self.addresses.lock().get(daemon).cloned()
+    }
+
     /// Takes a request out of its account's share.
     ///
     /// # Errors
@@ -182,7 +187,7 @@
     let client = match known {
         Some(client) => client,
         None => {
-            let address = context.limits.addresses.lock().get(home).cloned();
+            let address = context.limits.address(home);
             let address = address.ok_or(UnknownHome)?;
             let builder = WsClientBuilder::default()
                 .connection_timeout(ASK_TIMEOUT)
--- /dev/null
+++ b/crates/daemon/src/loads/news.rs
@@ -0,0 +1,135 @@
+//! What one daemon has told another of the engines' load.
+//!
+//! A report that differs from the last whole one only in what every report
+//! changes goes as a pulse. The hearer tells for which pulses it lacks the
+//! whole report, and gets that next.
+
+use std::collections::HashMap;
+
+use gooseberry_core::time::Timestamp;
+use gooseberry_wire::{engine::LoadReport, loads::LoadPulse};
+use smol_str::SmolStr;
+
+use crate::loads::reading::OwnReading;
+
+/// Holds the news for one peer.
+#[derive(Clone, Debug, Default)]
+pub struct LoadNews {
+    /// Whole reports, each with the name that the configuration gives its engine.
+    pub reports: Vec<(SmolStr, LoadReport)>,
+    pub pulses: Vec<LoadPulse>,
+    /// Engines that are read and give nothing new.
+    pub silent: Vec<SmolStr>,
+}
+
+impl LoadNews {
+    /// Tells whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.reports.is_empty() && self.pulses.is_empty() && self.silent.is_empty()
+    }
+}
+
+/// Holds what one peer was told.
+#[derive(Debug, Default)]
+pub struct ToldReports {
+    engines: HashMap<SmolStr, ToldReport>,
+}
+
+#[derive(Debug, Default)]
+struct ToldReport {
+    whole: Option<LoadReport>,
+    sequence: u64,
+    at: Timestamp,
+}
+
+impl ToldReports {
+    /// Adds what a peer is to be told of an engine, and notes it as told.
+    pub fn tell(
+        &mut self,
+        news: &mut LoadNews,
+        engine: &SmolStr,
+        reading: &OwnReading,
+        now: Timestamp,
+    ) {
+        let told = self.engines.entry(engine.clone()).or_default();
+        let is_due = now.since(told.at) >= reading.pulse();
+        let is_told = |report: &LoadReport| {
+            let whole = told.whole.as_ref();
+            whole.is_some_and(|whole| whole.incarnation == report.incarnation)
+                && told.sequence >= report.sequence
+        };
+        let Some(report) = reading.report.as_deref().filter(|report| !is_told(report)) else {
+            if is_due {
+                told.at = now;
+                news.silent.push(engine.clone());
+            }
+            return;
+        };
+        match told.whole.as_ref().filter(|whole| differs_by_pulse(whole, report)) {
+            Some(_) if !is_due => return,
+            Some(whole) => news.pulses.push(pulse(engine, whole, report)),
+            None => {
+                news.reports.push((engine.clone(), report.clone()));
+                told.whole = Some(report.clone());
+            }
+        }
+        told.sequence = report.sequence;
+        told.at = now;
+    }
+
+    /// Notes that a peer lacks the whole report of an engine.
+    pub fn forget(&mut self, engine: &str) {
+        self.engines.remove(engine);
+    }
+}
+
+fn pulse(engine: &SmolStr, whole: &LoadReport, report: &LoadReport) -> LoadPulse {
+    LoadPulse {
+        engine: engine.to_string(),
+        base: whole.sequence,
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        made_at_ms: report.made_at_ms,
+        steps: report.steps,
+    }
+}
+
+fn differs_by_pulse(whole: &LoadReport, report: &LoadReport) -> bool {
+    let mut moved = whole.clone();
+    moved.sequence = report.sequence;
+    moved.made_at_ms = report.made_at_ms;
+    moved.steps = report.steps;
+    moved == *report
+}
+
+/// Holds the last whole report that each daemon told of each engine.
+#[derive(Debug, Default)]
+pub struct HeardReports {
+    engines: HashMap<SmolStr, HashMap<SmolStr, LoadReport>>,
+}
+
+impl HeardReports {
+    /// Keeps a whole report for the pulses that follow.
+    pub fn keep(&mut self, engine: &SmolStr, reader: &SmolStr, report: LoadReport) {
+        let readers = self.engines.entry(engine.clone()).or_default();
+        readers.insert(reader.clone(), report);
+    }
+
+    /// Makes the report that a pulse stands for, if its base is known.
+    pub fn complete(&self, reader: &str, pulse: &LoadPulse) -> Option<LoadReport> {
+        let whole = self.engines.get(pulse.engine.as_str())?.get(reader)?;
+        if whole.sequence != pulse.base || whole.incarnation != pulse.incarnation {
+            return None;
+        }
+        let mut report = whole.clone();
+        report.sequence = pulse.sequence;
+        report.made_at_ms = pulse.made_at_ms;
+        report.steps = pulse.steps;
+        Some(report)
+    }
+
+    /// Forgets the engines that are not to be kept.
+    pub fn retain(&mut self, keep: impl Fn(&SmolStr) -> bool) {
+        self.engines.retain(|engine, _| keep(engine));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/loads/rpc.rs
@@ -0,0 +1,80 @@
+//! Calls between daemons about the load of engines.
+
+use std::sync::Arc;
+
+use gooseberry_core::readers::ReaderNews;
+use gooseberry_wire::{engine::LoadReport, loads::LoadPulse};
+use jsonrpsee::{
+    core::{async_trait, RpcResult},
+    proc_macros::rpc,
+};
+use smol_str::SmolStr;
+
+use crate::{context::DaemonContext, control::ControlEvent, peers};
+
+/// Calls about load.
+#[rpc(server)]
+pub trait LoadApi {
+    /// Takes the news of a reader and returns the engines whose whole report is
+    /// lacking here.
+    #[method(name = "loads")]
+    async fn loads(
+        &self,
+        secret: String,
+        reader: SmolStr,
+        reports: Vec<(SmolStr, LoadReport)>,
+        pulses: Vec<LoadPulse>,
+        silent: Vec<SmolStr>,
+    ) -> RpcResult<Vec<String>>;
+}
+
+/// Answers the calls of peers.
+pub struct LoadServer {
+    context: Arc<DaemonContext>,
+}
+
+impl LoadServer {
+    /// Makes a server that passes reports to the control thread.
+    pub fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
+    }
+
+    async fn take(&self, reader: &SmolStr, engine: SmolStr, report: LoadReport) {
+        let now = self.context.clock.now();
+        self.context.loads.hear(&engine, reader, ReaderNews::Report, now);
+        let report = Arc::new(report);
+        let _ = self.context.events.send(ControlEvent::Report { engine, report }).await;
+    }
+}
+
+#[async_trait]
+impl LoadApiServer for LoadServer {
+    async fn loads(
+        &self,
+        secret: String,
+        reader: SmolStr,
+        reports: Vec<(SmolStr, LoadReport)>,
+        pulses: Vec<LoadPulse>,
+        silent: Vec<SmolStr>,
+    ) -> RpcResult<Vec<String>> {
+        peers::check_secret(&self.context, &secret)?;
+        let desk = &self.context.loads;
+        for (engine, report) in reports {
+            desk.heard.lock().keep(&engine, &reader, report.clone());
+            self.take(&reader, engine, report).await;
+        }
+        let mut lacking = Vec::new();
+        for pulse in pulses {
+            let report = desk.heard.lock().complete(&reader, &pulse);
+            match report {
+                Some(report) => self.take(&reader, SmolStr::new(&pulse.engine), report).await,
+                None => lacking.push(pulse.engine),
+            }
+        }
+        let now = self.context.clock.now();
+        for engine in silent {
+            desk.hear(&engine, &reader, ReaderNews::Nothing, now);
+        }
+        Ok(lacking)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/loads/spread.rs
@@ -0,0 +1,80 @@
+//! Telling the peers of the failure domain what this daemon has read.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_std::{sync::Mutex, task};
+use gooseberry_core::time::Timestamp;
+use jsonrpsee::{core::traits::ToRpcParams, rpc_params};
+use smol_str::SmolStr;
+
+use crate::{
+    context::DaemonContext,
+    loads::{
+        news::{LoadNews, ToldReports},
+        LoadDesk,
+    },
+    poison::rpc::PeerLink,
+};
+
+/// Interval in which news are told.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Holds the connection to one peer and what went over it.
+struct PeerSpread {
+    link: PeerLink,
+    told: ToldReports,
+}
+
+/// Tells the live peers of the failure domain, for ever.
+pub async fn run(context: Arc<DaemonContext>) {
+    let mut peers: HashMap<SmolStr, Arc<Mutex<PeerSpread>>> = HashMap::new();
+    loop {
+        context.clock.sleep(SPREAD_INTERVAL).await;
+        let live = context.loads.live_peers(&context.settings.name);
+        peers.retain(|daemon, _| live.contains(daemon));
+        for daemon in live {
+            let Some(address) = context.limits.address(&daemon) else { continue };
+            let new = || {
+                let link = PeerLink::new(&address);
+                Arc::new(Mutex::new(PeerSpread { link, told: ToldReports::default() }))
+            };
+            let peer = Arc::clone(peers.entry(daemon).or_insert_with(new));
+            task::spawn(tell(Arc::clone(&context), peer));
+        }
+    }
+}
+
+/// Tells one peer what is new; a peer that is still being told skips a turn.
+async fn tell(context: Arc<DaemonContext>, peer: Arc<Mutex<PeerSpread>>) {
+    let Some(mut peer) = peer.try_lock() else { return };
+    let news = context.loads.news(&mut peer.told, context.clock.now());
+    if news.is_empty() {
+        return;
+    }
+    let own = &context.settings.name;
+    let secret = &context.settings.peer_secret;
+    let LoadNews { reports, pulses, silent } = news;
+    let params = rpc_params![secret, own, reports, pulses, silent];
+    let text = params.clone().to_rpc_params().ok().flatten();
+    context.metrics.loads_told(text.map_or(0, |text| text.get().len() as u64));
+    let lacking: Option<Vec<String>> = peer.link.call("loads", params).await;
+    match lacking {
+        Some(lacking) => lacking.iter().for_each(|engine| peer.told.forget(engine)),
+        // What was lost isn't known, so all is told again.
+        None => peer.told = ToldReports::default(),
+    }
+}
+
+impl LoadDesk {
+    /// Collects what a peer is to be told now.
+    fn news(&self, told: &mut ToldReports, now: Timestamp) -> LoadNews {
+        let state = self.state.lock();
+        let mut news = LoadNews::default();
+        for engine in state.readers.own_engines(now) {
+            if let Some(reading) = state.engines.get(engine) {
+                told.tell(&mut news, engine, reading, now);
+            }
+        }
+        news
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -53,6 +53,11 @@
         self.client.count_with_tags("spilled_bytes", bytes).with_tag("link", link).send();
     }
 
+    /// Counts bytes of load reports that were told to a peer, before framing.
+    pub fn loads_told(&self, bytes: u64) {
+        let _ = self.client.count("load_bytes", bytes);
+    }
+
     /// Notes the time to the first token.
     pub fn first_token(&self, span: Duration) {
         let _ = self.client.time("first_token", span);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -20,6 +20,7 @@
     control::ControlEvent,
     history::HistoryBook,
     limits::{QuotaApiServer, QuotaServer},
+    loads::{LoadApiServer, LoadServer},
     operators::{OperatorApiServer, OperatorServer},
     poison::rpc::{PoisonApiServer, PoisonServer},
     revisions::RevisionStore,
@@ -137,10 +138,12 @@
         let server = Server::builder().build(&context.settings.peer_listen).await?;
         let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
         let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
+        let loads = LoadServer::new(Arc::clone(&context)).into_rpc();
         let poison = PoisonServer::new(Arc::clone(&context.poison)).into_rpc();
         let mut methods = Self { context, revisions, book }.into_rpc();
         methods.merge(operators)?;
         methods.merge(quota)?;
+        methods.merge(loads)?;
         methods.merge(poison)?;
         Ok(server.start(methods))
     }
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -1,4 +1,4 @@
-//! Tasks that ask backend servers and the platform how they are.
+//! Tasks that ask plain services, caches and the platform how they are.
 
 use std::{
     sync::{atomic::Ordering, Arc},
@@ -12,7 +12,7 @@
 
 use crate::{context::DaemonContext, control::ControlEvent};
 
-/// Interval of load reports and health checks.
+/// Interval of health checks.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of reads of cache events, which are hints and may be late.
 const CACHE_INTERVAL: Duration = Duration::from_secs(1);
@@ -21,27 +21,6 @@
 /// Interval of reads of the platform's list of VMs.
 const VM_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Starts to read the load of an engine, until it leaves the configuration.
-pub fn spawn_engine(context: &Arc<DaemonContext>, engine: SmolStr) {
-    let context = Arc::clone(context);
-    task::spawn(async move {
-        loop {
-            context.clock.sleep(POLL_INTERVAL).await;
-            let Some(address) = engine_address(&context, &engine) else { return };
-            let event = match context.engines.load(&address).await {
-                Ok(report) => {
-                    ControlEvent::Report { engine: engine.clone(), report: Box::new(report) }
-                }
-                Err(error) => {
-                    tracing::debug!(%engine, %error, "no load report");
-                    ControlEvent::ReportMissing { engine: engine.clone() }
-                }
-            };
-            let _ = context.events.send(event).await;
-        }
-    });
-}
-
 /// Starts to read the cache events of an engine of the home failure domain,
 /// until it leaves the configuration.
 pub fn spawn_cache(context: &Arc<DaemonContext>, engine: SmolStr) {
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -29,6 +29,7 @@
     demand::DemandMeter,
     history::{self, HistoryBook},
     limits::{self, LimitDesk},
+    loads::{self, LoadDesk},
     logs::LogLevels,
     metrics::MetricClient,
     peers::{self, PeerBook, PeerServer},
@@ -120,6 +121,7 @@
         plain: Arc::new(PlainClient::new(http)),
         balance: BalanceBook::new(Arc::clone(&metrics)),
         limits: LimitDesk::default(),
+        loads: LoadDesk::new((&settings.name).into()),
         desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
         poison,
         retries: RetryBook::new(clock.clone()),
@@ -159,6 +161,7 @@
     task::spawn(pollers::read_vms(Arc::clone(context)));
     task::spawn(prune::run(Arc::clone(context)));
     task::spawn(limits::ask_homes(Arc::clone(context)));
+    loads::spawn(context);
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
         task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod edit;
 pub mod engine;
+pub mod loads;
 pub mod order;
 pub mod peer;
 pub mod platform;
