Split the record of a slot and heed the gap for released claims

Cause: the record of a slot held all rows of the callers' retry horizon in one value, which outgrows the service's megabyte. While that was changed, a property over several keys found a fault that the one over one key hadn't: in a gap, a successor took a claim that the record calls released for proof that the key is free, although the dead owner may have granted it again in memory. The key ran twice. The same holds for a claim given back to the successor a second time.

Ruled out: dropping released rows when a record is read (the second give-back still frees the key); several values for one commit (not atomic with the passing of the slot).

Change: the head is compared and swapped; settled rows move to segments that are written once and count only when a head names them. A commit never leaves out what a head has held, holds at most the limit, and keeps the old stamp while it leaves out a claim granted from memory. Rows of a former owner don't free a key in a gap. Commits look at open rows only. No daemon uses it yet.

--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -16,11 +16,17 @@
 //! commit that it sent, and keeps that stamp for as long as commits fail. So an
 //! owner whose death is proven earlier than that has granted nothing that
 //! isn't recorded.
+//!
+//! A commit that can't hold all rows keeps the old stamp for as long as it
+//! leaves out one that was granted from memory, for the same reason.
+
+mod segments;
 
 use std::{collections::BTreeMap, time::Duration};
 
-use smol_str::SmolStr;
+use smol_str::{format_smolstr, SmolStr};
 
+pub use self::segments::{row_size, SlotLimits, SlotSegment};
 use crate::{
     claims::{ClaimRow, ClaimState},
     time::Timestamp,
@@ -49,7 +55,9 @@
     pub stamp: Timestamp,
     /// End of the time in which unknown keys may have been granted before.
     pub gap_until: Timestamp,
-    /// Claims by the hash of their key.
+    /// Names of the segments, the oldest one first.
+    pub segments: Vec<SmolStr>,
+    /// Claims by the hash of their key; they replace those of the segments.
     pub rows: BTreeMap<SmolStr, ClaimRow>,
 }
 
@@ -89,11 +97,54 @@
 #[derive(Clone, Debug)]
 struct SlotRow {
     row: ClaimRow,
+    /// Whether the record provably holds the row as it is now.
     recorded: bool,
+    /// Whether a head that was sent holds the row in some state; none that
+    /// follows may leave it out.
+    mentioned: bool,
+    /// Whether the call was granted before the claim was recorded.
+    from_memory: bool,
+    /// Whether the row comes from a former owner, which may have granted the
+    /// key again in memory after the claim was given back.
+    inherited: bool,
+    /// Whether a written segment holds the row as it is now.
+    sealed: bool,
     /// Whether a commit that is on its way holds the row.
     committing: bool,
 }
 
+impl SlotRow {
+    fn new(row: ClaimRow) -> Self {
+        Self {
+            row,
+            recorded: false,
+            mentioned: false,
+            from_memory: false,
+            inherited: false,
+            sealed: false,
+            committing: false,
+        }
+    }
+
+    fn recorded(row: ClaimRow, sealed: bool) -> Self {
+        Self { recorded: true, mentioned: true, inherited: true, sealed, ..Self::new(row) }
+    }
+
+    fn is_settled(&self) -> bool {
+        self.row.state != ClaimState::Running
+    }
+
+    /// Returns the row as a head must hold it at least.
+    ///
+    /// A final state that isn't recorded may wait: "running" claims less.
+    fn least(&self) -> ClaimRow {
+        if self.recorded {
+            return self.row.clone();
+        }
+        ClaimRow { state: ClaimState::Running, ..self.row.clone() }
+    }
+}
+
 /// Grants the claims of one slot.
 #[derive(Clone, Debug)]
 pub struct SlotOwner {
@@ -106,13 +157,36 @@
     in_flight: bool,
     passed: bool,
     gap_until: Timestamp,
+    /// Rows that the next head may have to hold.
     rows: BTreeMap<SmolStr, SlotRow>,
+    /// Recorded rows that a segment of the next head holds; no commit looks at
+    /// them.
+    closed: BTreeMap<SmolStr, SlotRow>,
+    limits: SlotLimits,
+    /// Names of the segments that the next head lists.
+    segments: Vec<SmolStr>,
+    /// Segment writes begun by this owner, for names that are never used again.
+    seals: u64,
+    /// Segment that is on its way.
+    sealing: Option<SlotSegment>,
 }
 
 impl SlotOwner {
     /// Starts to own a slot, after the write of its record took effect.
-    pub fn new(revision: u64, record: SlotRecord) -> Self {
-        let recorded = |row| SlotRow { row, recorded: true, committing: false };
+    ///
+    /// `segments` are those that the record names, in its order.
+    pub fn new(
+        revision: u64,
+        record: SlotRecord,
+        segments: Vec<SlotSegment>,
+        limits: SlotLimits,
+    ) -> Self {
+        let sealed = segments.into_iter().flat_map(|segment| segment.rows);
+        let mut closed: BTreeMap<_, _> =
+            sealed.map(|(path, row)| (path, SlotRow::recorded(row, true))).collect();
+        closed.retain(|path, _| !record.rows.contains_key(path));
+        let open = record.rows.into_iter();
+        let open = open.map(|(path, row)| (path, SlotRow::recorded(row, false)));
         Self {
             owner: record.owner,
             revision,
@@ -121,7 +195,12 @@
             in_flight: false,
             passed: false,
             gap_until: record.gap_until,
-            rows: record.rows.into_iter().map(|(path, row)| (path, recorded(row))).collect(),
+            rows: open.collect(),
+            closed,
+            limits,
+            segments: record.segments,
+            seals: 0,
+            sealing: None,
         }
     }
 
@@ -130,22 +209,31 @@
         if self.passed {
             return SlotAnswer::NotOwner;
         }
-        match self.rows.get(path) {
+        match self.rows.get(path).or_else(|| self.closed.get(path)) {
             Some(known) if known.row.claim == asked.claim => {}
             Some(known) if known.row.state != ClaimState::Released => {
                 return SlotAnswer::Found(known.row.clone());
             }
+            Some(known) if known.inherited && now < self.gap_until => {
+                return SlotAnswer::Gap { until: self.gap_until };
+            }
             None if now < self.gap_until => return SlotAnswer::Gap { until: self.gap_until },
             _ => {
-                let row = asked.clone();
-                self.rows.insert(path.clone(), SlotRow { row, recorded: false, committing: false });
+                self.closed.remove(path);
+                self.rows.insert(path.clone(), SlotRow::new(asked.clone()));
             }
         }
-        let known = &self.rows[path];
-        if known.row.state != ClaimState::Running {
+        let by_memory = self.grants_from_memory(now);
+        let known = self.rows.get_mut(path).or_else(|| self.closed.get_mut(path));
+        let Some(known) = known else { return SlotAnswer::Pending };
+        if known.is_settled() {
             return SlotAnswer::Found(known.row.clone());
         }
-        if known.recorded || self.grants_from_memory(now) {
+        if known.recorded {
+            return SlotAnswer::Granted;
+        }
+        if by_memory {
+            known.from_memory = true;
             return SlotAnswer::Granted;
         }
         SlotAnswer::Pending
@@ -174,26 +262,112 @@
         if self.in_flight || self.passed || !(changed || old || !self.confirmed) {
             return None;
         }
+        let (rows, complete) = self.choose_rows();
         // A failed commit may still take effect: its stamp must not be younger
         // than the one that grants from memory are counted from.
-        if self.confirmed {
+        if self.confirmed && complete {
             self.stamp = now;
         }
         self.confirmed = false;
         self.in_flight = true;
-        for known in self.rows.values_mut() {
-            known.committing = true;
-        }
-        let rows = self.rows.iter().map(|(path, known)| (path.clone(), known.row.clone()));
         let record = SlotRecord {
             owner: self.owner.clone(),
             stamp: self.stamp,
             gap_until: self.gap_until,
-            rows: rows.collect(),
+            segments: self.segments.clone(),
+            rows,
         };
         Some(SlotCommit { expected: self.revision, record })
     }
 
+    /// Chooses the rows of the next head, and tells whether it holds all that
+    /// were granted from memory.
+    ///
+    /// What earlier heads hold comes first, then new claims, for which callers
+    /// wait, then final states.
+    fn choose_rows(&mut self) -> (BTreeMap<SmolStr, ClaimRow>, bool) {
+        let mut rows = BTreeMap::new();
+        let mut size = 0;
+        for (path, known) in self.rows.iter_mut().filter(|(_, known)| known.mentioned) {
+            // The segment that holds the row is in the list of this head.
+            known.committing = known.sealed;
+            if !known.sealed {
+                let row = known.least();
+                size += row_size(path, &row);
+                known.committing = row == known.row;
+                rows.insert(path.clone(), row);
+            }
+        }
+        let mut complete = true;
+        for (path, known) in self.rows.iter_mut().filter(|(_, known)| !known.mentioned) {
+            let row = known.least();
+            let fits = size + row_size(path, &row) <= self.limits.value;
+            if !fits {
+                complete &= !known.from_memory;
+                continue;
+            }
+            size += row_size(path, &row);
+            known.mentioned = true;
+            known.committing = row == known.row;
+            rows.insert(path.clone(), row);
+        }
+        for (path, known) in self.rows.iter_mut() {
+            if known.committing || !known.mentioned {
+                continue;
+            }
+            let grown = size - row_size(path, &rows[path]) + row_size(path, &known.row);
+            if grown <= self.limits.value {
+                size = grown;
+                known.committing = true;
+                rows.insert(path.clone(), known.row.clone());
+            }
+        }
+        (rows, complete)
+    }
+
+    /// Returns the segment that is due, if there is one and none is on its way.
+    pub fn seal(&mut self) -> Option<SlotSegment> {
+        if self.sealing.is_some() || self.passed {
+            return None;
+        }
+        let open = self.rows.iter().filter(|(_, known)| {
+            // A row that a head doesn't hold yet must not skip the head's order.
+            known.mentioned && !known.sealed && known.is_settled()
+        });
+        let mut rows = BTreeMap::new();
+        let mut size = 0;
+        for (path, known) in open {
+            let grown = size + row_size(path, &known.row);
+            if grown <= self.limits.value {
+                size = grown;
+                rows.insert(path.clone(), known.row.clone());
+            }
+        }
+        if size < self.limits.seal {
+            return None;
+        }
+        self.seals += 1;
+        let name = format_smolstr!("{}/{}", self.owner, self.seals);
+        let segment = SlotSegment { name, rows };
+        self.sealing = Some(segment.clone());
+        Some(segment)
+    }
+
+    /// Notes whether the segment on its way was provably written. One of
+    /// unknown fate is left behind, and its rows are sealed again.
+    pub fn sealed(&mut self, written: bool) {
+        let Some(segment) = self.sealing.take() else { return };
+        if !written {
+            return;
+        }
+        for (path, row) in segment.rows {
+            if let Some(known) = self.rows.get_mut(&path).filter(|known| known.row == row) {
+                known.sealed = true;
+            }
+        }
+        self.segments.push(segment.name);
+    }
+
     /// Notes how the write on its way ended.
     pub fn committed(&mut self, answer: CommitAnswer) {
         self.in_flight = false;
@@ -203,7 +377,9 @@
                 self.confirmed = true;
                 for known in self.rows.values_mut() {
                     known.recorded |= known.committing;
+                    known.from_memory &= !known.mentioned;
                 }
+                self.close_rows();
             }
             CommitAnswer::Passed => self.passed = true,
             CommitAnswer::Unknown => {}
@@ -213,6 +389,13 @@
         }
     }
 
+    fn close_rows(&mut self) {
+        let rows = std::mem::take(&mut self.rows);
+        let (done, open) = rows.into_iter().partition(|(_, known)| known.recorded && known.sealed);
+        self.rows = open;
+        self.closed.extend::<BTreeMap<_, _>>(done);
+    }
+
     /// Notes that an earlier commit of unknown fate was found in the record;
     /// the next one is written over it.
     pub fn found_own(&mut self, revision: u64) {
@@ -234,5 +417,5 @@
     let gap = dead_by.filter(|dead| *dead + CLOCK_SKEW >= record.stamp + MEMORY_DELAY);
     let gap_until = gap
         .map_or(record.gap_until, |dead| record.gap_until.max(dead + retry_horizon + CLOCK_SKEW));
-    SlotRecord { owner: successor, stamp: now, gap_until, rows: record.rows.clone() }
+    SlotRecord { owner: successor, stamp: now, gap_until, ..record.clone() }
 }
--- a/crates/core/tests/slots.rs
+++ b/crates/core/tests/slots.rs
@@ -6,7 +6,8 @@
     claims::{ClaimRow, ClaimState},
     membership::SETTLING_TIME,
     slots::{
-        self, CommitAnswer, SlotAnswer, SlotCommit, SlotOwner, SlotRecord, MEMORY_DELAY, SLOT_COUNT,
+        self, CommitAnswer, SlotAnswer, SlotCommit, SlotLimits, SlotOwner, SlotRecord,
+        MEMORY_DELAY, SLOT_COUNT,
     },
     time::Timestamp,
 };
@@ -125,7 +126,13 @@
 }
 
 fn first_record() -> SlotRecord {
-    SlotRecord { owner: "vm-0/1".into(), stamp: START, gap_until: START, rows: BTreeMap::new() }
+    SlotRecord {
+        owner: "vm-0/1".into(),
+        stamp: START,
+        gap_until: START,
+        segments: Vec::new(),
+        rows: BTreeMap::new(),
+    }
 }
 
 impl World {
@@ -135,7 +142,7 @@
             rule,
             now: START,
             revision: 1,
-            owners: vec![SlotOwner::new(1, record.clone())],
+            owners: vec![SlotOwner::new(1, record.clone(), Vec::new(), SlotLimits::default())],
             record,
             died: None,
             late_commit: None,
@@ -302,7 +309,12 @@
         self.record = slots::succeed(&self.record, successor, dead_by, HORIZON, self.now);
         self.revision += 1;
         self.commit_answer = None;
-        self.owners.push(SlotOwner::new(self.revision, self.record.clone()));
+        self.owners.push(SlotOwner::new(
+            self.revision,
+            self.record.clone(),
+            Vec::new(),
+            SlotLimits::default(),
+        ));
         self.died = None;
     }
 }
@@ -358,7 +370,7 @@
 
 #[test]
 fn one_commit_grants_all_claims_that_wait_for_it() {
-    let mut owner = SlotOwner::new(1, first_record());
+    let mut owner = SlotOwner::new(1, first_record(), Vec::new(), SlotLimits::default());
     let keys: Vec<SmolStr> = (0..100).map(|index| format_smolstr!("key-{index}")).collect();
     for key in &keys {
         assert_eq!(owner.ask(key, &row(key), START), SlotAnswer::Pending);
@@ -373,7 +385,7 @@
 
 #[test]
 fn an_owner_grants_from_memory_through_an_outage_and_a_successor_knows_of_the_gap() {
-    let mut owner = SlotOwner::new(1, first_record());
+    let mut owner = SlotOwner::new(1, first_record(), Vec::new(), SlotLimits::default());
     assert_eq!(owner.ask(&path(), &row("first"), START), SlotAnswer::Pending);
     assert!(owner.commit(START).is_some());
     owner.committed(CommitAnswer::Unknown);
@@ -382,7 +394,7 @@
     assert_eq!(owner.ask(&path(), &row("first"), early), SlotAnswer::Pending);
     assert_eq!(owner.ask(&path(), &row("first"), late), SlotAnswer::Granted);
     let taken = slots::succeed(&first_record(), "vm-2/1".into(), Some(late), HORIZON, late);
-    let mut successor = SlotOwner::new(2, taken);
+    let mut successor = SlotOwner::new(2, taken, Vec::new(), SlotLimits::default());
     let answer = successor.ask(&path(), &row("second"), late);
     assert!(matches!(answer, SlotAnswer::Gap { until } if until >= late + HORIZON));
 }
@@ -400,7 +412,7 @@
 
 #[test]
 fn a_claim_that_comes_while_a_commit_is_on_its_way_waits_for_the_next_one() {
-    let mut owner = SlotOwner::new(1, first_record());
+    let mut owner = SlotOwner::new(1, first_record(), Vec::new(), SlotLimits::default());
     let (first, second): (SmolStr, SmolStr) = ("first".into(), "second".into());
     owner.ask(&first, &row("first"), START);
     assert!(owner.commit(START).is_some());
@@ -409,3 +421,28 @@
     assert_eq!(owner.ask(&first, &row("first"), START), SlotAnswer::Granted);
     assert_eq!(owner.ask(&second, &row("second"), START), SlotAnswer::Pending);
 }
+
+/// Makes the record that a successor gets: the key's first claim in a state,
+/// and a gap, in which a second claim may have been granted and not recorded.
+fn inherited(state: ClaimState) -> SlotOwner {
+    let late = START + MEMORY_DELAY;
+    let mut record = first_record();
+    record.rows.insert(path(), ClaimRow { state, ..row("first") });
+    let taken = slots::succeed(&record, "vm-2/1".into(), Some(late), HORIZON, late);
+    SlotOwner::new(2, taken, Vec::new(), SlotLimits::default())
+}
+
+#[test]
+fn a_released_claim_of_the_record_proves_nothing_in_a_gap() {
+    let mut successor = inherited(ClaimState::Released);
+    let answer = successor.ask(&path(), &row("third"), START + MEMORY_DELAY);
+    assert!(matches!(answer, SlotAnswer::Gap { .. }), "{answer:?}");
+}
+
+#[test]
+fn a_claim_that_is_given_back_again_after_a_succession_proves_nothing_in_a_gap() {
+    let mut successor = inherited(ClaimState::Running);
+    successor.finish(&path(), "first", ClaimState::Released);
+    let answer = successor.ask(&path(), &row("third"), START + MEMORY_DELAY);
+    assert!(matches!(answer, SlotAnswer::Gap { .. }), "{answer:?}");
+}
--- a/crates/harness/examples/measure_claims.rs
+++ b/crates/harness/examples/measure_claims.rs
@@ -12,7 +12,7 @@
 use gooseberry_core::{
     claims::{ClaimRow, ClaimState},
     outage::OutageGate,
-    slots::{CommitAnswer, SlotAnswer, SlotOwner, SlotRecord},
+    slots::{CommitAnswer, SlotAnswer, SlotLimits, SlotOwner, SlotRecord},
     time::Timestamp,
 };
 use gooseberry_harness::{
@@ -192,9 +192,10 @@
         owner: format_smolstr!("vm-{index}/1"),
         stamp: Timestamp::from_millis(0),
         gap_until: Timestamp::from_millis(0),
+        segments: Vec::new(),
         rows: Default::default(),
     };
-    let owner = SlotOwner::new(1, record);
+    let owner = SlotOwner::new(1, record, Vec::new(), SlotLimits::default());
     OwnerRun { owner, waiting: Vec::new(), write: None, committed: 0, revision: 1 }
 }
 
@@ -231,6 +232,15 @@
             self.committed = now;
             self.write = Some((now + WRITE_MS, !is_down(now)));
             figures.writes += u64::from(!is_down(now));
+            self.seal(now, figures);
+        }
+    }
+
+    /// Writes the segment that is due; its write takes no time in this run.
+    fn seal(&mut self, now: u64, figures: &mut Figures) {
+        if self.owner.seal().is_some() {
+            figures.writes += u64::from(!is_down(now));
+            self.owner.sealed(!is_down(now));
         }
     }
 
