Say what is known of earlier tries with a key; name tables by the field's terms

Cause: a refusal's executed: no speaks of its own try, and a caller could take it for all tries with its key; and several types were named by metaphors (desk, book, board). Change: unless the claim was seen, a refused call with a key adds earlier_tries: unknown; the types are named state, table, store or registry.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -73,22 +73,25 @@
     pub executed: RequestExecuted,
     /// When to come back, if that can help.
     pub retry_after: Option<Duration>,
+    /// Whether `executed` speaks of all tries with the request's key, and not
+    /// only of the refused one.
+    pub covers_key: bool,
 }
 
 impl RequestRefusal {
     /// Refuses a request of which no byte has reached a backend server.
     pub fn not_executed(reason: RefusalReason) -> Self {
-        Self { reason, executed: RequestExecuted::No, retry_after: None }
+        Self { reason, executed: RequestExecuted::No, retry_after: None, covers_key: false }
     }
 
     /// Refuses a request that may have run.
     pub fn unknown(reason: RefusalReason) -> Self {
-        Self { reason, executed: RequestExecuted::Unknown, retry_after: None }
+        Self { reason, executed: RequestExecuted::Unknown, retry_after: None, covers_key: false }
     }
 
     /// Refuses a request that has run but whose answer can't be given.
     pub fn executed(reason: RefusalReason) -> Self {
-        Self { reason, executed: RequestExecuted::Yes, retry_after: None }
+        Self { reason, executed: RequestExecuted::Yes, retry_after: None, covers_key: false }
     }
 
     /// Adds the time after which the caller may come back.
@@ -97,6 +100,13 @@
         self
     }
 
+    /// Says that the refusal speaks of all tries with the request's key, because
+    /// its claim was seen.
+    pub fn covering_key(mut self) -> Self {
+        self.covers_key = true;
+        self
+    }
+
     /// Returns the HTTP status of the refusal.
     pub fn status(&self) -> u16 {
         match self.reason {
--- a/crates/daemon/examples/placement_cost.rs
+++ b/crates/daemon/examples/placement_cost.rs
@@ -20,7 +20,7 @@
     callers::placement::{self, PlacementQuery},
     gauge::EngineGauge,
     metrics::MetricClient,
-    routing::RoutingDesk,
+    routing::RoutingState,
     snapshot::{EngineEntry, FleetSnapshot},
 };
 
@@ -36,14 +36,14 @@
 const PLACEMENTS: usize = 100_000;
 
 fn main() -> anyhow::Result<()> {
-    let desk = RoutingDesk::new(Arc::new(MetricClient::new(None)?));
+    let state = RoutingState::new(Arc::new(MetricClient::new(None)?));
     // All engines serve one model, which is the dearest case.
-    let snapshot = snapshot(&desk);
+    let snapshot = snapshot(&state);
     let prompts: Vec<Vec<u64>> = (0..PROMPTS).map(prompt).collect();
     for (index, pieces) in prompts.iter().enumerate() {
         for copy in 0..4 {
             let engine = EngineKey::from_index((index * 7 + copy) % (ENGINES / DOMAINS));
-            desk.learn(snapshot.engines[engine].cache, pieces);
+            state.learn(snapshot.engines[engine].cache, pieces);
         }
     }
     for (name, time_left) in [("home", Duration::from_secs(30)), ("spill", Duration::ZERO)] {
@@ -52,7 +52,7 @@
             let query = query(&prompts[turn % prompts.len()], time_left);
             let started = Instant::now();
             let now = Timestamp::from_millis(turn as u64);
-            black_box(placement::choose(&desk, &snapshot, black_box(&query), now));
+            black_box(placement::choose(&state, &snapshot, black_box(&query), now));
             times.push(started.elapsed());
         }
         times.sort_unstable();
@@ -80,8 +80,8 @@
     (0..PIECES).map(|piece| (number * PIECES + piece).wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect()
 }
 
-fn snapshot(desk: &RoutingDesk) -> FleetSnapshot {
-    let entries = (0..ENGINES).map(|index| entry(desk, index));
+fn snapshot(state: &RoutingState) -> FleetSnapshot {
+    let entries = (0..ENGINES).map(|index| entry(state, index));
     let engines: Arena<EngineKey, EngineEntry> = entries.collect();
     let (home_engines, away_engines) = engines
         .iter()
@@ -90,7 +90,7 @@
     FleetSnapshot { engines, home_engines, away_engines, ..FleetSnapshot::empty() }
 }
 
-fn entry(desk: &RoutingDesk, index: usize) -> EngineEntry {
+fn entry(state: &RoutingState, index: usize) -> EngineEntry {
     let home = index < ENGINES / DOMAINS;
     let idle =
         EngineView::idle(EngineKey::from_index(index), ModelKey::from_index(0), EngineRole::Mixed);
@@ -102,7 +102,7 @@
             ..idle
         },
         piece_tokens: 16,
-        cache: desk.cache(&smol_str::format_smolstr!("engine-{index}")),
+        cache: state.cache(&smol_str::format_smolstr!("engine-{index}")),
         link: LinkUse::Local,
         report: None,
         gauge: Arc::new(EngineGauge::default()),
--- a/crates/daemon/src/balance.rs
+++ b/crates/daemon/src/balance.rs
@@ -19,7 +19,7 @@
 
 /// Accounts for all requests of this daemon.
 #[derive(Clone)]
-pub struct BalanceBook {
+pub struct BalanceStore {
     table: Arc<Mutex<BalanceTable>>,
     tokens: Arc<TokenTotals>,
     metrics: Arc<MetricClient>,
@@ -32,8 +32,8 @@
     output: AtomicU64,
 }
 
-impl BalanceBook {
-    /// Makes an empty book.
+impl BalanceStore {
+    /// Makes an empty store.
     pub fn new(metrics: Arc<MetricClient>) -> Self {
         Self { table: Arc::default(), tokens: Arc::default(), metrics }
     }
@@ -41,7 +41,7 @@
     /// Counts a request; the ticket must say how it ends.
     pub fn accept(&self, key: BalanceKey) -> RequestTicket {
         self.table.lock().accept(key.clone());
-        RequestTicket { book: self.clone(), key, ended: false }
+        RequestTicket { store: self.clone(), key, ended: false }
     }
 
     /// Lists the rows as they stand now.
@@ -89,7 +89,7 @@
 /// A ticket that is dropped without an end counts as failed, because then the
 /// caller left or the connection broke.
 pub struct RequestTicket {
-    book: BalanceBook,
+    store: BalanceStore,
     key: BalanceKey,
     ended: bool,
 }
@@ -98,14 +98,14 @@
     /// Counts the end of the request.
     pub fn end(mut self, outcome: RequestOutcome) {
         self.ended = true;
-        self.book.end(&self.key, outcome);
+        self.store.end(&self.key, outcome);
     }
 }
 
 impl RequestTicket {
     /// Counts a whole completion with its tokens.
     pub fn end_whole(self, prompt_tokens: u32, output_tokens: u32) {
-        let tokens = &self.book.tokens;
+        let tokens = &self.store.tokens;
         tokens.prompt.fetch_add(u64::from(prompt_tokens), Ordering::Relaxed);
         tokens.output.fetch_add(u64::from(output_tokens), Ordering::Relaxed);
         self.end(RequestOutcome::Whole);
@@ -115,7 +115,7 @@
 impl Drop for RequestTicket {
     fn drop(&mut self) {
         if !self.ended {
-            self.book.end(&self.key, RequestOutcome::Failed);
+            self.store.end(&self.key, RequestOutcome::Failed);
         }
     }
 }
--- a/crates/daemon/src/callers/admission.rs
+++ b/crates/daemon/src/callers/admission.rs
@@ -27,7 +27,7 @@
     let offer = AdmissionOffer::new(&decision, objective);
     let request = admission_request(accepted, run.prompt_tokens(), run.output_tokens());
     let context = &accepted.context;
-    let admitted = context.desk.admit(&request, &offer, context.clock.now());
+    let admitted = context.routing.admit(&request, &offer, context.clock.now());
     let guard = admitted.inspect_err(|refusal| {
         let reason: &'static str = (&refusal.reason).into();
         tracing::info!(
--- a/crates/daemon/src/callers/app.rs
+++ b/crates/daemon/src/callers/app.rs
@@ -44,10 +44,15 @@
 }
 
 async fn forward(request: CallerRequest) -> tide::Result {
+    let answer = if request.header(plain::KEY_HEADER).is_some() {
+        refusals::answer_keyed
+    } else {
+        refusals::answer
+    };
     if let Some(refusal) = refuse_all(request.state()) {
-        return Ok(refusals::answer(&refusal));
+        return Ok(answer(&refusal));
     }
-    Ok(plain::forward(request).await.unwrap_or_else(|refusal| refusals::answer(&refusal)))
+    Ok(plain::forward(request).await.unwrap_or_else(|refusal| answer(&refusal)))
 }
 
 /// Refuses every request of a daemon that stops or knows no configuration.
--- a/crates/daemon/src/callers/attempts/choice.rs
+++ b/crates/daemon/src/callers/attempts/choice.rs
@@ -203,7 +203,7 @@
         let same_revision = newest.fleet.revision == self.snapshot.fleet.revision;
         let snapshot = if same_revision { &newest } else { &self.snapshot };
         let decision = placement::choose(
-            &self.context.desk,
+            &self.context.routing,
             snapshot,
             &self.query(),
             self.context.clock.now(),
--- a/crates/daemon/src/callers/placement.rs
+++ b/crates/daemon/src/callers/placement.rs
@@ -14,7 +14,7 @@
 use crate::{
     context::DaemonContext,
     gauge::{EngineSend, SendWork},
-    routing::{RoutingDesk, SpillMeter},
+    routing::{RoutingState, SpillMeter},
     snapshot::{EngineEntry, FleetSnapshot},
 };
 
@@ -41,13 +41,13 @@
 /// Engines of other failure domains are looked at only if none at home meets
 /// the deadline, so that the usual decision costs what the home domain costs.
 pub fn choose(
-    desk: &RoutingDesk,
+    state: &RoutingState,
     snapshot: &FleetSnapshot,
     query: &PlacementQuery<'_>,
     now: Timestamp,
 ) -> Option<RouteDecision> {
-    let hits = desk.lookup(query.pieces);
-    let links = desk.open_links(now);
+    let hits = state.lookup(query.pieces);
+    let links = state.open_links(now);
     let request = RouteRequest {
         model: query.model,
         phase: query.phase,
@@ -100,7 +100,7 @@
         now,
     );
     let meter = match entry.link {
-        LinkUse::Paid(link) => Some(context.desk.spill(link, bytes, now)),
+        LinkUse::Paid(link) => Some(context.routing.spill(link, bytes, now)),
         LinkUse::Local | LinkUse::Closed => None,
     };
     PlacedSend { send, meter }
@@ -118,7 +118,7 @@
     ) {
         let now: Timestamp = context.clock.now();
         if self.send.token(now) {
-            context.desk.learn(entry.cache, pieces);
+            context.routing.learn(entry.cache, pieces);
         }
         if let Some(meter) = &self.meter {
             meter.carry(text_bytes as u64 + CHUNK_OVERHEAD, now);
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -26,7 +26,7 @@
 };
 
 /// Header that names a call that runs at most once.
-const KEY_HEADER: &str = "idempotency-key";
+pub(super) const KEY_HEADER: &str = "idempotency-key";
 /// Headers that concern one connection only, and the caller's account key.
 const HOP_HEADERS: [&str; 9] = [
     "authorization",
@@ -197,11 +197,12 @@
         claims.settle(held, ClaimState::Released);
         let name = accepted.snapshot.fleet.services[accepted.service].name.clone();
         let refusal = RequestRefusal::not_executed(RefusalReason::NoBackend(name));
-        return Err(refusal.retry_after(refusals::SHORT_RETRY));
+        return Err(refusal.retry_after(refusals::SHORT_RETRY).covering_key());
     };
     if !claims.may_send(&held) {
         claims.settle(held, ClaimState::Released);
-        return Err(RequestRefusal::not_executed(RefusalReason::DeadlinePassed));
+        let refusal = RequestRefusal::not_executed(RefusalReason::DeadlinePassed);
+        return Err(refusal.covering_key());
     }
     match send(accepted, call, server).await {
         Ok(answer) => {
@@ -211,7 +212,7 @@
         Err(error) if error.is_unsent() => {
             claims.settle(held, ClaimState::Released);
             let refusal = RequestRefusal::not_executed(RefusalReason::BackendFailed);
-            Err(refusal.retry_after(refusals::SHORT_RETRY))
+            Err(refusal.retry_after(refusals::SHORT_RETRY).covering_key())
         }
         Err(error) => {
             tracing::warn!(%error, "the answer of a claimed call is lost");
--- a/crates/daemon/src/callers/refusals.rs
+++ b/crates/daemon/src/callers/refusals.rs
@@ -19,7 +19,22 @@
 
 /// Answers a request that is refused.
 pub fn answer(refusal: &RequestRefusal) -> Response {
-    let document = document(refusal);
+    respond(refusal, document(refusal))
+}
+
+/// Answers a refused request that carries an idempotency key.
+///
+/// Unless the claim on the key was seen, `executed: no` speaks of this try
+/// only, and the answer says so: an earlier try may have run.
+pub fn answer_keyed(refusal: &RequestRefusal) -> Response {
+    let mut document = document(refusal);
+    if refusal.executed == RequestExecuted::No && !refusal.covers_key {
+        document.earlier_tries = Some(problem::RequestExecuted::Unknown);
+    }
+    respond(refusal, document)
+}
+
+fn respond(refusal: &RequestRefusal, document: ProblemDocument) -> Response {
     let mut response = Response::new(document.status);
     let body = serde_json::to_string(&document).expect("border types are valid JSON");
     response.set_body(Body::from_string(body));
@@ -65,5 +80,6 @@
         // Whole seconds, and never too early.
         retry_after_s: refusal.retry_after.map(|span| span.as_secs_f64().ceil() as u64),
         dependency,
+        earlier_tries: None,
     }
 }
--- a/crates/daemon/src/callers/split.rs
+++ b/crates/daemon/src/callers/split.rs
@@ -115,7 +115,7 @@
     }
     let choose = |phase| {
         let query = PlacementQuery { phase, ..*query };
-        let decision = placement::choose(&context.desk, snapshot, &query, context.clock.now())?;
+        let decision = placement::choose(&context.routing, snapshot, &query, context.clock.now())?;
         (decision.place == EnginePlace::Home).then_some(decision)
     };
     let plan =
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -13,9 +13,10 @@
 use smol_str::SmolStr;
 
 use crate::{
-    balance::BalanceBook, claims::store::ClaimStore, control::ControlEvent, demand::DemandMeter,
-    limits::LimitDesk, loads::LoadDesk, logs::LogLevels, metrics::MetricClient, poison::PoisonBook,
-    retries::RetryBook, routing::RoutingDesk, snapshot::FleetSnapshot, steward::OrderBoard,
+    balance::BalanceStore, claims::store::ClaimStore, control::ControlEvent, demand::DemandMeter,
+    limits::LimitState, loads::LoadExchange, logs::LogLevels, metrics::MetricClient,
+    poison::PoisonRegistry, retries::RetryTable, routing::RoutingState, snapshot::FleetSnapshot,
+    steward::DrainTable,
 };
 
 /// Holds the edges and shared state of one daemon.
@@ -38,14 +39,14 @@
     pub engines: Arc<dyn EngineEdge>,
     pub plain: Arc<dyn PlainEdge>,
     pub claims: ClaimStore,
-    pub orders: OrderBoard,
+    pub orders: DrainTable,
     pub demand: DemandMeter,
-    pub balance: BalanceBook,
-    pub desk: Arc<RoutingDesk>,
-    pub limits: LimitDesk,
-    pub loads: LoadDesk,
-    pub poison: Arc<PoisonBook>,
-    pub retries: RetryBook,
+    pub balance: BalanceStore,
+    pub routing: Arc<RoutingState>,
+    pub limits: LimitState,
+    pub loads: LoadExchange,
+    pub poison: Arc<PoisonRegistry>,
+    pub retries: RetryTable,
     pub metrics: Arc<MetricClient>,
     pub levels: LogLevels,
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -137,7 +137,7 @@
                 return;
             }
             if last.incarnation != report.incarnation || last.model != report.model {
-                self.context.desk.reset_cache(status.cache);
+                self.context.routing.reset_cache(status.cache);
             }
         }
         let made_at = Timestamp::from_millis(report.made_at_ms).min(now);
@@ -172,7 +172,7 @@
         self.context.loads.change_fleet(&fleet, domain, self.context.clock.now());
         for (_, engine) in fleet.engines.iter() {
             let status = self.engines.entry(engine.name.clone()).or_default();
-            status.cache = self.context.desk.cache(&engine.name);
+            status.cache = self.context.routing.cache(&engine.name);
             let is_home = fleet.domains[engine.domain].name == *domain;
             if !std::mem::replace(&mut status.polled, true) && is_home {
                 pollers::spawn_cache(&self.context, engine.name.clone());
--- a/crates/daemon/src/control/shares.rs
+++ b/crates/daemon/src/control/shares.rs
@@ -29,7 +29,7 @@
             .iter()
             .map(|link| (self.link_name(link), self.link_rate(link) / daemons as f64))
             .collect();
-        self.context.desk.configure_links(&links, now);
+        self.context.routing.configure_links(&links, now);
     }
 
     /// Returns what is known of the daemons of this failure domain.
--- a/crates/daemon/src/history.rs
+++ b/crates/daemon/src/history.rs
@@ -13,11 +13,11 @@
 
 /// Holds the samples of this daemon.
 #[derive(Debug, Default)]
-pub struct HistoryBook {
+pub struct HistoryStore {
     samples: Mutex<SampleHistory>,
 }
 
-impl HistoryBook {
+impl HistoryStore {
     /// Lists the samples, oldest first.
     pub fn list(&self) -> Vec<peer::HistorySample> {
         self.samples.lock().iter().map(to_border).collect()
@@ -25,10 +25,10 @@
 }
 
 /// Takes samples for ever.
-pub async fn sample_forever(context: Arc<DaemonContext>, book: Arc<HistoryBook>) {
+pub async fn sample_forever(context: Arc<DaemonContext>, store: Arc<HistoryStore>) {
     loop {
         let sample = sample(&context);
-        book.samples.lock().push(sample);
+        store.samples.lock().push(sample);
         context.clock.sleep(SAMPLE_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -39,7 +39,7 @@
 
 /// Holds the limits that this daemon keeps and lends.
 #[derive(Default)]
-pub struct LimitDesk {
+pub struct LimitState {
     table: Mutex<LimitTable>,
     home: Mutex<LimitHome>,
     view: Mutex<DomainView>,
@@ -47,7 +47,7 @@
     addresses: Mutex<HashMap<SmolStr, String>>,
 }
 
-impl LimitDesk {
+impl LimitState {
     /// Notes what is known of the failure domain, which has to be said all the
     /// time.
     pub fn observe(&self, view: DomainView, now: Timestamp) {
--- a/crates/daemon/src/loads.rs
+++ b/crates/daemon/src/loads.rs
@@ -46,7 +46,7 @@
 pub const AWAY_EXPIRY: Duration = Duration::from_secs(4);
 
 /// Holds what this daemon reads and hears of the engines' load.
-pub struct LoadDesk {
+pub struct LoadExchange {
     state: Mutex<LoadState>,
     heard: Mutex<HeardReports>,
 }
@@ -57,8 +57,8 @@
     live: Vec<SmolStr>,
 }
 
-impl LoadDesk {
-    /// Makes the desk of a daemon that knows no engine.
+impl LoadExchange {
+    /// Makes the exchange of a daemon that knows no engine.
     pub fn new(own: SmolStr) -> Self {
         let readers = ReaderTable::new(own);
         let state = LoadState { readers, engines: HashMap::new(), live: Vec::new() };
--- a/crates/daemon/src/loads/rpc.rs
+++ b/crates/daemon/src/loads/rpc.rs
@@ -58,14 +58,14 @@
         silent: Vec<SmolStr>,
     ) -> RpcResult<Vec<String>> {
         peers::check_secret(&self.context, &secret)?;
-        let desk = &self.context.loads;
+        let exchange = &self.context.loads;
         for (engine, report) in reports {
-            desk.heard.lock().keep(&engine, &reader, report.clone());
+            exchange.heard.lock().keep(&engine, &reader, report.clone());
             self.take(&reader, engine, report).await;
         }
         let mut lacking = Vec::new();
         for pulse in pulses {
-            let report = desk.heard.lock().complete(&reader, &pulse);
+            let report = exchange.heard.lock().complete(&reader, &pulse);
             match report {
                 Some(report) => self.take(&reader, SmolStr::new(&pulse.engine), report).await,
                 None => lacking.push(pulse.engine),
@@ -73,7 +73,7 @@
         }
         let now = self.context.clock.now();
         for engine in silent {
-            desk.hear(&engine, &reader, ReaderNews::Nothing, now);
+            exchange.hear(&engine, &reader, ReaderNews::Nothing, now);
         }
         Ok(lacking)
     }
--- a/crates/daemon/src/loads/spread.rs
+++ b/crates/daemon/src/loads/spread.rs
@@ -11,7 +11,7 @@
     context::DaemonContext,
     loads::{
         news::{LoadNews, ToldReports},
-        LoadDesk,
+        LoadExchange,
     },
     poison::rpc::PeerLink,
 };
@@ -65,7 +65,7 @@
     }
 }
 
-impl LoadDesk {
+impl LoadExchange {
     /// Collects what a peer is to be told now.
     fn news(&self, told: &mut ToldReports, now: Timestamp) -> LoadNews {
         let state = self.state.lock();
--- a/crates/daemon/src/operators.rs
+++ b/crates/daemon/src/operators.rs
@@ -8,7 +8,7 @@
     proc_macros::rpc,
 };
 
-use crate::{context::DaemonContext, history::HistoryBook, peers};
+use crate::{context::DaemonContext, history::HistoryStore, peers};
 
 /// Calls from operators.
 #[rpc(server)]
@@ -21,12 +21,12 @@
 /// Answers the calls of operators.
 pub struct OperatorServer {
     context: Arc<DaemonContext>,
-    history: Arc<HistoryBook>,
+    history: Arc<HistoryStore>,
 }
 
 impl OperatorServer {
     /// Makes a server of this daemon's history.
-    pub fn new(context: Arc<DaemonContext>, history: Arc<HistoryBook>) -> Self {
+    pub fn new(context: Arc<DaemonContext>, history: Arc<HistoryStore>) -> Self {
         Self { context, history }
     }
 }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,7 +21,7 @@
 use crate::{
     context::DaemonContext,
     control::ControlEvent,
-    history::HistoryBook,
+    history::HistoryStore,
     limits::{QuotaApiServer, QuotaServer},
     loads::{LoadApiServer, LoadServer},
     operators::{OperatorApiServer, OperatorServer},
@@ -73,7 +73,7 @@
 
 /// Holds what is known of the peers.
 #[derive(Default)]
-pub struct PeerBook {
+pub struct PeerTable {
     peers: Mutex<Vec<KnownPeer>>,
 }
 
@@ -82,7 +82,7 @@
     heard: Timestamp,
 }
 
-impl PeerBook {
+impl PeerTable {
     /// Notes an introduction, unless a newer incarnation has come before.
     pub fn hear(&self, hello: PeerHello, now: Timestamp) {
         let mut peers = self.peers.lock();
@@ -118,7 +118,7 @@
 pub struct PeerServer {
     context: Arc<DaemonContext>,
     revisions: Arc<RevisionStore>,
-    book: Arc<PeerBook>,
+    table: Arc<PeerTable>,
 }
 
 impl PeerServer {
@@ -130,15 +130,15 @@
     pub async fn start(
         context: Arc<DaemonContext>,
         revisions: Arc<RevisionStore>,
-        book: Arc<PeerBook>,
-        history: Arc<HistoryBook>,
+        table: Arc<PeerTable>,
+        history: Arc<HistoryStore>,
     ) -> anyhow::Result<ServerHandle> {
         let server = Server::builder().build(&context.settings.peer_listen).await?;
         let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
         let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
         let loads = LoadServer::new(Arc::clone(&context)).into_rpc();
         let poison = PoisonServer::new(Arc::clone(&context.poison)).into_rpc();
-        let mut methods = Self { context, revisions, book }.into_rpc();
+        let mut methods = Self { context, revisions, table }.into_rpc();
         methods.merge(operators)?;
         methods.merge(quota)?;
         methods.merge(loads)?;
@@ -166,7 +166,7 @@
         check_secret(&self.context, &secret)?;
         let _ = self.context.events.send(ControlEvent::Peer(hello.clone())).await;
         let to_steward = hello.steward == Some(true);
-        self.book.hear(hello, self.context.clock.now());
+        self.table.hear(hello, self.context.clock.now());
         Ok(own_hello(&self.context, to_steward))
     }
 
@@ -183,7 +183,7 @@
 
     async fn status(&self, secret: String) -> RpcResult<DaemonStatus> {
         check_secret(&self.context, &secret)?;
-        Ok(status(&self.context, &self.book))
+        Ok(status(&self.context, &self.table))
     }
 
     async fn orders(&self, secret: String) -> RpcResult<Vec<OrderRow>> {
@@ -214,7 +214,7 @@
     }
 }
 
-fn status(context: &DaemonContext, book: &PeerBook) -> DaemonStatus {
+fn status(context: &DaemonContext, table: &PeerTable) -> DaemonStatus {
     let snapshot = context.snapshot.load_full();
     let engines = snapshot.engines.iter().map(|(key, entry)| EngineStatus {
         engine: snapshot.fleet.engines[key].name.to_string(),
@@ -233,7 +233,7 @@
         revision: hello.revision,
         ready: context.is_ready(),
         engines: engines.collect(),
-        peers: book.live(context.clock.now()),
+        peers: table.live(context.clock.now()),
         balance: context.balance.rows(),
         steward: hello.steward,
     }
@@ -243,11 +243,11 @@
 pub async fn follow(
     context: Arc<DaemonContext>,
     revisions: Arc<RevisionStore>,
-    book: Arc<PeerBook>,
+    table: Arc<PeerTable>,
     address: String,
 ) {
     loop {
-        if let Err(error) = follow_once(&context, &revisions, &book, &address).await {
+        if let Err(error) = follow_once(&context, &revisions, &table, &address).await {
             tracing::debug!(peer = address, %error, "lost a peer");
         }
         let pause = if revisions.is_starting() { START_PAUSE } else { RECONNECT_PAUSE };
@@ -258,7 +258,7 @@
 async fn follow_once(
     context: &DaemonContext,
     store: &RevisionStore,
-    book: &PeerBook,
+    table: &PeerTable,
     address: &str,
 ) -> anyhow::Result<()> {
     let builder =
@@ -275,7 +275,7 @@
         let offered = hello.revision;
         context.limits.locate(&hello.daemon, address);
         let _ = context.events.send(ControlEvent::Peer(hello.clone())).await;
-        book.hear(hello, context.clock.now());
+        table.hear(hello, context.clock.now());
         if revisions::exchange(store.revision(), offered, told) == PeerExchange::Ask {
             let newest: Option<PeerRevision> =
                 client.request("revision", rpc_params![secret]).await?;
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -38,7 +38,7 @@
 const CRASH_LOOKS: u32 = 30;
 
 /// Holds the standing of requests for this daemon.
-pub struct PoisonBook {
+pub struct PoisonRegistry {
     table: Mutex<PoisonTable>,
     links: Vec<PeerLink>,
     clock: Clock,
@@ -50,19 +50,19 @@
 
 /// Ends a trial when dropped, here and at all peers.
 pub struct HeldTrial {
-    book: Arc<PoisonBook>,
+    registry: Arc<PoisonRegistry>,
     trial: TrialRequest,
 }
 
-impl PoisonBook {
-    /// Makes an empty book, and the receiver that hears of convictions.
+impl PoisonRegistry {
+    /// Makes an empty registry, and the receiver that hears of convictions.
     pub fn new(
         settings: &DaemonSettings,
         clock: Clock,
     ) -> (Arc<Self>, async_channel::Receiver<()>) {
         let (news, heard) = async_channel::bounded(1);
         let links = settings.peers.iter().map(|address| PeerLink::new(address)).collect();
-        let book = Self {
+        let registry = Self {
             table: Mutex::default(),
             links,
             clock,
@@ -70,7 +70,7 @@
             holder: SmolStr::new(&settings.name),
             news,
         };
-        (Arc::new(book), heard)
+        (Arc::new(registry), heard)
     }
 
     /// Returns the secret that peers share.
@@ -153,7 +153,7 @@
             return None;
         }
         // From here on the reservation is given back if it isn't used.
-        let held = HeldTrial { book: Arc::clone(self), trial };
+        let held = HeldTrial { registry: Arc::clone(self), trial };
         let answers = self.call_all("poison_trial", (&self.secret, &held.trial)).await;
         answers.into_iter().all(|granted| granted).then_some(held)
     }
@@ -182,10 +182,10 @@
 
 impl Drop for HeldTrial {
     fn drop(&mut self) {
-        self.book.release(&self.trial);
-        let (book, trial) = (Arc::clone(&self.book), self.trial.clone());
+        self.registry.release(&self.trial);
+        let (registry, trial) = (Arc::clone(&self.registry), self.trial.clone());
         task::spawn(async move {
-            book.call_all::<()>("poison_trial_end", (&book.secret, &trial)).await;
+            registry.call_all::<()>("poison_trial_end", (&registry.secret, &trial)).await;
         });
     }
 }
--- a/crates/daemon/src/poison/convictions.rs
+++ b/crates/daemon/src/poison/convictions.rs
@@ -10,7 +10,7 @@
     platform::{KvPut, KvRecord},
 };
 
-use crate::{context::DaemonContext, poison::PoisonBook};
+use crate::{context::DaemonContext, poison::PoisonRegistry};
 
 /// Key of the record that holds all convictions in force.
 const KEY: &str = "convictions";
@@ -61,13 +61,13 @@
     context.platform.put(KEY, &KvPut { value, expected, lease: None }).await
 }
 
-fn take(book: &PoisonBook, record: &KvRecord) {
+fn take(registry: &PoisonRegistry, record: &KvRecord) {
     let Ok(list) = serde_json::from_str::<ConvictionList>(&record.value) else {
         tracing::warn!(revision = record.revision, "the record of convictions can't be read");
         return;
     };
     for entry in list.convictions {
         let until = Timestamp::from_millis(entry.until_ms);
-        book.take_conviction(RequestFingerprint(entry.fingerprint), until);
+        registry.take_conviction(RequestFingerprint(entry.fingerprint), until);
     }
 }
--- a/crates/daemon/src/poison/rpc.rs
+++ b/crates/daemon/src/poison/rpc.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
 
-use crate::poison::PoisonBook;
+use crate::poison::PoisonRegistry;
 
 /// Longest time for an answer of a peer, which a request waits for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -39,17 +39,17 @@
 
 /// Answers the calls of peers.
 pub struct PoisonServer {
-    book: Arc<PoisonBook>,
+    registry: Arc<PoisonRegistry>,
 }
 
 impl PoisonServer {
-    /// Makes a server that writes to a book.
-    pub fn new(book: Arc<PoisonBook>) -> Self {
-        Self { book }
+    /// Makes a server that writes to a registry.
+    pub fn new(registry: Arc<PoisonRegistry>) -> Self {
+        Self { registry }
     }
 
     fn check(&self, secret: &str) -> RpcResult<()> {
-        let known = self.book.secret().as_bytes();
+        let known = self.registry.secret().as_bytes();
         if bool::from(known.ct_eq(secret.as_bytes())) {
             return Ok(());
         }
@@ -61,18 +61,18 @@
 impl PoisonApiServer for PoisonServer {
     async fn notice(&self, secret: String, notice: PoisonNotice) -> RpcResult<()> {
         self.check(&secret)?;
-        self.book.take_notice(&notice);
+        self.registry.take_notice(&notice);
         Ok(())
     }
 
     async fn trial(&self, secret: String, trial: TrialRequest) -> RpcResult<bool> {
         self.check(&secret)?;
-        Ok(self.book.reserve(&trial))
+        Ok(self.registry.reserve(&trial))
     }
 
     async fn trial_end(&self, secret: String, trial: TrialRequest) -> RpcResult<()> {
         self.check(&secret)?;
-        self.book.release(&trial);
+        self.registry.release(&trial);
         Ok(())
     }
 }
--- a/crates/daemon/src/pollers.rs
+++ b/crates/daemon/src/pollers.rs
@@ -25,14 +25,14 @@
 /// until it leaves the configuration.
 pub fn spawn_cache(context: &Arc<DaemonContext>, engine: SmolStr) {
     let context = Arc::clone(context);
-    let cache = context.desk.cache(&engine);
+    let cache = context.routing.cache(&engine);
     task::spawn(async move {
         loop {
             context.clock.sleep(CACHE_INTERVAL).await;
             let Some(address) = engine_address(&context, &engine) else { return };
-            let after = context.desk.last_sequence(cache);
+            let after = context.routing.last_sequence(cache);
             match context.engines.cache_events(&address, after).await {
-                Ok(events) => context.desk.observe_cache(cache, &events),
+                Ok(events) => context.routing.observe_cache(cache, &events),
                 Err(error) => tracing::debug!(%engine, %error, "no cache events"),
             }
         }
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -21,25 +21,25 @@
 use gooseberry_wire::settings::DaemonSettings;
 
 use crate::{
-    balance::{record, BalanceBook},
+    balance::{record, BalanceStore},
     callers::app,
     claims::{prune, store::ClaimStore},
     context::DaemonContext,
     control::{ControlEvent, ControlState},
     demand::DemandMeter,
-    history::{self, HistoryBook},
-    limits::{self, LimitDesk},
-    loads::{self, LoadDesk},
+    history::{self, HistoryStore},
+    limits::{self, LimitState},
+    loads::{self, LoadExchange},
     logs::LogLevels,
     metrics::MetricClient,
-    peers::{self, PeerBook, PeerServer},
-    poison::{convictions, PoisonBook},
+    peers::{self, PeerServer, PeerTable},
+    poison::{convictions, PoisonRegistry},
     pollers,
-    retries::RetryBook,
+    retries::RetryTable,
     revisions::{self, RevisionStore},
-    routing::RoutingDesk,
+    routing::RoutingState,
     snapshot::FleetSnapshot,
-    steward::{OrderBoard, StewardTask},
+    steward::{DrainTable, StewardTask},
 };
 
 /// Time for which a stopping daemon answers new requests with a refusal, so
@@ -62,11 +62,11 @@
     let (context, events) = context(settings, levels, stop.clone())?;
     start_control(&context, events)?;
     let revisions = Arc::new(RevisionStore::new(&context.settings.peers));
-    let book = Arc::new(PeerBook::default());
-    let history = Arc::new(HistoryBook::default());
-    start_tasks(&context, &revisions, &book, &history);
-    let steward = task::spawn(StewardTask::new(&context, &book).run());
-    let server = PeerServer::start(Arc::clone(&context), revisions, book, history)
+    let table = Arc::new(PeerTable::default());
+    let history = Arc::new(HistoryStore::default());
+    start_tasks(&context, &revisions, &table, &history);
+    let steward = task::spawn(StewardTask::new(&context, &table).run());
+    let server = PeerServer::start(Arc::clone(&context), revisions, table, history)
         .await
         .with_context(|| format!("can't listen at {}", context.settings.peer_listen))?;
     let listen = &context.settings.listen;
@@ -111,7 +111,7 @@
     let metrics = Arc::new(MetricClient::new(settings.metrics.as_deref())?);
     let incarnation = clock.now().as_millis();
     let (sender, events) = async_channel::unbounded();
-    let (poison, news) = PoisonBook::new(&settings, clock.clone());
+    let (poison, news) = PoisonRegistry::new(&settings, clock.clone());
     let context = DaemonContext {
         holder: smol_str::format_smolstr!("{}/{incarnation}", settings.name),
         incarnation,
@@ -120,18 +120,18 @@
         snapshot: ArcSwap::from_pointee(FleetSnapshot::empty()),
         events: sender,
         claims: ClaimStore::new(Arc::clone(&platform), clock.clone()),
-        orders: OrderBoard::default(),
+        orders: DrainTable::default(),
         demand: DemandMeter::default(),
         platform,
         platform_reachable: AtomicBool::new(true),
         engines: Arc::new(EngineClient::new(http.clone())),
         plain: Arc::new(PlainClient::new(http)),
-        balance: BalanceBook::new(Arc::clone(&metrics)),
-        limits: LimitDesk::default(),
-        loads: LoadDesk::new((&settings.name).into()),
-        desk: Arc::new(RoutingDesk::new(Arc::clone(&metrics))),
+        balance: BalanceStore::new(Arc::clone(&metrics)),
+        limits: LimitState::default(),
+        loads: LoadExchange::new((&settings.name).into()),
+        routing: Arc::new(RoutingState::new(Arc::clone(&metrics))),
         poison,
-        retries: RetryBook::new(clock.clone()),
+        retries: RetryTable::new(clock.clone()),
         metrics,
         levels,
         clock,
@@ -157,12 +157,12 @@
 fn start_tasks(
     context: &Arc<DaemonContext>,
     revisions: &Arc<RevisionStore>,
-    book: &Arc<PeerBook>,
-    history: &Arc<HistoryBook>,
+    table: &Arc<PeerTable>,
+    history: &Arc<HistoryStore>,
 ) {
     task::spawn(history::sample_forever(Arc::clone(context), Arc::clone(history)));
     task::spawn(record::record_forever(Arc::clone(context)));
-    let (store, peers) = (Arc::clone(revisions), Arc::clone(book));
+    let (store, peers) = (Arc::clone(revisions), Arc::clone(table));
     task::spawn(revisions::watch_platform(Arc::clone(context), store, peers));
     task::spawn(revisions::end_start(Arc::clone(context), Arc::clone(revisions)));
     task::spawn(pollers::read_vms(Arc::clone(context)));
@@ -171,6 +171,6 @@
     loads::spawn(context);
     for address in &context.settings.peers {
         let (context, revisions) = (Arc::clone(context), Arc::clone(revisions));
-        task::spawn(peers::follow(context, revisions, Arc::clone(book), address.clone()));
+        task::spawn(peers::follow(context, revisions, Arc::clone(table), address.clone()));
     }
 }
--- a/crates/daemon/src/retries.rs
+++ b/crates/daemon/src/retries.rs
@@ -12,13 +12,13 @@
 
 /// Grants retries of all services.
 #[derive(Debug)]
-pub struct RetryBook {
+pub struct RetryTable {
     clock: Clock,
     budgets: Mutex<HashMap<SmolStr, RetryBudget>>,
 }
 
-impl RetryBook {
-    /// Makes a book in which nothing is spent.
+impl RetryTable {
+    /// Makes a table in which nothing is spent.
     pub fn new(clock: Clock) -> Self {
         Self { clock, budgets: Mutex::default() }
     }
--- a/crates/daemon/src/revisions.rs
+++ b/crates/daemon/src/revisions.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
-use crate::{context::DaemonContext, control::ControlEvent, peers::PeerBook};
+use crate::{context::DaemonContext, control::ControlEvent, peers::PeerTable};
 
 /// Key of the configuration text in the key-value service.
 pub const CONFIGURATION_KEY: &str = "configuration";
@@ -154,11 +154,11 @@
 pub async fn watch_platform(
     context: Arc<DaemonContext>,
     store: Arc<RevisionStore>,
-    book: Arc<PeerBook>,
+    table: Arc<PeerTable>,
 ) {
     let mut watched = false;
     loop {
-        let watches = is_watcher(&context, &book);
+        let watches = is_watcher(&context, &table);
         if watches != std::mem::replace(&mut watched, watches) {
             tracing::info!(watches, "whether this daemon waits on the platform has changed");
         }
@@ -173,8 +173,8 @@
     }
 }
 
-fn is_watcher(context: &DaemonContext, book: &PeerBook) -> bool {
-    let live = book.live(context.clock.now());
+fn is_watcher(context: &DaemonContext, table: &PeerTable) -> bool {
+    let live = table.live(context.clock.now());
     let domain = &context.settings.failure_domain;
     let peers = live.iter().filter(|peer| peer.failure_domain == *domain);
     let own = WatchCandidate {
--- a/crates/daemon/src/routing.rs
+++ b/crates/daemon/src/routing.rs
@@ -24,7 +24,7 @@
 const LEARN_CHUNK: usize = 256;
 
 /// Holds the hints, the work in progress and the volume of one daemon.
-pub struct RoutingDesk {
+pub struct RoutingState {
     prefixes: Mutex<PrefixTable>,
     caches: Mutex<HashMap<SmolStr, CacheKey>>,
     admission: Mutex<AdmissionTable>,
@@ -32,8 +32,8 @@
     metrics: Arc<MetricClient>,
 }
 
-impl RoutingDesk {
-    /// Makes the desk of a daemon that has routed nothing.
+impl RoutingState {
+    /// Makes the state of a daemon that has routed nothing.
     pub fn new(metrics: Arc<MetricClient>) -> Self {
         Self {
             prefixes: Mutex::new(PrefixTable::new(PREFIX_CAPACITY)),
@@ -95,7 +95,7 @@
         now: Timestamp,
     ) -> Result<AdmissionGuard, RequestRefusal> {
         let grant = self.admission.lock().admit(request, offer, now)?;
-        Ok(AdmissionGuard { desk: Arc::clone(self), grant })
+        Ok(AdmissionGuard { state: Arc::clone(self), grant })
     }
 
     /// Sets this daemon's share of each link between regions.
@@ -116,25 +116,25 @@
         let volume = spill.volume(link);
         tracing::info!(link = %name, bytes, total = volume.bytes, "spilled");
         self.metrics.spilled(&name, 1, bytes);
-        SpillMeter { desk: Arc::clone(self), link, name }
+        SpillMeter { state: Arc::clone(self), link, name }
     }
 }
 
 /// Counts the work of a request that was let in, until it ends.
 pub struct AdmissionGuard {
-    desk: Arc<RoutingDesk>,
+    state: Arc<RoutingState>,
     grant: AdmissionGrant,
 }
 
 impl Drop for AdmissionGuard {
     fn drop(&mut self) {
-        self.desk.admission.lock().leave(&self.grant);
+        self.state.admission.lock().leave(&self.grant);
     }
 }
 
 /// Counts the answer of a spilled request.
 pub struct SpillMeter {
-    desk: Arc<RoutingDesk>,
+    state: Arc<RoutingState>,
     link: u8,
     name: SmolStr,
 }
@@ -142,7 +142,7 @@
 impl SpillMeter {
     /// Charges a part of the answer.
     pub fn carry(&self, bytes: u64, now: Timestamp) {
-        self.desk.spill.lock().carry(self.link, bytes, now);
-        self.desk.metrics.spilled(&self.name, 0, bytes);
+        self.state.spill.lock().carry(self.link, bytes, now);
+        self.state.metrics.spilled(&self.name, 0, bytes);
     }
 }
--- a/crates/daemon/src/steward.rs
+++ b/crates/daemon/src/steward.rs
@@ -5,8 +5,8 @@
 //! `gooseberry_core::orders` from the engine's record and reports. Without the
 //! platform no order is given, and traffic goes on.
 
-mod board;
 pub mod change;
+mod drains;
 mod lease;
 mod planning;
 mod records;
@@ -31,7 +31,7 @@
 use crate::{
     context::DaemonContext,
     demand::DemandRates,
-    peers::PeerBook,
+    peers::PeerTable,
     snapshot::FleetSnapshot,
     steward::{
         change::{ChangeStep, EngineChange},
@@ -41,7 +41,7 @@
     },
 };
 
-pub use board::{OrderBoard, ACKNOWLEDGE_AGE};
+pub use drains::{DrainTable, ACKNOWLEDGE_AGE};
 pub use records::list_orders;
 
 /// Interval of the steward's rounds.
@@ -56,7 +56,7 @@
 /// Plans changes and carries them out.
 pub struct StewardTask {
     context: Arc<DaemonContext>,
-    book: Arc<PeerBook>,
+    table: Arc<PeerTable>,
     store: OrderStore,
     lease: DomainLease,
     process: ProcessIncarnation,
@@ -83,7 +83,7 @@
 
 impl StewardTask {
     /// Makes the task of a daemon.
-    pub fn new(context: &Arc<DaemonContext>, book: &Arc<PeerBook>) -> Self {
+    pub fn new(context: &Arc<DaemonContext>, table: &Arc<PeerTable>) -> Self {
         let vm = SmolStr::new(&context.settings.name);
         Self {
             store: OrderStore::new(Arc::clone(&context.platform)),
@@ -96,7 +96,7 @@
             put_off: HashMap::new(),
             issued: 0,
             context: Arc::clone(context),
-            book: Arc::clone(book),
+            table: Arc::clone(table),
         }
     }
 
@@ -266,7 +266,7 @@
         }
         let (key, _) = snapshot.fleet.engines.find(|row| row.name == *engine)?;
         let own = self.context.orders.drained(snapshot, now);
-        let closed = own.iter().any(|name| name == engine) && self.book.all_drained(engine, now);
+        let closed = own.iter().any(|name| name == engine) && self.table.all_drained(engine, now);
         let report = snapshot.engines[key].report.as_deref();
         match change.step(closed, report, now) {
             ChangeStep::Drained => {
--- a/crates/daemon/src/steward/board.rs
+++ b/crates/daemon/src/steward/drains.rs
@@ -25,7 +25,7 @@
 
 /// Holds which engines are to be drained, by this daemon's steward and by others.
 #[derive(Debug, Default)]
-pub struct OrderBoard {
+pub struct DrainTable {
     steward: AtomicBool,
     own: Mutex<Vec<String>>,
     heard: Mutex<HashMap<String, StewardMark>>,
@@ -39,7 +39,7 @@
     heard: Timestamp,
 }
 
-impl OrderBoard {
+impl DrainTable {
     /// Tells whether this daemon is the steward of its failure domain.
     pub fn is_steward(&self) -> bool {
         self.steward.load(Ordering::Relaxed)
--- a/crates/harness/tests/claims.rs
+++ b/crates/harness/tests/claims.rs
@@ -262,3 +262,17 @@
     assert_eq!((answer.status, executed(&answer)), (502, RequestExecuted::Unknown));
     assert_eq!(system::executions(&system, "key"), 1);
 }
+
+#[test]
+fn a_refused_retry_says_that_earlier_tries_are_unknown() {
+    let system = TestSystem::start(SystemSize { daemons: 2, ..SystemSize::default() });
+    let first = system::reservation_call(&system.daemons[0].address, "again").send();
+    assert_eq!(first.expect("an answer").status, 200);
+    let down = PlatformFaults { down: true, ..system::no_platform_faults() };
+    system.platform.set_faults(&down);
+    let second = system::reservation_call(&system.daemons[1].address, "again").send();
+    let document: ProblemDocument = second.expect("an answer").json();
+    assert_eq!(document.executed, RequestExecuted::No);
+    assert_eq!(document.earlier_tries, Some(RequestExecuted::Unknown));
+    assert_eq!(system::executions(&system, "again"), 1);
+}
--- a/crates/wire/src/problem.rs
+++ b/crates/wire/src/problem.rs
@@ -29,6 +29,9 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub dependency: ::std::option::Option<::std::string::String>,
     pub detail: ::std::string::String,
+    #[doc = "Whether earlier tries with the same key have run; given if `executed` speaks of this try only."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub earlier_tries: ::std::option::Option<RequestExecuted>,
     pub executed: RequestExecuted,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub retry_after_s: ::std::option::Option<u64>,
