--- a/crates/bench/src/tokens.rs
+++ b/crates/bench/src/tokens.rs
@@ -12,6 +12,8 @@
 
 /// Event that ends a whole stream, and the fields that show a token.
 const TOKEN_FIELD: &[u8] = b"\"position\":";
+/// Deadline that admission takes for long answers.
+const FAR_DEADLINE: Duration = Duration::from_secs(3600);
 
 /// Runs streams at once and prints the tokens for each second of a core.
 ///
@@ -23,7 +25,8 @@
     let before = processor_time(daemon.process.id())?;
     let started = Instant::now();
     let calls = (0..streams).map(|index| {
-        let call = system::stream_call(&daemon.address, &format!("stream {index}"), tokens);
+        let call = system::stream_call(&daemon.address, &format!("stream {index}"), tokens)
+            .header("request-deadline", &system::deadline_in(FAR_DEADLINE));
         task::spawn(async move { call.send_async().await })
     });
     let answers = task::block_on(future::join_all(calls));
--- a/crates/capacity/src/fleet.rs
+++ b/crates/capacity/src/fleet.rs
@@ -22,7 +22,7 @@
 pub fn with_accounts(system: &TestSystem, count: usize) -> String {
     let mut entries = String::new();
     for index in 0..count {
-        let _ = write!(entries, "\n  - {{name: account-{index}, key_sha256: [{index:064x}]}}");
+        let _ = write!(entries, "\n  - {{name: account-{index}, key_sha256: [\"{index:064x}\"]}}");
     }
     system.configuration(&entries)
 }
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -1,13 +1,12 @@
 //! Processes that a test starts, pauses and ends.
 
 use std::{
-    collections::BTreeSet,
     env,
     fs::File,
     net::{Ipv4Addr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Output, Stdio},
-    sync::Mutex,
+    sync::atomic::{AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -24,8 +23,10 @@
 const FIRST_NETWORK: u8 = 64;
 /// Bits of a process identifier that go to the second part of the address.
 const NETWORK_MASK: u8 = FIRST_NETWORK - 1;
-/// Ports that this process has given to its tests.
-static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+/// First port that tests listen at.
+const FIRST_PORT: u16 = 10_000;
+/// Port that the next address gets.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
 
 /// A process that ends with its handle.
 #[derive(Debug)]
@@ -130,23 +131,28 @@
 
 /// Returns a loopback address that nothing listens at, a new one each time.
 ///
-/// The address of the host comes from this process, so that no outgoing
-/// connection (from 127.0.0.1) and no other test takes the port meanwhile.
+/// The host comes from this process and the ports are counted, so that neither
+/// an outgoing connection (from 127.0.0.1) nor another test takes the address,
+/// and none has to be bound to find that it is free.
+///
+/// # Panics
+///
+/// Panics if all ports are used up.
 pub fn free_address() -> String {
-    free_listener().local_addr().expect("an address").to_string()
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, FIRST_NETWORK | (high & NETWORK_MASK), middle, low);
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    assert!(port >= FIRST_PORT, "all ports are used up");
+    format!("{host}:{port}")
 }
 
-/// Listens at a new address, of the kind that [`free_address`] gives.
+/// Returns a listener at an address of [`free_address`].
+///
+/// # Panics
+///
+/// Panics if the address can't be bound.
 pub fn free_listener() -> TcpListener {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, FIRST_NETWORK | (high & NETWORK_MASK), middle, low);
-    loop {
-        let socket = TcpListener::bind((host, 0)).expect("a free port");
-        let address = socket.local_addr().expect("an address");
-        if GIVEN_PORTS.lock().expect("no test panics here").insert(address.port()) {
-            return socket;
-        }
-    }
+    TcpListener::bind(free_address()).expect("an address of this process alone")
 }
 
 /// Waits until a condition holds.
--- a/crates/harness/src/system.rs
+++ b/crates/harness/src/system.rs
@@ -1,6 +1,6 @@
 //! A small system: platform, engines, plain servers, daemons.
 
-use std::{fmt::Write, fs, process::Output};
+use std::{fmt::Write, fs, process::Output, time::Duration};
 
 use async_std::task;
 use gooseberry_edges::{
@@ -341,6 +341,11 @@
     TestCall::new(Method::Post, address, "/v1/completions").account_key(ACCOUNT_KEY).json(&body)
 }
 
+/// Returns the value of the request-deadline header for a deadline ahead.
+pub fn deadline_in(span: Duration) -> String {
+    (Clock::system().now() + span).as_millis().to_string()
+}
+
 /// Reads the last load report of an engine, which lags.
 pub fn engine_load(engine: &TestServer) -> LoadReport {
     let call = TestCall::new(Method::Get, &engine.address, "/load");
--- a/crates/harness/tests/streams.rs
+++ b/crates/harness/tests/streams.rs
@@ -1,6 +1,6 @@
 //! Whole answers: engines that die or fall silent, callers that leave.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use gooseberry_harness::{
     calls::TestCall,
@@ -32,12 +32,6 @@
     system.daemons[0].process.log().matches(text).count()
 }
 
-/// Returns the request-deadline header for a deadline that lies ahead.
-fn deadline_in(span: Duration) -> String {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after the epoch");
-    (now + span).as_millis().to_string()
-}
-
 #[test]
 fn an_engine_killed_in_the_middle_is_replaced() {
     let mut system = TestSystem::start(SystemSize::default());
@@ -81,7 +75,7 @@
 /// Makes a call that admission takes, since its deadline is far away.
 fn endless_call(system: &TestSystem, prompt: &str) -> TestCall {
     system::stream_call(&system.daemons[0].address, prompt, ENDLESS)
-        .header("request-deadline", &deadline_in(Duration::from_secs(3600)))
+        .header("request-deadline", &system::deadline_in(Duration::from_secs(3600)))
 }
 
 #[test]
@@ -115,7 +109,7 @@
     let system = TestSystem::start(SystemSize { engines: 1, ..SystemSize::default() });
     system.engines[0].process.pause();
     let call = system::completion_call(&system.daemons[0].address, "late", 5)
-        .header("request-deadline", &deadline_in(Duration::from_millis(1200)));
+        .header("request-deadline", &system::deadline_in(Duration::from_millis(1200)));
     let answer = call.send().expect("a final answer");
     let document: ProblemDocument = answer.json();
     assert_eq!((answer.status, document.executed), (503, RequestExecuted::Unknown));
@@ -128,7 +122,7 @@
     let stuck = EngineFaults { stuck: true, ..system::no_engine_faults() };
     system.engines[0].set_faults(&stuck);
     let call = system::completion_call(&system.daemons[0].address, "stuck", 5)
-        .header("request-deadline", &deadline_in(Duration::from_millis(1500)));
+        .header("request-deadline", &system::deadline_in(Duration::from_millis(1500)));
     let document: ProblemDocument = call.send().expect("a final answer").json();
     assert_eq!(document.executed, RequestExecuted::Unknown);
     system.engines[0].set_faults(&system::no_engine_faults());
