--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -137,7 +137,7 @@
         let operators = OperatorServer::new(Arc::clone(&context), history).into_rpc();
         let quota = QuotaServer::new(Arc::clone(&context)).into_rpc();
         let loads = LoadServer::new(Arc::clone(&context)).into_rpc();
-        let poison = PoisonServer::new(Arc::clone(&context.poison)).into_rpc();
+        let poison = PoisonServer::new(Arc::clone(&context)).into_rpc();
         let mut methods = Self { context, revisions, table }.into_rpc();
         methods.merge(operators)?;
         methods.merge(quota)?;
--- a/crates/daemon/src/poison.rs
+++ b/crates/daemon/src/poison.rs
@@ -73,11 +73,6 @@
         (Arc::new(registry), heard)
     }
 
-    /// Returns the secret that peers share.
-    pub fn secret(&self) -> &str {
-        &self.secret
-    }
-
     /// Says how a request may run now.
     pub fn judge(&self, fingerprint: RequestFingerprint) -> PoisonVerdict {
         self.table.lock().judge(fingerprint, self.clock.now())
--- a/crates/daemon/src/poison/rpc.rs
+++ b/crates/daemon/src/poison/rpc.rs
@@ -6,20 +6,16 @@
 use jsonrpsee::{
     core::{async_trait, client::ClientT, traits::ToRpcParams, RpcResult},
     proc_macros::rpc,
-    types::ErrorObjectOwned,
     ws_client::{WsClient, WsClientBuilder},
 };
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
-use subtle::ConstantTimeEq;
 
-use crate::poison::PoisonRegistry;
+use crate::{context::DaemonContext, peers};
 
 /// Longest time for an answer of a peer, which a request waits for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Code of the error for a wrong secret.
-const WRONG_SECRET: i32 = 401;
 
 /// Calls about suspects and convictions.
 #[rpc(server)]
@@ -39,40 +35,32 @@
 
 /// Answers the calls of peers.
 pub struct PoisonServer {
-    registry: Arc<PoisonRegistry>,
+    context: Arc<DaemonContext>,
 }
 
 impl PoisonServer {
-    /// Makes a server that writes to a registry.
-    pub fn new(registry: Arc<PoisonRegistry>) -> Self {
-        Self { registry }
-    }
-
-    fn check(&self, secret: &str) -> RpcResult<()> {
-        let known = self.registry.secret().as_bytes();
-        if bool::from(known.ct_eq(secret.as_bytes())) {
-            return Ok(());
-        }
-        Err(ErrorObjectOwned::owned(WRONG_SECRET, "the secret is wrong", None::<()>))
+    /// Makes a server that writes to a daemon's registry.
+    pub fn new(context: Arc<DaemonContext>) -> Self {
+        Self { context }
     }
 }
 
 #[async_trait]
 impl PoisonApiServer for PoisonServer {
     async fn notice(&self, secret: String, notice: PoisonNotice) -> RpcResult<()> {
-        self.check(&secret)?;
-        self.registry.take_notice(&notice);
+        peers::check_secret(&self.context, &secret)?;
+        self.context.poison.take_notice(&notice);
         Ok(())
     }
 
     async fn trial(&self, secret: String, trial: TrialRequest) -> RpcResult<bool> {
-        self.check(&secret)?;
-        Ok(self.registry.reserve(&trial))
+        peers::check_secret(&self.context, &secret)?;
+        Ok(self.context.poison.reserve(&trial))
     }
 
     async fn trial_end(&self, secret: String, trial: TrialRequest) -> RpcResult<()> {
-        self.check(&secret)?;
-        self.registry.release(&trial);
+        peers::check_secret(&self.context, &secret)?;
+        self.context.poison.release(&trial);
         Ok(())
     }
 }
