--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod roles;
 pub mod routing;
 pub mod sends;
+pub mod serving;
 pub mod slots;
 pub mod speed;
 pub mod spill;
--- /dev/null
+++ b/crates/core/src/serving.rs
@@ -0,0 +1,16 @@
+//! Decisions of the gateway: which route a request takes, which engine serves
+//! it, when it is held or refused, and what may be sent again.
+//!
+//! All of it is free of input and output and takes the time as an argument.
+
+pub mod admission;
+pub mod backlog;
+pub mod budget;
+pub mod configuration;
+pub mod directory;
+pub mod fleet;
+pub mod health;
+pub mod parts;
+pub mod placement;
+pub mod prompt;
+pub mod suspects;
--- /dev/null
+++ b/crates/core/src/serving/admission.rs
@@ -0,0 +1,74 @@
+//! Whether a request is sent now, held, or refused.
+//!
+//! Answers the load of more prompt tokens than the engines can read: requests
+//! that will have their first event on time go first; one that would be late
+//! anyway waits at the daemon until an engine has little to do, so that it
+//! doesn't make others late, and is refused as soon as its deadline can't be
+//! met.
+
+use std::time::Duration;
+
+use crate::serving::placement::Placement;
+
+/// Part of the objective that the estimate may fill: estimates err.
+const OBJECTIVE_SHARE: f64 = 0.8;
+/// Wait at an engine up to which a late request is sent.
+const LATE_WAIT_MS: f64 = 60.0;
+/// Time that must be left for the output after the first event.
+const OUTPUT_MS: f64 = 800.0;
+/// Late requests that one daemon holds.
+const HELD_LIMIT: usize = 24;
+/// Bounds of what a refused caller is told to wait.
+const RETRY_AFTER_BOUNDS_MS: (f64, f64) = (200.0, 2000.0);
+
+/// What is known of a request when it is judged.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRequest {
+    /// Time within which the first event is on time.
+    pub objective: Duration,
+    /// Time since the request came.
+    pub waited: Duration,
+    /// Time until the deadline.
+    pub time_left: Duration,
+    /// Requests that this daemon holds.
+    pub held: usize,
+}
+
+/// Says what becomes of a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionVerdict {
+    Send,
+    /// Judged again shortly.
+    Hold,
+    /// Refused with the time after which there may be room.
+    Refuse {
+        retry_after: Duration,
+    },
+}
+
+/// Judges a request by the best placement that it can have.
+pub fn judge(request: AdmissionRequest, placement: &Placement) -> AdmissionVerdict {
+    let objective_ms = request.objective.as_secs_f64() * 1000.0;
+    let waited_ms = request.waited.as_secs_f64() * 1000.0;
+    let left_ms = request.time_left.as_secs_f64() * 1000.0;
+    let retry_after = retry_after(placement.wait_ms);
+    if placement.first_event_ms - placement.wait_ms + OUTPUT_MS > left_ms {
+        return AdmissionVerdict::Refuse { retry_after };
+    }
+    if waited_ms + placement.first_event_ms <= objective_ms * OBJECTIVE_SHARE {
+        return AdmissionVerdict::Send;
+    }
+    if placement.wait_ms <= LATE_WAIT_MS {
+        return AdmissionVerdict::Send;
+    }
+    if request.held >= HELD_LIMIT && waited_ms == 0.0 {
+        return AdmissionVerdict::Refuse { retry_after };
+    }
+    AdmissionVerdict::Hold
+}
+
+/// Returns when a refused caller may come back.
+pub fn retry_after(wait_ms: f64) -> Duration {
+    let (least, most) = RETRY_AFTER_BOUNDS_MS;
+    Duration::from_millis(wait_ms.clamp(least, most) as u64)
+}
--- /dev/null
+++ b/crates/core/src/serving/backlog.rs
@@ -0,0 +1,101 @@
+//! How much prompt work waits at an engine.
+//!
+//! Every daemon tells the others what it sends and when the first event comes
+//! back, so that each knows all requests whose prompt isn't read yet. Between
+//! these messages the work shrinks at the engine's learned speed.
+
+use std::collections::HashMap;
+
+use crate::time::Timestamp;
+
+/// Names one send: the daemon that made it and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SendTicket {
+    /// Hash of the daemon's name and incarnation.
+    pub daemon: u64,
+    pub number: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    tokens: f64,
+    sent_at: Timestamp,
+}
+
+/// Follows the prompts that one engine has yet to read.
+#[derive(Clone, Debug, Default)]
+pub struct ReadBacklog {
+    pending: HashMap<SendTicket, PendingRead>,
+    pending_tokens: f64,
+    /// Tokens that are left if the engine has worked at its learned speed.
+    work: f64,
+    updated_at: Timestamp,
+}
+
+impl ReadBacklog {
+    /// Notes a send.
+    pub fn add(&mut self, ticket: SendTicket, tokens: u32, speed: f64, now: Timestamp) {
+        self.settle(speed, now);
+        let tokens = f64::from(tokens);
+        if self.pending.insert(ticket, PendingRead { tokens, sent_at: now }).is_none() {
+            self.pending_tokens += tokens;
+            self.work += tokens;
+        }
+    }
+
+    /// Notes that a prompt was read, or that its send ended otherwise; returns
+    /// whether it was pending.
+    pub fn remove(&mut self, ticket: SendTicket, speed: f64, now: Timestamp) -> bool {
+        self.settle(speed, now);
+        let Some(read) = self.pending.remove(&ticket) else {
+            return false;
+        };
+        self.pending_tokens = (self.pending_tokens - read.tokens).max(0.0);
+        if self.pending.is_empty() {
+            self.pending_tokens = 0.0;
+        }
+        self.work = self.work.min(self.pending_tokens);
+        true
+    }
+
+    /// Drops the sends of a daemon that fit a condition.
+    pub fn drop_sends(&mut self, mut is_gone: impl FnMut(SendTicket, Timestamp) -> bool) {
+        self.pending.retain(|ticket, read| !is_gone(*ticket, read.sent_at));
+        self.pending_tokens = self.pending.values().map(|read| read.tokens).sum();
+        self.work = self.work.min(self.pending_tokens);
+    }
+
+    /// Returns the tokens that are likely to be read before a new prompt.
+    ///
+    /// The oldest prompt may be almost read, but those behind it aren't: an
+    /// engine that is slower than its learned speed keeps them.
+    pub fn tokens_ahead(&self, speed: f64, now: Timestamp) -> f64 {
+        let passed = now.since(self.updated_at).as_millis() as f64;
+        let worked = (self.work - passed * speed).max(0.0);
+        let oldest = self.pending.values().min_by_key(|read| read.sent_at);
+        let behind = self.pending_tokens - oldest.map_or(0.0, |read| read.tokens);
+        worked.max(behind)
+    }
+
+    /// Returns the time since the oldest pending send.
+    pub fn oldest_age_ms(&self, now: Timestamp) -> u64 {
+        let oldest = self.pending.values().map(|read| read.sent_at).min();
+        oldest.map_or(0, |sent_at| now.since(sent_at).as_millis() as u64)
+    }
+
+    /// Returns the number of prompts that aren't read yet.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    fn settle(&mut self, speed: f64, now: Timestamp) {
+        let passed = now.since(self.updated_at).as_millis() as f64;
+        self.work = (self.work - passed * speed).max(0.0).min(self.pending_tokens);
+        self.updated_at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/serving/fleet.rs
@@ -0,0 +1,253 @@
+//! The backend servers with all that is known of each.
+
+use std::collections::HashMap;
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3;
+
+use crate::{
+    arena::{Arena, EngineKey},
+    serving::{
+        backlog::{ReadBacklog, SendTicket},
+        directory::{EngineStage, ServerEntry, ServerPresence, StoreContact},
+        health::EngineHealth,
+        parts::PartTable,
+        prompt::PromptShape,
+    },
+    time::Timestamp,
+};
+
+/// Prompt tokens a millisecond of a prefill engine before any is measured.
+const PREFILL_SPEED: f64 = 40.0;
+/// The same of an engine that also decodes.
+const DECODE_SPEED: f64 = 20.0;
+/// Bounds of a measured speed, in tokens a millisecond.
+const SPEED_BOUNDS: (f64, f64) = (1.0, 400.0);
+/// Weight of the newest sample in the learned speed.
+const SPEED_WEIGHT: f64 = 0.2;
+/// Prompt tokens below which a first event tells nothing of the speed.
+const LEAST_SAMPLE_TOKENS: u32 = 1500;
+/// Milliseconds of a first event that aren't reading: a step and the network.
+const FIRST_EVENT_MS: f64 = 20.0;
+
+/// Holds what is known of one backend server.
+#[derive(Clone, Debug)]
+pub struct ServerState {
+    pub entry: ServerEntry,
+    pub presence: ServerPresence,
+    pub backlog: ReadBacklog,
+    pub parts: PartTable,
+    pub health: EngineHealth,
+    /// Requests of this daemon that haven't ended.
+    pub running: u32,
+    /// Requests of other daemons that haven't ended, as they last said.
+    pub running_of_peers: HashMap<u64, u32>,
+    speed: Option<f64>,
+}
+
+impl ServerState {
+    fn new(entry: ServerEntry) -> Self {
+        Self {
+            entry,
+            presence: ServerPresence::Present,
+            backlog: ReadBacklog::default(),
+            parts: PartTable::default(),
+            health: EngineHealth::default(),
+            running: 0,
+            running_of_peers: HashMap::new(),
+            speed: None,
+        }
+    }
+
+    /// Returns the prompt tokens that are read in a millisecond.
+    pub fn speed(&self) -> f64 {
+        self.speed.unwrap_or(match self.entry.stage {
+            EngineStage::Prefill | EngineStage::Mixed => PREFILL_SPEED,
+            EngineStage::Decode => DECODE_SPEED,
+        })
+    }
+
+    /// Returns the requests that run here, by all daemons.
+    pub fn requests(&self) -> u32 {
+        self.running + self.running_of_peers.values().sum::<u32>()
+    }
+
+    /// Tells whether new requests may be sent here.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        self.presence.is_usable(now) && !self.entry.is_draining && self.health.is_fit(now)
+    }
+
+    /// Returns the milliseconds until a new prompt is begun here.
+    pub fn wait_ms(&self, now: Timestamp) -> f64 {
+        self.backlog.tokens_ahead(self.speed(), now) / self.speed()
+    }
+
+    /// Learns from a first event that came `elapsed_ms` after a send which
+    /// found nothing ahead.
+    pub fn learn_speed(&mut self, tokens: u32, elapsed_ms: f64) {
+        let reading_ms = elapsed_ms - FIRST_EVENT_MS;
+        if tokens < LEAST_SAMPLE_TOKENS || reading_ms <= 0.0 {
+            return;
+        }
+        let sample = (f64::from(tokens) / reading_ms).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        let old = self.speed();
+        self.speed = Some(old + (sample - old) * SPEED_WEIGHT);
+    }
+
+    fn restart(&mut self) {
+        self.backlog = ReadBacklog::default();
+        self.parts.clear();
+        self.health = EngineHealth::default();
+        self.speed = None;
+    }
+}
+
+/// Says what an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EntryEffect {
+    Added,
+    Restarted,
+    Draining,
+    StageChanged,
+    Unchanged,
+    Updated,
+}
+
+/// Returns the hash by which daemons name a server to each other.
+pub fn server_hash(id: &str) -> u64 {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
+/// Holds all backend servers. Keys stay valid for as long as the process runs.
+#[derive(Clone, Debug, Default)]
+pub struct ServerFleet {
+    servers: Arena<EngineKey, ServerState>,
+    by_hash: HashMap<u64, EngineKey>,
+    pub contact: StoreContact,
+}
+
+impl ServerFleet {
+    /// Takes in an entry that stands in the key-value service.
+    pub fn put(&mut self, entry: ServerEntry) -> EntryEffect {
+        let hash = server_hash(&entry.id);
+        let Some(key) = self.by_hash.get(&hash).copied() else {
+            let key = self.servers.push(ServerState::new(entry));
+            self.by_hash.insert(hash, key);
+            return EntryEffect::Added;
+        };
+        let state = &mut self.servers[key];
+        let was_gone = state.presence == ServerPresence::Gone;
+        let old = std::mem::replace(&mut state.entry, entry);
+        state.presence = ServerPresence::Present;
+        let entry = &state.entry;
+        if was_gone || old.born != entry.born || old.address != entry.address {
+            state.restart();
+            return EntryEffect::Restarted;
+        }
+        if old.stage != entry.stage {
+            state.speed = None;
+            return EntryEffect::StageChanged;
+        }
+        if !old.is_draining && entry.is_draining {
+            return EntryEffect::Draining;
+        }
+        if old == *entry {
+            EntryEffect::Unchanged
+        } else {
+            EntryEffect::Updated
+        }
+    }
+
+    /// Notes that an entry is missing; returns what that means, if it is news.
+    pub fn remove(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
+        let key = self.key(id)?;
+        let meaning = self.contact.presence_of_missing(now);
+        let state = &mut self.servers[key];
+        match state.presence {
+            ServerPresence::Present => {
+                state.presence = meaning;
+                Some(meaning)
+            }
+            ServerPresence::Lapsed { .. } | ServerPresence::Gone => None,
+        }
+    }
+
+    /// Moves the end of lapsed entries to the time that their servers have
+    /// after an outage.
+    pub fn store_regained(&mut self, now: Timestamp) {
+        if self.contact.regained(now).is_none() {
+            return;
+        }
+        let meaning = self.contact.presence_of_missing(now);
+        for key in self.keys() {
+            let state = &mut self.servers[key];
+            if matches!(state.presence, ServerPresence::Lapsed { .. }) {
+                state.presence = meaning;
+            }
+        }
+    }
+
+    /// Finds a server by its id.
+    pub fn key(&self, id: &str) -> Option<EngineKey> {
+        self.by_hash.get(&server_hash(id)).copied()
+    }
+
+    /// Finds a server by the hash of its id.
+    pub fn key_of_hash(&self, hash: u64) -> Option<EngineKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
+    /// Returns a server.
+    pub fn server(&self, key: EngineKey) -> &ServerState {
+        &self.servers[key]
+    }
+
+    /// Returns a server to be changed.
+    pub fn server_mut(&mut self, key: EngineKey) -> &mut ServerState {
+        &mut self.servers[key]
+    }
+
+    /// Visits all servers.
+    pub fn iter(&self) -> impl Iterator<Item = (EngineKey, &ServerState)> {
+        self.servers.iter()
+    }
+
+    /// Returns the keys of all servers.
+    pub fn keys(&self) -> Vec<EngineKey> {
+        self.servers.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Visits the servers of a service that may get new requests.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a SmolStr,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (EngineKey, &'a ServerState)> {
+        self.iter()
+            .filter(move |(_, state)| state.entry.service == *service && state.is_usable(now))
+    }
+
+    /// Notes that a prompt is sent to a server to be read.
+    pub fn note_read(
+        &mut self,
+        key: EngineKey,
+        ticket: SendTicket,
+        prompt: &PromptShape,
+        tokens: u32,
+        kv_tokens: u64,
+        now: Timestamp,
+    ) {
+        let state = &mut self.servers[key];
+        let speed = state.speed();
+        state.backlog.add(ticket, tokens, speed, now);
+        state.parts.note(prompt, kv_tokens);
+    }
+
+    /// Notes that a prompt was read, or that its send ended otherwise.
+    pub fn end_read(&mut self, key: EngineKey, ticket: SendTicket, now: Timestamp) -> bool {
+        let state = &mut self.servers[key];
+        let speed = state.speed();
+        state.backlog.remove(ticket, speed, now)
+    }
+}
--- /dev/null
+++ b/crates/core/src/serving/parts.rs
@@ -0,0 +1,60 @@
+//! Which parts of prompts an engine is likely to have in its cache.
+//!
+//! Engines evict the least recently used parts. The table counts the tokens
+//! that went into an engine since a part was last used there and takes the part
+//! as evicted when they would have filled most of its memory.
+
+use std::collections::HashMap;
+
+use crate::serving::prompt::{ChainKey, PromptShape};
+
+/// Part of an engine's memory that cached parts are taken to have; the rest is
+/// held by running requests.
+const CACHE_SHARE: f64 = 0.7;
+/// Entries kept for one engine before the stale ones are dropped.
+const ENTRY_LIMIT: usize = 4096;
+
+#[derive(Clone, Copy, Debug)]
+struct PartEntry {
+    /// Tokens that the engine had taken in when the part was last used.
+    used_at: u64,
+}
+
+/// Remembers the parts that one engine has read.
+#[derive(Clone, Debug, Default)]
+pub struct PartTable {
+    entries: HashMap<ChainKey, PartEntry>,
+    /// Tokens that the engine has taken in.
+    taken: u64,
+}
+
+impl PartTable {
+    /// Returns the prompt tokens that the engine needn't read again.
+    pub fn cached_tokens(&self, prompt: &PromptShape, kv_tokens: u64) -> u32 {
+        let kept = prompt.parts.iter().take_while(|part| self.holds(part.key, kv_tokens));
+        kept.map(|part| part.tokens).sum::<u32>().min(prompt.prompt_tokens)
+    }
+
+    /// Notes that an engine reads a prompt.
+    pub fn note(&mut self, prompt: &PromptShape, kv_tokens: u64) {
+        let cached = self.cached_tokens(prompt, kv_tokens);
+        self.taken += u64::from(prompt.prompt_tokens - cached);
+        for part in &prompt.parts {
+            self.entries.insert(part.key, PartEntry { used_at: self.taken });
+        }
+        if self.entries.len() > ENTRY_LIMIT {
+            let oldest = self.taken.saturating_sub((kv_tokens as f64 * CACHE_SHARE) as u64);
+            self.entries.retain(|_, entry| entry.used_at >= oldest);
+        }
+    }
+
+    /// Forgets all, because the engine has started anew.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn holds(&self, key: ChainKey, kv_tokens: u64) -> bool {
+        let room = (kv_tokens as f64 * CACHE_SHARE) as u64;
+        self.entries.get(&key).is_some_and(|entry| self.taken - entry.used_at < room)
+    }
+}
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -1,6 +1,9 @@
 //! Logs as JSON lines, with a level that can be changed while running.
 
+use std::io;
+
 use anyhow::Context;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
     fmt, layer::SubscriberExt, reload, util::SubscriberInitExt, EnvFilter, Registry,
 };
@@ -36,3 +39,24 @@
     tracing_subscriber::registry().with(filter).with(lines).try_init()?;
     Ok(LogLevels { handle })
 }
+
+/// Lines that wait for a slow reader; more are dropped.
+const LINE_LIMIT: usize = 4096;
+
+/// Installs the logs of this process on standard output, written by a thread of
+/// their own. Lines are dropped while the reader doesn't keep up, so that logs
+/// never delay a request.
+///
+/// # Errors
+///
+/// Returns an error if the text names no level or logs are installed already.
+pub fn install_bounded(level: &str) -> anyhow::Result<WorkerGuard> {
+    let filter = EnvFilter::try_new(level).with_context(|| format!("{level} isn't a log level"))?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LINE_LIMIT)
+        .finish(io::stdout());
+    let lines = fmt::layer().json().flatten_event(true).with_writer(writer);
+    tracing_subscriber::registry().with(filter).with(lines).try_init()?;
+    Ok(guard)
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,292 @@
+//! A caller's request on its way: from its route to its answer.
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gooseberry_core::{
+    arena::EngineKey,
+    poison::RequestFingerprint,
+    serving::{
+        configuration::{RouteKind, RouteRow, ServingConfiguration},
+        placement,
+    },
+    time::Timestamp,
+};
+use gooseberry_platform::{
+    engine::{self, SendPhase, SendTerms},
+    front::{self, CallerHead, OwnAnswer},
+};
+use gooseberry_transport::body::AnswerBody;
+use http::{request, Response};
+use http_body_util::{BodyExt, Limited};
+use smol_str::SmolStr;
+use xxhash_rust::xxh3;
+
+use crate::{
+    gateway::Gateway,
+    prompt_call,
+    send::{self, ConnectionChoice, SendAnswer, SendOutcome, SendTarget},
+};
+
+/// Largest answer of a plain service that is read whole before it is passed
+/// on, in bytes; the deployments' answers have up to 5 kB.
+const WHOLE_ANSWER_LIMIT: usize = 1024 * 1024;
+/// What a refused caller is told to wait when no estimate speaks of it.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Part of the time left that one try of an idempotent request may take while
+/// another try is possible.
+const TRY_SHARE: f64 = 0.4;
+
+/// A request with all that is known of it.
+#[derive(Debug)]
+pub struct Call {
+    pub gateway: Arc<Gateway>,
+    pub parts: request::Parts,
+    pub head: CallerHead,
+    pub body: Bytes,
+    pub arrived: Timestamp,
+    pub deadline: Timestamp,
+    /// Set once a byte of the request may have reached a server that doesn't
+    /// deny having run it.
+    pub may_have_run: Arc<AtomicBool>,
+    /// What engines compute for the request, whoever sends it.
+    pub fingerprint: RequestFingerprint,
+}
+
+/// What is decided of a request by its route.
+#[derive(Clone, Debug)]
+pub struct CallRoute {
+    pub configuration: Arc<ServingConfiguration>,
+    pub row: RouteRow,
+    pub service: SmolStr,
+}
+
+impl Call {
+    /// Computes the fingerprint of a request.
+    pub fn fingerprint(parts: &request::Parts, body: &Bytes) -> RequestFingerprint {
+        let path = xxh3::xxh3_64(parts.uri.path().as_bytes());
+        RequestFingerprint(xxh3::xxh3_64_with_seed(body, path))
+    }
+
+    /// Returns the time until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.gateway.now())
+    }
+
+    /// Tells whether a server may have run the request.
+    pub fn has_maybe_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Relaxed)
+    }
+
+    /// Finds the route and service of the request in the configuration that is
+    /// in force now.
+    pub fn route(&self) -> Result<CallRoute, OwnAnswer> {
+        let configuration = self.gateway.state.lock().configuration.clone();
+        let Some(configuration) = configuration else {
+            return Err(unavailable());
+        };
+        let row = configuration.route(&self.head.host, &self.head.path);
+        let row = row.ok_or(OwnAnswer::UnknownRoute)?.clone();
+        let service = row.target(&self.head.request_id).ok_or(OwnAnswer::UnknownRoute)?.clone();
+        Ok(CallRoute { configuration, row, service })
+    }
+
+    /// Carries the request to its answer.
+    pub async fn run(&self, route: &CallRoute) -> Response<AnswerBody> {
+        let now = self.gateway.now();
+        let window = self.gateway.options.retry_allowance.window;
+        {
+            let mut state = self.gateway.state.lock();
+            state.note_request(&route.service, window, now);
+            if state.suspects.is_convicted(self.fingerprint, now) {
+                return self.refuse(OwnAnswer::Convicted, "crashed several engines");
+            }
+        }
+        let service = route.configuration.service(&route.service);
+        let answer = match service.and_then(|service| service.engine) {
+            Some(traits) => prompt_call::run(self, route, traits).await,
+            None => self.run_plain(route).await,
+        };
+        answer.unwrap_or_else(|answer| self.refuse(answer, "no whole answer"))
+    }
+
+    /// Makes an own answer and logs why.
+    pub fn refuse(&self, answer: OwnAnswer, reason: &str) -> Response<AnswerBody> {
+        let waited_ms = self.gateway.now().since(self.arrived).as_millis() as u64;
+        let id = &self.head.request_id;
+        tracing::info!(request = %id, answer = ?answer, reason, waited_ms, "own answer");
+        answer.encode(id)
+    }
+
+    /// Grants a further send, if the budget has one.
+    pub fn try_retry(&self, route: &CallRoute) -> bool {
+        let now = self.gateway.now();
+        let allowance = self.gateway.options.retry_allowance;
+        let granted = self.gateway.state.lock().try_retry(&route.service, allowance, now);
+        let verdict = if granted { "granted" } else { "refused" };
+        self.gateway.metrics.retries.with_label_values(&[verdict]).inc();
+        granted
+    }
+
+    /// Returns how a request of this kind may be connected.
+    pub fn connection_choice(kind: RouteKind) -> ConnectionChoice {
+        if kind.is_repeatable() {
+            ConnectionChoice::Kept
+        } else {
+            ConnectionChoice::Fresh
+        }
+    }
+
+    async fn run_plain(&self, route: &CallRoute) -> Result<Response<AnswerBody>, OwnAnswer> {
+        let mut excluded: Vec<EngineKey> = Vec::new();
+        let mut runs = 0;
+        let mut last = None;
+        loop {
+            let Some(target) = self.choose_plain(route, &excluded) else {
+                break;
+            };
+            let is_first = excluded.is_empty();
+            if !is_first && !self.try_retry(route) {
+                break;
+            }
+            excluded.push(target.key);
+            let can_repeat = route.row.kind.is_repeatable() && runs + 1 < route.row.attempts;
+            match self.try_plain(route, &target, can_repeat).await {
+                PlainTry::Answer(response) => return Ok(response),
+                PlainTry::NotRun => {}
+                PlainTry::Failed(answer) => {
+                    runs += 1;
+                    last = Some(answer);
+                    if !can_repeat {
+                        break;
+                    }
+                }
+            }
+        }
+        match last {
+            Some(answer) => answer,
+            None => Err(unavailable()),
+        }
+    }
+
+    fn choose_plain(&self, route: &CallRoute, excluded: &[EngineKey]) -> Option<SendTarget> {
+        let gateway = &self.gateway;
+        let options = &gateway.options;
+        let state = gateway.state.lock();
+        let key = placement::choose_plain(
+            &state.fleet,
+            &options.domains,
+            &route.service,
+            &options.domain,
+            excluded,
+            gateway.now(),
+        )?;
+        let server = state.fleet.server(key);
+        tracing::info!(
+            request = %self.head.request_id,
+            route = %route.row.name,
+            version = route.configuration.version,
+            server = %server.entry.id,
+            requests = server.requests(),
+            tries = excluded.len(),
+            "placed"
+        );
+        Some(SendTarget::new(key, server))
+    }
+
+    async fn try_plain(
+        &self,
+        route: &CallRoute,
+        target: &SendTarget,
+        can_repeat: bool,
+    ) -> PlainTry {
+        let time_left = self.time_left();
+        let terms = SendTerms {
+            server_id: &target.id,
+            time_left,
+            rank: None,
+            phase: SendPhase::Whole,
+            last_event: self.head.last_event.as_deref(),
+        };
+        let choice = Self::connection_choice(route.row.kind);
+        self.may_have_run.store(true, Ordering::Relaxed);
+        let work = async {
+            let sent = send::send(
+                &self.gateway,
+                target,
+                &self.parts,
+                &self.body,
+                &terms,
+                choice,
+                &self.head.request_id,
+            );
+            match sent.await {
+                SendOutcome::Answered(answer) => self.read_plain(target, answer).await,
+                SendOutcome::NotRun(reason) => {
+                    let id = &self.head.request_id;
+                    tracing::info!(request = %id, server = %target.id, %reason, "not run");
+                    PlainTry::NotRun
+                }
+                SendOutcome::Unknown(_) => PlainTry::Failed(Err(OwnAnswer::BackendFailed)),
+            }
+        };
+        let limit = if can_repeat { time_left.mul_f64(TRY_SHARE) } else { time_left };
+        let outcome = match self.gateway.clock.timeout(limit, work).await {
+            Ok(outcome) => outcome,
+            Err(_) => {
+                send::note_failure(&self.gateway, target, "no answer in time");
+                PlainTry::Failed(Err(OwnAnswer::TimedOut))
+            }
+        };
+        if matches!(outcome, PlainTry::NotRun) {
+            self.may_have_run.store(false, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    /// Reads an answer whole, so that one that breaks off isn't passed on.
+    async fn read_plain(&self, target: &SendTarget, answer: SendAnswer) -> PlainTry {
+        let (mut parts, body) = answer.response.into_parts();
+        let body = match Limited::new(body, WHOLE_ANSWER_LIMIT).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                send::note_failure(&self.gateway, target, &error.to_string());
+                return PlainTry::Failed(Err(OwnAnswer::BackendFailed));
+            }
+        };
+        if !engine::closes_connection(&parts.headers) {
+            let idle = engine::idle_limit(&parts.headers);
+            send::keep(&self.gateway, answer.connection, idle).await;
+        }
+        front::strip_connection_headers(&mut parts.headers);
+        let is_failure = parts.status.is_server_error();
+        if !is_failure {
+            send::note_success(&self.gateway, target.key);
+        }
+        let response = Response::from_parts(parts, AnswerBody::whole(body));
+        if is_failure {
+            return PlainTry::Failed(Ok(response));
+        }
+        PlainTry::Answer(response)
+    }
+}
+
+/// What came of one try of a plain request.
+enum PlainTry {
+    Answer(Response<AnswerBody>),
+    NotRun,
+    /// The request has or may have run; the answer is what the caller gets if
+    /// no other try follows.
+    Failed(Result<Response<AnswerBody>, OwnAnswer>),
+}
+
+/// Says that a request isn't run for want of servers.
+pub fn unavailable() -> OwnAnswer {
+    OwnAnswer::Unavailable { retry_after: DEFAULT_RETRY_AFTER }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,130 @@
+//! Takes callers' requests in.
+
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use gooseberry_platform::front::{self, OwnAnswer};
+use gooseberry_transport::body::AnswerBody;
+use http::{header, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::{call::Call, gateway::Gateway};
+
+/// Largest body before a configuration states it; bodies are held in memory.
+const DEFAULT_BODY_LIMIT: u64 = 4 * 1024 * 1024;
+/// Longest time for a body.
+const BODY_LIMIT: Duration = Duration::from_secs(5);
+/// Longest time for a request whose caller states none and that has no route.
+const DEFAULT_TIME_LEFT: Duration = Duration::from_secs(10);
+/// Time beyond the caller's and the route's in which an engine's own timeout
+/// may still come.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
+
+/// Counts a request for as long as it runs.
+struct RunningGuard<'a>(&'a Gateway);
+
+impl<'a> RunningGuard<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.running.fetch_add(1, Ordering::Relaxed);
+        Self(gateway)
+    }
+}
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers a caller's request.
+pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let running = RunningGuard::new(&gateway);
+    let mut response = take_in(&gateway, request).await;
+    drop(running);
+    if gateway.is_stopping() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn take_in(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = gateway.now();
+    let (parts, body) = request.into_parts();
+    let head = match front::decode(&parts) {
+        Ok(head) => head,
+        Err(fault) => {
+            tracing::info!(%fault, path = parts.uri.path(), "request can't be read");
+            return OwnAnswer::BadRequest.encode("");
+        }
+    };
+    let limit = body_limit(gateway);
+    let body = match gateway.clock.timeout(BODY_LIMIT, read_body(body, limit)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(answer)) => {
+            tracing::info!(request = %head.request_id, ?answer, limit, "body can't be read");
+            return answer.encode(&head.request_id);
+        }
+        Err(_) => {
+            tracing::info!(request = %head.request_id, "body didn't come in time");
+            return OwnAnswer::BodyTimeout.encode(&head.request_id);
+        }
+    };
+    let time_left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
+    let mut call = Call {
+        gateway: Arc::clone(gateway),
+        fingerprint: Call::fingerprint(&parts, &body),
+        parts,
+        head,
+        body,
+        arrived,
+        deadline: arrived + time_left,
+        may_have_run: Arc::new(AtomicBool::new(false)),
+    };
+    let route = match call.route() {
+        Ok(route) => route,
+        Err(answer) => return call.refuse(answer, "no route"),
+    };
+    call.deadline = arrived + time_left.min(route.row.timeout);
+    let limit = call.time_left() + TIMEOUT_SLACK;
+    let name = route.row.name.clone();
+    let response = match gateway.clock.timeout(limit, call.run(&route)).await {
+        Ok(response) => response,
+        Err(_) if call.has_maybe_run() => call.refuse(OwnAnswer::TimedOut, "deadline"),
+        Err(_) => call.refuse(crate::call::unavailable(), "deadline before any send"),
+    };
+    let elapsed = gateway.now().since(arrived);
+    gateway.metrics.latency.with_label_values(&[&name]).observe(elapsed.as_secs_f64());
+    let status = response.status();
+    gateway.metrics.requests.with_label_values(&[&name, status.as_str()]).inc();
+    tracing::info!(
+        request = %call.head.request_id,
+        route = %name,
+        status = status.as_u16(),
+        elapsed_ms = elapsed.as_millis() as u64,
+        "answered"
+    );
+    response
+}
+
+fn body_limit(gateway: &Gateway) -> u64 {
+    let state = gateway.state.lock();
+    state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT, |row| row.limits.body_bytes)
+}
+
+async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, OwnAnswer> {
+    match Limited::new(body, limit as usize).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(OwnAnswer::BodyTooLarge),
+        Err(error) => {
+            tracing::debug!(%error, "body broke off");
+            Err(OwnAnswer::BadRequest)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,87 @@
+//! Counters and histograms, served as text.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency buckets, in seconds: around the objectives of 0.12 to
+/// 0.8 s and the deadlines of 0.8 to 8 s.
+const LATENCY_BUCKETS: &[f64] = &[0.01, 0.03, 0.06, 0.12, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3.0, 8.0];
+
+/// Holds the metrics of one daemon.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Ended requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the head of the answer by route.
+    pub latency: HistogramVec,
+    /// Sends to backend servers by what came of them.
+    pub sends: IntCounterVec,
+    /// Further sends that the budget granted or refused.
+    pub retries: IntCounterVec,
+    /// Calls to the key-value service by what came of them.
+    pub store_calls: IntCounterVec,
+    /// Datagrams to and from other daemons, and those that can't be read.
+    pub datagrams: IntCounterVec,
+    /// New connections to backend servers.
+    pub connections: IntCounter,
+    /// Requests held for room at an engine.
+    pub held: IntGauge,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics have one name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("gooseberrykeel".to_owned()), None)?;
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let latency = HistogramVec::new(
+            HistogramOpts::new("answer_seconds", "Time to the head of the answer")
+                .buckets(LATENCY_BUCKETS.to_vec()),
+            &["route"],
+        )?;
+        registry.register(Box::new(latency.clone()))?;
+        let connections =
+            IntCounter::new("connections_total", "New connections to backend servers")?;
+        registry.register(Box::new(connections.clone()))?;
+        Ok(Self {
+            requests: counters("requests_total", "Ended requests", &["route", "outcome"])?,
+            latency,
+            sends: counters("sends_total", "Sends to backend servers", &["outcome"])?,
+            retries: counters("retries_total", "Further sends", &["verdict"])?,
+            store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
+            datagrams: counters("datagrams_total", "Datagrams of daemons", &["direction"])?,
+            connections,
+            held: gauge("held_requests", "Requests held for room at an engine")?,
+            version: gauge("configuration_version", "Version of the configuration in force")?,
+            registry,
+        })
+    }
+
+    /// Writes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric can't be written.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,60 @@
+//! What daemons tell each other of their sends.
+//!
+//! Datagrams may be lost or come twice; a summary each second repairs what was
+//! missed, so nothing is acknowledged.
+
+use gooseberry_core::serving::prompt::{ChainKey, PromptPart, PromptShape};
+use serde::{Deserialize, Serialize};
+
+/// A send whose prompt is to be read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SendRecord {
+    pub number: u64,
+    /// Hash of the server's id.
+    pub server: u64,
+    /// Tokens that have to be read.
+    pub tokens: u32,
+    pub prompt_tokens: u32,
+    /// Chain keys and tokens of the prompt's parts.
+    pub parts: Vec<(u64, u32)>,
+}
+
+impl SendRecord {
+    /// Returns the prompt's shape.
+    pub fn prompt(&self) -> PromptShape {
+        let parts = self
+            .parts
+            .iter()
+            .map(|(key, tokens)| PromptPart { key: ChainKey(*key), tokens: *tokens });
+        PromptShape { parts: parts.collect(), prompt_tokens: self.prompt_tokens, output_tokens: 0 }
+    }
+}
+
+/// One piece of news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SendNews {
+    Began(SendRecord),
+    /// The prompt was read, or the send ended otherwise.
+    Ended {
+        number: u64,
+        server: u64,
+    },
+    /// All sends whose prompt isn't read yet, and the requests that run at each
+    /// server.
+    Summary {
+        pending: Vec<u64>,
+        running: Vec<(u64, u32)>,
+    },
+    /// A request was running when its engine crashed.
+    Crash {
+        fingerprint: u64,
+    },
+}
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsDatagram {
+    /// Hash of the sender's name and incarnation.
+    pub daemon: u64,
+    pub news: Vec<SendNews>,
+}
--- /dev/null
+++ b/crates/gateway/src/program.rs
@@ -0,0 +1,136 @@
+//! Starts the parts of a gateway and stops them in order.
+
+use std::{sync::atomic::Ordering, sync::Arc, time::Duration};
+
+use anyhow::Context;
+use async_std::{net::TcpListener, task};
+use gooseberry_edges::{clock::Clock, stop::StopSignal};
+use gooseberry_platform::front as platform_front;
+use gooseberry_transport::{
+    body::AnswerBody,
+    server::{HttpServer, ServerLimits},
+};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::{
+    events, front,
+    gateway::Gateway,
+    metrics::GatewayMetrics,
+    peers::{self, PeerDirectory},
+    settings::GatewayOptions,
+};
+
+/// Largest head of a request; the deployments state 16,384 bytes.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// Longest wait for the next request on a connection; the deployments state
+/// 15 s, and callers use four fifths of it.
+const IDLE_LIMIT: Duration = Duration::from_millis(15_000);
+/// Time after SIGTERM in which the balancer still sends new connections: it
+/// takes two of its checks, one a second.
+const LEAVE_SPAN: Duration = Duration::from_millis(2600);
+/// Part of the grace time that is left unused.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
+/// Time between looks at what still runs.
+const LOOK_SPAN: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until it is stopped.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn run(options: GatewayOptions) -> anyhow::Result<()> {
+    let stop = StopSignal::on_termination()?;
+    let metrics = GatewayMetrics::new().context("the metrics can't be made")?;
+    let gateway = Arc::new(Gateway::new(options, Clock::system(), metrics));
+    let options = &gateway.options;
+    let peers = Arc::new(PeerDirectory::default());
+    peers::start(&gateway, &peers)
+        .await
+        .with_context(|| format!("can't listen at {}", options.peer_listen))?;
+    task::spawn(events::follow(Arc::clone(&gateway), Arc::clone(&peers)));
+    task::spawn(peers::register(Arc::clone(&gateway)));
+    serve_ready(&gateway).await?;
+    serve_metrics(&gateway).await?;
+    let callers = serve_callers(&gateway).await?;
+    tracing::info!(name = %options.name, domain = %options.domain, "started");
+    stop.wait().await;
+    leave(&gateway, &callers).await;
+    Ok(())
+}
+
+/// Answers what comes until the balancer has noticed, then lets the rest end.
+async fn leave(gateway: &Gateway, callers: &HttpServer) {
+    gateway.set_stopping();
+    let open = callers.open();
+    tracing::info!(running = gateway.running.load(Ordering::Relaxed), open, "stopping");
+    gateway.clock.sleep(LEAVE_SPAN).await;
+    callers.close();
+    let mut left = gateway.options.grace.saturating_sub(LEAVE_SPAN + GRACE_RESERVE);
+    while callers.open() > 0 && !left.is_zero() {
+        gateway.clock.sleep(LOOK_SPAN).await;
+        left = left.saturating_sub(LOOK_SPAN);
+    }
+    tracing::info!(cut = callers.open(), "stopped");
+}
+
+async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("can't listen at {address}"))
+}
+
+async fn serve_callers(gateway: &Arc<Gateway>) -> anyhow::Result<HttpServer> {
+    let listener = bind(gateway.options.listen).await?;
+    let server = HttpServer::default();
+    let handler = {
+        let gateway = Arc::clone(gateway);
+        move |request| front::answer(Arc::clone(&gateway), request)
+    };
+    spawn_server(&server, listener, handler);
+    Ok(server)
+}
+
+async fn serve_ready(gateway: &Arc<Gateway>) -> anyhow::Result<()> {
+    let listener = bind(gateway.options.ready_listen).await?;
+    let gateway = Arc::clone(gateway);
+    spawn_server(&HttpServer::default(), listener, move |request: Request<Incoming>| {
+        let response = if request.uri().path() == platform_front::READY_PATH {
+            platform_front::readiness(gateway.is_ready())
+        } else {
+            status(StatusCode::NOT_FOUND)
+        };
+        async move { response }
+    });
+    Ok(())
+}
+
+async fn serve_metrics(gateway: &Arc<Gateway>) -> anyhow::Result<()> {
+    let listener = bind(gateway.options.metrics_listen).await?;
+    let gateway = Arc::clone(gateway);
+    spawn_server(&HttpServer::default(), listener, move |_: Request<Incoming>| {
+        let response = match gateway.metrics.render() {
+            Ok(text) => Response::new(AnswerBody::whole(text)),
+            Err(error) => {
+                tracing::warn!(%error, "metrics can't be written");
+                status(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        };
+        async move { response }
+    });
+    Ok(())
+}
+
+fn spawn_server<S, F>(server: &HttpServer, listener: TcpListener, handler: S)
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: std::future::Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let server = server.clone();
+    let limits = ServerLimits { head_bytes: HEAD_LIMIT, idle: IDLE_LIMIT };
+    task::spawn(async move { server.serve(listener, limits, handler).await });
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(""));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/prompt_call.rs
@@ -0,0 +1,422 @@
+//! A request that carries a prompt: placed, held or refused, then streamed.
+
+use std::{sync::atomic::Ordering, sync::Arc, time::Duration};
+
+use gooseberry_core::{
+    arena::EngineKey,
+    serving::{
+        admission::{self, AdmissionRequest, AdmissionVerdict},
+        backlog::SendTicket,
+        configuration::EngineTraits,
+        placement::{self, Placement, PlacementPath, PlacementRequest},
+    },
+    time::Timestamp,
+};
+use gooseberry_platform::{
+    engine::{self, CacheHandle, SendPhase, SendTerms},
+    front::OwnAnswer,
+};
+use gooseberry_transport::body::AnswerBody;
+use http::Response;
+use http_body_util::BodyExt;
+
+use crate::{
+    call::{self, Call, CallRoute},
+    gateway::Gateway,
+    send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
+    stream,
+};
+
+/// Time after which a held request is judged again.
+const HOLD_SPAN: Duration = Duration::from_millis(25);
+/// Sends of one request that servers may reject before it is refused.
+const REJECTION_LIMIT: usize = 3;
+
+/// A prompt on its way to being read; ends its entry in the backlog when it is
+/// dropped.
+#[derive(Debug)]
+pub struct ReadGuard {
+    gateway: Arc<Gateway>,
+    pub key: EngineKey,
+    ticket: SendTicket,
+    tokens: u32,
+    began: Timestamp,
+    /// Whether the engine had nothing else to read when this was sent.
+    was_alone: bool,
+    is_open: bool,
+}
+
+impl ReadGuard {
+    /// Notes that the prompt was read; the engine's speed is learned from it.
+    pub fn read(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        self.is_open = false;
+        let now = self.gateway.now();
+        let mut state = self.gateway.state.lock();
+        state.end_read(self.key, self.ticket, now);
+        if self.was_alone {
+            let elapsed_ms = now.since(self.began).as_millis() as f64;
+            state.fleet.server_mut(self.key).learn_speed(self.tokens, elapsed_ms);
+        }
+        drop(state);
+        self.gateway.wake_peers();
+    }
+}
+
+impl Drop for ReadGuard {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now = self.gateway.now();
+            self.gateway.state.lock().end_read(self.key, self.ticket, now);
+            self.gateway.wake_peers();
+        }
+    }
+}
+
+/// Frees an exported KV cache that no engine has taken.
+#[derive(Debug)]
+struct HandleGuard {
+    gateway: Arc<Gateway>,
+    target: SendTarget,
+    handle: Option<CacheHandle>,
+}
+
+impl HandleGuard {
+    fn taken(mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for HandleGuard {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            let (gateway, target) = (Arc::clone(&self.gateway), self.target.clone());
+            async_std::task::spawn(async move { release(&gateway, &target, &handle).await });
+        }
+    }
+}
+
+async fn release(gateway: &Gateway, target: &SendTarget, handle: &CacheHandle) {
+    let request = || engine::release(handle);
+    match send::exchange(gateway, target, request, ConnectionChoice::Kept).await {
+        Ok((response, connection)) => {
+            let idle = engine::idle_limit(response.headers());
+            if response.into_body().collect().await.is_ok() {
+                send::keep(gateway, connection, idle).await;
+            }
+        }
+        // The engine frees it by itself after a while.
+        Err(fault) => tracing::info!(server = %target.id, %fault, "KV cache not freed"),
+    }
+}
+
+/// Counts a held request.
+struct HeldGuard<'a>(&'a Gateway);
+
+impl<'a> HeldGuard<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.state.lock().held += 1;
+        gateway.metrics.held.inc();
+        Self(gateway)
+    }
+}
+
+impl Drop for HeldGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().held -= 1;
+        self.0.metrics.held.dec();
+    }
+}
+
+/// What a judgement of the tables led to.
+enum Judgement {
+    Send { placement: Placement, read: ReadGuard },
+    Hold,
+    Refuse(OwnAnswer),
+}
+
+/// Carries a request to its answer.
+pub async fn run(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+) -> Result<Response<AnswerBody>, OwnAnswer> {
+    let mut excluded: Vec<EngineKey> = Vec::new();
+    for rejections in 0..=REJECTION_LIMIT {
+        if rejections > 0 && !call.try_retry(route) {
+            break;
+        }
+        let (placement, read) = admit(call, route, traits, &excluded).await?;
+        match send_placed(call, route, traits, &placement, read).await {
+            PromptTry::Answer(response) => return Ok(response),
+            PromptTry::Failed(answer) => return Err(answer),
+            PromptTry::NotRun(key) => excluded.push(key),
+        }
+    }
+    Err(call::unavailable())
+}
+
+async fn admit(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+    excluded: &[EngineKey],
+) -> Result<(Placement, ReadGuard), OwnAnswer> {
+    let mut held = None;
+    loop {
+        match judge(call, route, traits, excluded) {
+            Judgement::Send { placement, read } => return Ok((placement, read)),
+            Judgement::Refuse(answer) => return Err(answer),
+            Judgement::Hold => {
+                held.get_or_insert_with(|| HeldGuard::new(&call.gateway));
+                call.gateway.clock.sleep(HOLD_SPAN).await;
+            }
+        }
+    }
+}
+
+fn judge(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+    excluded: &[EngineKey],
+) -> Judgement {
+    let gateway = &call.gateway;
+    let now = gateway.now();
+    let mut state = gateway.state.lock();
+    let request = PlacementRequest {
+        service: &route.service,
+        prompt: &call.head.prompt,
+        traits,
+        home: &gateway.options.domain,
+        excluded,
+    };
+    let placement = placement::choose(&state.fleet, &gateway.options.domains, &request, now);
+    let Some(placement) = placement else {
+        return Judgement::Refuse(call::unavailable());
+    };
+    let admission = AdmissionRequest {
+        objective: route.row.objective,
+        waited: now.since(call.arrived),
+        time_left: call.time_left(),
+        held: state.held,
+    };
+    let verdict = admission::judge(admission, &placement);
+    if verdict != AdmissionVerdict::Hold {
+        tracing::info!(
+            request = %call.head.request_id,
+            route = %route.row.name,
+            version = route.configuration.version,
+            path = ?placement.path,
+            reader = %state.fleet.server(placement.path.reader()).entry.id,
+            reading = placement.reading,
+            wait_ms = placement.wait_ms as u64,
+            first_event_ms = placement.first_event_ms as u64,
+            waited_ms = admission.waited.as_millis() as u64,
+            verdict = ?verdict,
+            "judged"
+        );
+    }
+    match verdict {
+        AdmissionVerdict::Hold => Judgement::Hold,
+        AdmissionVerdict::Refuse { retry_after } => {
+            Judgement::Refuse(OwnAnswer::Unavailable { retry_after })
+        }
+        AdmissionVerdict::Send => {
+            let key = placement.path.reader();
+            let was_alone = state.fleet.server(key).backlog.is_empty();
+            let tokens = placement.reading;
+            let ticket = state.begin_read(key, &call.head.prompt, tokens, now);
+            drop(state);
+            gateway.wake_peers();
+            let read = ReadGuard {
+                gateway: Arc::clone(gateway),
+                key,
+                ticket,
+                tokens,
+                began: now,
+                was_alone,
+                is_open: true,
+            };
+            Judgement::Send { placement, read }
+        }
+    }
+}
+
+/// What came of one try of a request.
+enum PromptTry {
+    Answer(Response<AnswerBody>),
+    /// The server provably hasn't run it.
+    NotRun(EngineKey),
+    Failed(OwnAnswer),
+}
+
+async fn send_placed(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+    placement: &Placement,
+    read: ReadGuard,
+) -> PromptTry {
+    match placement.path {
+        PlacementPath::Whole { engine } => {
+            let target = target(call, engine);
+            send_whole(call, route, &target, SendPhase::Whole, Some(read)).await
+        }
+        PlacementPath::Split { prefill, decode } => {
+            let prefill = target(call, prefill);
+            let handle = match read_prompt(call, route, &prefill).await {
+                Ok(handle) => handle,
+                Err(outcome) => return outcome,
+            };
+            let mut read = read;
+            read.read();
+            let guard = HandleGuard {
+                gateway: Arc::clone(&call.gateway),
+                target: prefill.clone(),
+                handle: Some(handle.clone()),
+            };
+            // Engines may have come or gone while the prompt was read.
+            let decode = choose_decoder(call, route, traits, &prefill).unwrap_or(decode);
+            let decode = target(call, decode);
+            let phase = SendPhase::Decode { source: handle };
+            let outcome = send_whole(call, route, &decode, phase, None).await;
+            if matches!(outcome, PromptTry::Answer(_)) {
+                guard.taken();
+            }
+            outcome
+        }
+    }
+}
+
+fn target(call: &Call, key: EngineKey) -> SendTarget {
+    SendTarget::new(key, call.gateway.state.lock().fleet.server(key))
+}
+
+fn choose_decoder(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+    reader: &SendTarget,
+) -> Option<EngineKey> {
+    let options = &call.gateway.options;
+    let state = call.gateway.state.lock();
+    let request = PlacementRequest {
+        service: &route.service,
+        prompt: &call.head.prompt,
+        traits,
+        home: &options.domain,
+        excluded: &[],
+    };
+    placement::choose_decoder(
+        &state.fleet,
+        &options.domains,
+        &request,
+        &reader.domain,
+        call.gateway.now(),
+    )
+}
+
+fn terms<'a>(
+    call: &'a Call,
+    route: &CallRoute,
+    target: &'a SendTarget,
+    phase: SendPhase,
+) -> SendTerms<'a> {
+    SendTerms {
+        server_id: &target.id,
+        time_left: call.time_left(),
+        rank: Some(route.row.priority),
+        phase,
+        last_event: call.head.last_event.as_deref(),
+    }
+}
+
+/// Has a prompt read and its KV cache exported. Reading alone isn't a run.
+async fn read_prompt(
+    call: &Call,
+    route: &CallRoute,
+    target: &SendTarget,
+) -> Result<CacheHandle, PromptTry> {
+    let gateway = &call.gateway;
+    let terms = terms(call, route, target, SendPhase::Prefill);
+    let id = &call.head.request_id;
+    let choice = ConnectionChoice::Kept;
+    let sent = send::send(gateway, target, &call.parts, &call.body, &terms, choice, id).await;
+    let answer = match sent {
+        SendOutcome::Answered(answer) => answer,
+        SendOutcome::NotRun(reason) => {
+            log_not_run(call, target, reason);
+            return Err(PromptTry::NotRun(target.key));
+        }
+        SendOutcome::Unknown(_) => return Err(PromptTry::NotRun(target.key)),
+    };
+    let is_success = answer.response.status().is_success();
+    let idle = engine::idle_limit(answer.response.headers());
+    let closes = engine::closes_connection(answer.response.headers());
+    let body = answer.response.into_body().collect().await;
+    let handle = match body {
+        Ok(body) if is_success => engine::decode_handle(target.address, &body.to_bytes()),
+        Ok(_) => {
+            send::note_failure(gateway, target, "the prompt wasn't read");
+            return Err(PromptTry::NotRun(target.key));
+        }
+        Err(error) => {
+            send::note_failure(gateway, target, &error.to_string());
+            return Err(PromptTry::NotRun(target.key));
+        }
+    };
+    match handle {
+        Ok(handle) => {
+            send::note_success(gateway, target.key);
+            if !closes {
+                send::keep(gateway, answer.connection, idle).await;
+            }
+            Ok(handle)
+        }
+        Err(error) => {
+            send::note_failure(gateway, target, &error.to_string());
+            Err(PromptTry::NotRun(target.key))
+        }
+    }
+}
+
+async fn send_whole(
+    call: &Call,
+    route: &CallRoute,
+    target: &SendTarget,
+    phase: SendPhase,
+    read: Option<ReadGuard>,
+) -> PromptTry {
+    let gateway = &call.gateway;
+    let terms = terms(call, route, target, phase);
+    let id = &call.head.request_id;
+    let choice = Call::connection_choice(route.row.kind);
+    call.may_have_run.store(true, Ordering::Relaxed);
+    let sent = send::send(gateway, target, &call.parts, &call.body, &terms, choice, id).await;
+    match sent {
+        SendOutcome::Answered(answer) => {
+            if answer.response.status().is_server_error() {
+                send::note_failure(gateway, target, "the engine answered with a failure");
+            }
+            PromptTry::Answer(stream::forward(call, target, answer, read))
+        }
+        SendOutcome::NotRun(reason) => {
+            call.may_have_run.store(false, Ordering::Relaxed);
+            log_not_run(call, target, reason);
+            PromptTry::NotRun(target.key)
+        }
+        SendOutcome::Unknown(_) => {
+            let now = gateway.now();
+            gateway.state.lock().note_crash(call.fingerprint.0, now);
+            gateway.wake_peers();
+            PromptTry::Failed(OwnAnswer::BackendFailed)
+        }
+    }
+}
+
+fn log_not_run(call: &Call, target: &SendTarget, reason: NotRunReason) {
+    tracing::info!(request = %call.head.request_id, server = %target.id, %reason, "not run");
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,206 @@
+//! One send of a request to one backend server.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use gooseberry_core::{arena::EngineKey, serving::directory::EngineStage};
+use gooseberry_platform::engine::{self, AnswerMeaning, SendTerms};
+use gooseberry_transport::client::{ClientConnection, SendFault};
+use http::{request, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+
+use crate::gateway::Gateway;
+
+/// Longest time for a connection to a backend server; round trips take 16 ms.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// A server as it was when it was chosen.
+#[derive(Clone, Debug)]
+pub struct SendTarget {
+    pub key: EngineKey,
+    pub id: SmolStr,
+    pub address: std::net::SocketAddr,
+    pub domain: SmolStr,
+    pub stage: EngineStage,
+}
+
+impl SendTarget {
+    /// Notes where a server can be reached now.
+    pub fn new(key: EngineKey, state: &gooseberry_core::serving::fleet::ServerState) -> Self {
+        Self {
+            key,
+            id: state.entry.id.clone(),
+            address: state.entry.address,
+            domain: state.entry.domain.clone(),
+            stage: state.entry.stage,
+        }
+    }
+}
+
+/// Counts a request at a server for as long as it runs there.
+#[derive(Debug)]
+pub struct RunGuard {
+    gateway: Arc<Gateway>,
+    key: EngineKey,
+}
+
+impl RunGuard {
+    /// Counts a request.
+    pub fn new(gateway: &Arc<Gateway>, key: EngineKey) -> Self {
+        gateway.state.lock().fleet.server_mut(key).running += 1;
+        Self { gateway: Arc::clone(gateway), key }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state.lock();
+        let server = state.fleet.server_mut(self.key);
+        server.running = server.running.saturating_sub(1);
+    }
+}
+
+/// An answer with what it came on.
+#[derive(Debug)]
+pub struct SendAnswer {
+    pub response: Response<Incoming>,
+    pub connection: ClientConnection,
+    pub guard: RunGuard,
+}
+
+/// What came of a send.
+#[derive(Debug)]
+pub enum SendOutcome {
+    /// The server answered this request, well or badly.
+    Answered(SendAnswer),
+    /// The request provably hasn't run.
+    NotRun(NotRunReason),
+    /// The request may have run and has no answer.
+    Unknown(SmolStr),
+}
+
+/// Proof that a request hasn't run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NotRunReason {
+    /// The server says so.
+    Rejected,
+    /// Another server has the address.
+    Misdirected,
+    /// No byte of the request left.
+    Unreachable,
+}
+
+/// Says which connections a send may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// One that was used before, if there is one.
+    Kept,
+    /// A new one: a request that may run only once isn't risked on a
+    /// connection that may have gone silent.
+    Fresh,
+}
+
+/// Sends a request and reads the head of the answer.
+pub async fn send(
+    gateway: &Arc<Gateway>,
+    target: &SendTarget,
+    caller: &request::Parts,
+    body: &Bytes,
+    terms: &SendTerms<'_>,
+    choice: ConnectionChoice,
+    request_id: &str,
+) -> SendOutcome {
+    let guard = RunGuard::new(gateway, target.key);
+    let sent = exchange(gateway, target, || engine::encode(caller, body, terms), choice).await;
+    let (response, connection) = match sent {
+        Ok(sent) => sent,
+        Err(fault) if fault.proves_unsent() => {
+            note_unreachable(gateway, target, &fault);
+            return finish(gateway, SendOutcome::NotRun(NotRunReason::Unreachable), "unreachable");
+        }
+        Err(fault) => {
+            note_failure(gateway, target, &fault.to_string());
+            return finish(
+                gateway,
+                SendOutcome::Unknown(smol_str::format_smolstr!("{fault}")),
+                "unanswered",
+            );
+        }
+    };
+    let meaning = engine::meaning(&response, request_id);
+    let outcome = match meaning {
+        AnswerMeaning::Own => SendOutcome::Answered(SendAnswer { response, connection, guard }),
+        // An answer to a prefill has no signature.
+        AnswerMeaning::Unsigned if terms.phase == engine::SendPhase::Prefill => {
+            SendOutcome::Answered(SendAnswer { response, connection, guard })
+        }
+        AnswerMeaning::NotRun => SendOutcome::NotRun(NotRunReason::Rejected),
+        AnswerMeaning::Misdirected => SendOutcome::NotRun(NotRunReason::Misdirected),
+        AnswerMeaning::Foreign | AnswerMeaning::Unsigned => {
+            note_failure(gateway, target, "the answer isn't the server's to this request");
+            SendOutcome::Unknown(smol_str::format_smolstr!("{meaning} answer"))
+        }
+    };
+    finish(gateway, outcome, &meaning.to_string())
+}
+
+fn finish(gateway: &Gateway, outcome: SendOutcome, label: &str) -> SendOutcome {
+    gateway.metrics.sends.with_label_values(&[label]).inc();
+    outcome
+}
+
+/// Sends on a kept connection if that is allowed, and on a new one if the kept
+/// one turns out to be closed before a byte left.
+pub async fn exchange(
+    gateway: &Gateway,
+    target: &SendTarget,
+    request: impl Fn() -> Request<Full<Bytes>>,
+    choice: ConnectionChoice,
+) -> Result<(Response<Incoming>, ClientConnection), SendFault> {
+    let kept = match choice {
+        ConnectionChoice::Kept => gateway.connections.take(target.address, gateway.instant()),
+        ConnectionChoice::Fresh => None,
+    };
+    if let Some(mut connection) = kept {
+        match connection.send(request()).await {
+            Err(fault) if fault.proves_unsent() => {}
+            sent => return sent.map(|response| (response, connection)),
+        }
+    }
+    gateway.metrics.connections.inc();
+    let mut connection = ClientConnection::connect(target.address, CONNECT_LIMIT).await?;
+    let response = connection.send(request()).await?;
+    Ok((response, connection))
+}
+
+/// Keeps a connection whose answer was read to its end.
+pub async fn keep(gateway: &Gateway, mut connection: ClientConnection, idle: Option<Duration>) {
+    if connection.is_reusable().await {
+        connection.idle_limit = idle;
+        gateway.connections.put(connection, gateway.instant());
+    }
+}
+
+/// Notes that a server answered as it should.
+pub fn note_success(gateway: &Gateway, key: EngineKey) {
+    gateway.state.lock().fleet.server_mut(key).health.succeeded();
+}
+
+/// Notes that a server failed a request.
+pub fn note_failure(gateway: &Gateway, target: &SendTarget, reason: &str) {
+    let now = gateway.now();
+    let mut state = gateway.state.lock();
+    let health = &mut state.fleet.server_mut(target.key).health;
+    health.failed(now);
+    let (share, is_fit) = (health.failure_share(), health.is_fit(now));
+    tracing::info!(server = %target.id, reason, share, is_fit, "server failed a request");
+}
+
+fn note_unreachable(gateway: &Gateway, target: &SendTarget, fault: &SendFault) {
+    let now = gateway.now();
+    gateway.state.lock().fleet.server_mut(target.key).health.unreachable(now);
+    tracing::info!(server = %target.id, %fault, "server can't be reached");
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,64 @@
+//! The settings with their addresses and spans decoded.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use gooseberry_core::serving::{budget::RetryAllowance, placement::DomainMap};
+use gooseberry_wire::gateway::GatewaySettings;
+use smol_str::SmolStr;
+
+/// Says which field of the settings can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field}: {text:?} isn't an IP address and port, such as 10.0.0.1:8080")]
+pub struct SettingsFault {
+    field: &'static str,
+    text: String,
+}
+
+/// What the parts of the gateway are told at their start.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    pub name: SmolStr,
+    pub domain: SmolStr,
+    pub domains: DomainMap,
+    pub listen: SocketAddr,
+    pub ready_listen: SocketAddr,
+    pub metrics_listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    pub store: SocketAddr,
+    pub grace: Duration,
+    pub retry_allowance: RetryAllowance,
+}
+
+impl GatewayOptions {
+    /// Decodes the settings.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that holds no address.
+    pub fn new(settings: &GatewaySettings) -> Result<Self, SettingsFault> {
+        let address = |field, text: &str| {
+            text.parse().map_err(|_| SettingsFault { field, text: text.to_owned() })
+        };
+        let regions: HashMap<SmolStr, SmolStr> = settings
+            .regions
+            .iter()
+            .map(|(domain, region)| (domain.as_str().into(), region.as_str().into()))
+            .collect();
+        Ok(Self {
+            name: settings.name.as_str().into(),
+            domain: settings.failure_domain.as_str().into(),
+            domains: DomainMap::new(regions),
+            listen: address("listen", &settings.listen)?,
+            ready_listen: address("ready_listen", &settings.ready_listen)?,
+            metrics_listen: address("metrics_listen", &settings.metrics_listen)?,
+            peer_listen: address("peer_listen", &settings.peer_listen)?,
+            store: address("store", &settings.store)?,
+            grace: Duration::from_secs_f64(settings.grace_s),
+            retry_allowance: RetryAllowance {
+                ratio: settings.retry_ratio,
+                window: Duration::from_secs_f64(settings.retry_window_s),
+                slack: settings.retry_slack,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,230 @@
+//! The tables that requests are placed by.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use gooseberry_core::{
+    arena::EngineKey,
+    serving::{
+        backlog::SendTicket,
+        budget::{RetryAllowance, RetryLedger},
+        configuration::ServingConfiguration,
+        directory::{ServerEntry, ServerPresence},
+        fleet::{self, EntryEffect, ServerFleet},
+        prompt::PromptShape,
+        suspects::SuspectTable,
+    },
+    time::Timestamp,
+};
+use smol_str::SmolStr;
+
+use crate::news::{SendNews, SendRecord};
+
+/// Time after which a daemon that isn't heard of no longer counts.
+pub const PEER_SILENCE: Duration = Duration::from_millis(2500);
+
+/// What is known of another daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerState {
+    pub heard_at: Timestamp,
+}
+
+/// Holds all tables of one daemon.
+#[derive(Debug, Default)]
+pub struct GatewayState {
+    pub configuration: Option<Arc<ServingConfiguration>>,
+    pub fleet: ServerFleet,
+    pub suspects: SuspectTable,
+    /// Requests that wait at this daemon for room at an engine.
+    pub held: usize,
+    retries: HashMap<SmolStr, RetryLedger>,
+    /// Other daemons by the hash of their name and incarnation.
+    peers: HashMap<u64, PeerState>,
+    /// Own sends whose prompt isn't read yet.
+    own_reads: HashMap<u64, SendRecord>,
+    /// What the other daemons haven't been told yet.
+    outgoing: VecDeque<SendNews>,
+    next_ticket: u64,
+    /// Hash of this daemon's name and incarnation.
+    daemon: u64,
+}
+
+impl GatewayState {
+    /// Makes the tables of a daemon.
+    pub fn new(daemon: u64) -> Self {
+        Self { daemon, ..Self::default() }
+    }
+
+    /// Takes a configuration into force unless a newer one is; returns whether
+    /// it did.
+    pub fn put_configuration(&mut self, configuration: ServingConfiguration) -> bool {
+        let in_force = self.configuration.as_ref().map(|configuration| configuration.version);
+        if in_force.is_some_and(|version| version >= configuration.version) {
+            return false;
+        }
+        self.configuration = Some(Arc::new(configuration));
+        true
+    }
+
+    /// Takes in the entry of a server.
+    pub fn put_server(&mut self, entry: ServerEntry) -> EntryEffect {
+        self.fleet.put(entry)
+    }
+
+    /// Notes that a server's entry is missing.
+    pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
+        self.fleet.remove(id, now)
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn note_request(&mut self, service: &SmolStr, window: Duration, now: Timestamp) {
+        self.retries.entry(service.clone()).or_default().note_request(window, now);
+    }
+
+    /// Grants a further send to a service, if the budget has one.
+    pub fn try_retry(
+        &mut self,
+        service: &SmolStr,
+        allowance: RetryAllowance,
+        now: Timestamp,
+    ) -> bool {
+        let daemons = 1 + self.living_peers(now);
+        self.retries.entry(service.clone()).or_default().try_retry(allowance, daemons, now)
+    }
+
+    /// Returns the number of other daemons that were heard lately.
+    pub fn living_peers(&self, now: Timestamp) -> u32 {
+        self.peers.values().filter(|peer| now.since(peer.heard_at) < PEER_SILENCE).count() as u32
+    }
+
+    /// Notes an own send whose prompt is to be read, and what to tell of it.
+    pub fn begin_read(
+        &mut self,
+        key: EngineKey,
+        prompt: &PromptShape,
+        tokens: u32,
+        now: Timestamp,
+    ) -> SendTicket {
+        let kv_tokens = self.kv_tokens(key);
+        let ticket = SendTicket { daemon: self.daemon, number: self.next_ticket };
+        self.next_ticket += 1;
+        self.fleet.note_read(key, ticket, prompt, tokens, kv_tokens, now);
+        let server = fleet::server_hash(&self.fleet.server(key).entry.id);
+        let record = SendRecord {
+            number: ticket.number,
+            server,
+            tokens,
+            prompt_tokens: prompt.prompt_tokens,
+            parts: prompt.parts.iter().map(|part| (part.key.0, part.tokens)).collect(),
+        };
+        self.own_reads.insert(ticket.number, record.clone());
+        self.outgoing.push_back(SendNews::Began(record));
+        ticket
+    }
+
+    /// Notes that the prompt of an own send was read or that it ended.
+    pub fn end_read(&mut self, key: EngineKey, ticket: SendTicket, now: Timestamp) {
+        if self.fleet.end_read(key, ticket, now) {
+            self.own_reads.remove(&ticket.number);
+            let server = fleet::server_hash(&self.fleet.server(key).entry.id);
+            self.outgoing.push_back(SendNews::Ended { number: ticket.number, server });
+        }
+    }
+
+    /// Takes what the other daemons haven't been told yet.
+    pub fn take_outgoing(&mut self) -> Vec<SendNews> {
+        self.outgoing.drain(..).collect()
+    }
+
+    /// Returns the numbers of the own sends whose prompt isn't read yet, and
+    /// the requests that run at each server.
+    pub fn own_summary(&self) -> (Vec<u64>, Vec<(u64, u32)>) {
+        let running = self.fleet.iter().filter(|(_, state)| state.running > 0);
+        let running =
+            running.map(|(_, state)| (fleet::server_hash(&state.entry.id), state.running));
+        (self.own_reads.keys().copied().collect(), running.collect())
+    }
+
+    /// Takes in what another daemon tells of its sends.
+    pub fn hear(&mut self, daemon: u64, news: &[SendNews], now: Timestamp) {
+        if daemon == self.daemon {
+            return;
+        }
+        self.peers.insert(daemon, PeerState { heard_at: now });
+        for item in news {
+            match item {
+                SendNews::Began(record) => {
+                    if let Some(key) = self.fleet.key_of_hash(record.server) {
+                        let ticket = SendTicket { daemon, number: record.number };
+                        let prompt = record.prompt();
+                        let kv_tokens = self.kv_tokens(key);
+                        self.fleet.note_read(key, ticket, &prompt, record.tokens, kv_tokens, now);
+                    }
+                }
+                SendNews::Ended { number, server } => {
+                    if let Some(key) = self.fleet.key_of_hash(*server) {
+                        self.fleet.end_read(key, SendTicket { daemon, number: *number }, now);
+                    }
+                }
+                SendNews::Summary { pending, running } => {
+                    self.hear_summary(daemon, pending, running);
+                }
+                SendNews::Crash { fingerprint } => {
+                    let fingerprint = gooseberry_core::poison::RequestFingerprint(*fingerprint);
+                    self.suspects.note_crash(fingerprint, now);
+                }
+            }
+        }
+    }
+
+    /// Tells the other daemons that a request was running at a crash.
+    pub fn note_crash(&mut self, fingerprint: u64, now: Timestamp) -> u32 {
+        self.outgoing.push_back(SendNews::Crash { fingerprint });
+        self.suspects.note_crash(gooseberry_core::poison::RequestFingerprint(fingerprint), now)
+    }
+
+    /// Drops what was said by daemons that have fallen silent.
+    pub fn forget_silent(&mut self, now: Timestamp) {
+        let silent: Vec<u64> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.heard_at) >= PEER_SILENCE)
+            .map(|(daemon, _)| *daemon)
+            .collect();
+        if silent.is_empty() {
+            return;
+        }
+        for key in self.fleet.keys() {
+            let server = self.fleet.server_mut(key);
+            server.backlog.drop_sends(|ticket, _| silent.contains(&ticket.daemon));
+            server.running_of_peers.retain(|daemon, _| !silent.contains(daemon));
+        }
+        self.peers.retain(|daemon, _| !silent.contains(daemon));
+    }
+
+    /// Returns the tokens that a server's KV cache holds.
+    fn kv_tokens(&self, key: EngineKey) -> u64 {
+        let service = &self.fleet.server(key).entry.service;
+        let configuration = self.configuration.as_ref();
+        let row = configuration.and_then(|configuration| configuration.service(service));
+        row.and_then(|row| row.engine).map_or(0, |traits| traits.kv_tokens)
+    }
+
+    fn hear_summary(&mut self, daemon: u64, pending: &[u64], running: &[(u64, u32)]) {
+        for key in self.fleet.keys() {
+            let server = self.fleet.server_mut(key);
+            server.backlog.drop_sends(|ticket, _| {
+                ticket.daemon == daemon && !pending.contains(&ticket.number)
+            });
+            server.running_of_peers.remove(&daemon);
+        }
+        for (hash, count) in running {
+            if let Some(key) = self.fleet.key_of_hash(*hash) {
+                self.fleet.server_mut(key).running_of_peers.insert(daemon, *count);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/body.rs
@@ -0,0 +1,78 @@
+//! The body of an answer: whole, or passed on as it arrives.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+/// Says why a body ended before it was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyFault {
+    /// The backend server broke off.
+    #[error("the backend server broke off its answer")]
+    Broken,
+    /// The request's time limit passed.
+    #[error("the time limit passed while the answer was sent")]
+    TimedOut,
+}
+
+/// The parts of a body as a task makes them.
+pub type BodyParts = async_channel::Receiver<Result<Bytes, BodyFault>>;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All bytes are there.
+    Whole(Option<Bytes>),
+    /// Parts come through a channel; `length` is known if the backend server
+    /// declared it. A fault makes hyper cut the connection, so that the caller
+    /// sees the answer as broken.
+    Parts { parts: Pin<Box<BodyParts>>, length: Option<u64> },
+}
+
+impl AnswerBody {
+    /// Makes a body whose bytes are all there.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Whole(if bytes.is_empty() { None } else { Some(bytes) })
+    }
+
+    /// Makes a body from a channel of parts.
+    pub fn parts(parts: BodyParts, length: Option<u64>) -> Self {
+        Self::Parts { parts: Box::pin(parts), length }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Parts { parts, .. } => {
+                let part =
+                    futures_lite::ready!(futures_lite::Stream::poll_next(parts.as_mut(), context));
+                Poll::Ready(part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Parts { length: Some(length), .. } => SizeHint::with_exact(*length),
+            Self::Parts { length: None, .. } => SizeHint::default(),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod edit;
 pub mod engine;
+pub mod gateway;
 pub mod loads;
 pub mod order;
 pub mod peer;
@@ -25,5 +26,8 @@
 /// Holds the schema of the configuration text, for checks and for `gooseberryctl schema`.
 pub const CONFIGURATION_SCHEMA: &str = include_str!("../schemas/configuration.schema.json");
 
+/// Holds the schema of the gateway's settings.
+pub const GATEWAY_SCHEMA: &str = include_str!("../schemas/gateway.schema.json");
+
 /// Holds the schema of the daemon's settings.
 pub const SETTINGS_SCHEMA: &str = include_str!("../schemas/settings.schema.json");
