--- a/crates/core/src/serving/backlog.rs
+++ b/crates/core/src/serving/backlog.rs
@@ -8,6 +8,10 @@
 
 use crate::time::Timestamp;
 
+/// Part of an engine's speed at which it may read for long beside outputs: each
+/// event takes several steps, and those that read are many times longer.
+const BESIDE_SHARE: f64 = 0.4;
+
 /// Names one send: the daemon that made it and its number there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SendTicket {
@@ -30,6 +34,9 @@
     /// Tokens that are left if the engine has worked at its learned speed.
     work: f64,
     updated_at: Timestamp,
+    /// Tokens read beside outputs, at `beside_at`.
+    beside: f64,
+    beside_at: Timestamp,
 }
 
 impl ReadBacklog {
@@ -93,6 +100,19 @@
         self.pending.is_empty()
     }
 
+    /// Notes tokens that are read beside outputs.
+    pub fn note_beside(&mut self, tokens: u32, speed: f64, now: Timestamp) {
+        self.beside = self.beside_tokens(speed, now) + f64::from(tokens);
+        self.beside_at = now;
+    }
+
+    /// Returns the tokens read beside outputs of late, as a bucket that leaks at
+    /// a part of the engine's speed.
+    pub fn beside_tokens(&self, speed: f64, now: Timestamp) -> f64 {
+        let passed = now.since(self.beside_at).as_millis() as f64;
+        (self.beside - passed * speed * BESIDE_SHARE).max(0.0)
+    }
+
     fn settle(&mut self, speed: f64, now: Timestamp) {
         let passed = now.since(self.updated_at).as_millis() as f64;
         self.work = (self.work - passed * speed).max(0.0).min(self.pending_tokens);
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -241,6 +241,9 @@
         let state = &mut self.servers[key];
         let speed = state.speed();
         state.backlog.add(ticket, tokens, speed, now);
+        if state.entry.stage == EngineStage::Decode {
+            state.backlog.note_beside(tokens, speed, now);
+        }
         state.parts.note(prompt, kv_tokens);
     }
 
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -33,10 +33,10 @@
 /// Cost of reading a prompt at an engine that decodes, as a part of the time
 /// that it takes: the events of others pause meanwhile.
 const INTERFERENCE_WEIGHT: f64 = 0.3;
-/// Prompt tokens that an engine may have to read beside its outputs. Each step
-/// that reads a piece takes some 40 ms, and an event takes seven steps: with
-/// more than three pieces of 1,024 tokens in a row its pause exceeds 200 ms.
-const BESIDE_OUTPUT_TOKENS: f64 = 3072.0;
+/// Prompt tokens that an engine may read at once beside its outputs. Each step
+/// that reads a piece of 1,024 tokens takes some 40 ms, and an event takes seven
+/// steps: more than four pieces in a row make its pause exceed 200 ms.
+const BESIDE_OUTPUT_TOKENS: f64 = 2048.0;
 /// Milliseconds by which the hash of the shared part orders equal engines.
 const HASH_SPREAD_MS: f64 = 30.0;
 /// One-way delay to the failure domains of the region, in milliseconds; the
@@ -161,9 +161,9 @@
 
 /// Tells whether reading a prompt would make the events of others late.
 fn pauses_outputs(state: &ServerState, placement: &Placement, now: Timestamp) -> bool {
-    let ahead = state.backlog.tokens_ahead(state.speed(), now);
+    let beside = state.backlog.beside_tokens(state.speed(), now);
     state.entry.stage == EngineStage::Decode
-        && ahead + f64::from(placement.reading) > BESIDE_OUTPUT_TOKENS
+        && beside + f64::from(placement.reading) > BESIDE_OUTPUT_TOKENS
 }
 
 /// Chooses an engine that takes over the output of a prompt read elsewhere.
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -292,12 +292,8 @@
                 target: prefill.clone(),
                 handle: Some(handle.clone()),
             };
-            // Engines may have come or gone while the prompt was read.
-            let decode = choose_decoder(call, route, traits, &prefill).unwrap_or(decode);
-            let decode = target(call, decode);
-            let phase = SendPhase::Decode { source: handle };
-            let outcome = send_whole(call, route, &decode, phase, None).await;
-            if matches!(outcome, PromptTry::Answer(_)) {
+            let outcome = hand_over(call, route, traits, &prefill, decode, &handle).await;
+            if !matches!(outcome, PromptTry::NotRun(_)) {
                 guard.taken();
             }
             outcome
@@ -305,6 +301,36 @@
     }
 }
 
+/// Has an engine take a KV cache over and make the output. An engine that
+/// rejects the request leaves the KV cache to another one.
+async fn hand_over(
+    call: &Call,
+    route: &CallRoute,
+    traits: EngineTraits,
+    reader: &SendTarget,
+    planned: EngineKey,
+    handle: &CacheHandle,
+) -> PromptTry {
+    let mut excluded = Vec::new();
+    loop {
+        // Engines may have come or gone while the prompt was read.
+        let chosen = choose_decoder(call, route, traits, reader, &excluded);
+        let Some(decode) = chosen.or((excluded.is_empty()).then_some(planned)) else {
+            return PromptTry::Failed(call::unavailable());
+        };
+        if !excluded.is_empty() && !call.try_retry(route) {
+            return PromptTry::Failed(call::unavailable());
+        }
+        let decode = target(call, decode);
+        let phase = SendPhase::Decode { source: handle.clone() };
+        match send_whole(call, route, &decode, phase, None).await {
+            PromptTry::NotRun(key) if excluded.len() < REJECTION_LIMIT => excluded.push(key),
+            PromptTry::NotRun(_) => return PromptTry::Failed(call::unavailable()),
+            outcome => return outcome,
+        }
+    }
+}
+
 fn target(call: &Call, key: EngineKey) -> SendTarget {
     SendTarget::new(key, call.gateway.state.lock().fleet.server(key))
 }
@@ -314,6 +340,7 @@
     route: &CallRoute,
     traits: EngineTraits,
     reader: &SendTarget,
+    excluded: &[EngineKey],
 ) -> Option<EngineKey> {
     let options = &call.gateway.options;
     let state = call.gateway.state.lock();
@@ -322,7 +349,7 @@
         prompt: &call.head.prompt,
         traits,
         home: &options.domain,
-        excluded: &[],
+        excluded,
     };
     placement::choose_decoder(
         &state.fleet,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -137,7 +137,10 @@
         AnswerMeaning::Unsigned if terms.phase == engine::SendPhase::Prefill => {
             SendOutcome::Answered(SendAnswer { response, connection, guard })
         }
-        AnswerMeaning::NotRun => SendOutcome::NotRun(NotRunReason::Rejected),
+        AnswerMeaning::NotRun => {
+            note_failure(gateway, target, "rejected");
+            SendOutcome::NotRun(NotRunReason::Rejected)
+        }
         AnswerMeaning::Misdirected => SendOutcome::NotRun(NotRunReason::Misdirected),
         AnswerMeaning::Foreign | AnswerMeaning::Unsigned => {
             note_failure(gateway, target, "the answer isn't the server's to this request");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use futures_lite::FutureExt;
-use gooseberry_core::poison::RequestFingerprint;
+use gooseberry_core::{poison::RequestFingerprint, time::Timestamp};
 use gooseberry_platform::{engine, front};
 use gooseberry_transport::body::{AnswerBody, BodyFault};
 use http::{header, Response};
@@ -32,6 +32,26 @@
     read: Option<ReadGuard>,
 }
 
+/// What was seen of a stream's parts.
+#[derive(Clone, Copy, Debug, Default)]
+struct StreamPace {
+    parts: u32,
+    bytes: usize,
+    last_part: Option<Timestamp>,
+    longest_pause: Duration,
+}
+
+impl StreamPace {
+    fn note(&mut self, bytes: usize, now: Timestamp) {
+        if let Some(last_part) = self.last_part {
+            self.longest_pause = self.longest_pause.max(now.since(last_part));
+        }
+        self.parts += 1;
+        self.bytes += bytes;
+        self.last_part = Some(now);
+    }
+}
+
 /// Says how a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -76,15 +96,17 @@
         let idle = engine::idle_limit(response.headers());
         let closes = engine::closes_connection(response.headers());
         let mut body = response.into_body();
-        let mut bytes = 0;
+        let mut pace = StreamPace::default();
         let time_left = self.time_left;
-        let passed = clock.timeout(time_left, self.pass_on(&mut body, &mut bytes)).await;
+        let passed = clock.timeout(time_left, self.pass_on(&mut body, &mut pace)).await;
         let end = passed.unwrap_or(StreamEnd::TimedOut);
         tracing::info!(
             request = %self.request_id,
             server = %self.target.id,
             %end,
-            bytes,
+            parts = pace.parts,
+            bytes = pace.bytes,
+            longest_pause_ms = pace.longest_pause.as_millis() as u64,
             "stream ended"
         );
         drop(guard);
@@ -110,7 +132,11 @@
         }
     }
 
-    async fn pass_on(&mut self, body: &mut hyper::body::Incoming, bytes: &mut usize) -> StreamEnd {
+    async fn pass_on(
+        &mut self,
+        body: &mut hyper::body::Incoming,
+        pace: &mut StreamPace,
+    ) -> StreamEnd {
         loop {
             let left = async {
                 self.parts.closed().await;
@@ -131,7 +157,7 @@
             if let Some(read) = &mut self.read {
                 read.read();
             }
-            *bytes += data.len();
+            pace.note(data.len(), self.gateway.now());
             if self.parts.send(Ok(data)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
