--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -38,6 +38,8 @@
     pub backlog: ReadBacklog,
     pub parts: PartTable,
     pub health: EngineHealth,
+    /// Whether the KV caches that it exports can be had.
+    pub exports: EngineHealth,
     /// Requests of this daemon that haven't ended.
     pub running: u32,
     /// Requests of other daemons that haven't ended, as they last said.
@@ -53,6 +55,7 @@
             backlog: ReadBacklog::default(),
             parts: PartTable::default(),
             health: EngineHealth::default(),
+            exports: EngineHealth::default(),
             running: 0,
             running_of_peers: HashMap::new(),
             speed: None,
@@ -100,6 +103,7 @@
         self.backlog = ReadBacklog::default();
         self.parts.clear();
         self.health = EngineHealth::default();
+        self.exports = EngineHealth::default();
         self.speed = None;
     }
 }
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -141,11 +141,10 @@
     now: Timestamp,
 ) -> Option<Placement> {
     let mut best: Option<(f64, Placement)> = None;
-    let has_readers = fleet
-        .usable(request.service, now)
-        .any(|(_, state)| state.entry.stage == EngineStage::Prefill);
+    let has_readers = fleet.usable(request.service, now).any(|(_, state)| is_reader(state, now));
     for (key, state) in fleet.usable(request.service, now) {
-        if request.excluded.contains(&key) {
+        let is_lossy = state.entry.stage == EngineStage::Prefill && !is_reader(state, now);
+        if request.excluded.contains(&key) || is_lossy {
             continue;
         }
         let Some((cost, placement)) = weigh(fleet, domains, request, key, state, now) else {
@@ -161,6 +160,11 @@
     best.map(|(_, placement)| placement)
 }
 
+/// Tells whether an engine reads prompts for others to go on with.
+fn is_reader(state: &ServerState, now: Timestamp) -> bool {
+    state.entry.stage == EngineStage::Prefill && state.exports.is_fit(now)
+}
+
 /// Tells whether reading a prompt would make the events of others late.
 fn pauses_outputs(state: &ServerState, placement: &Placement, now: Timestamp) -> bool {
     let beside = state.backlog.beside_tokens(state.speed(), now);
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -337,8 +337,11 @@
         + READ_LIMIT_SLACK
 }
 
-/// Has an engine take a KV cache over and make the output. An engine that
-/// rejects the request leaves the KV cache to another one.
+/// Has an engine take a KV cache over and make the output.
+///
+/// A rejection may mean that the engine is full or that the KV cache is gone.
+/// The second engine tells: if it rejects the request too, the reader loses
+/// what it exports.
 async fn hand_over(
     call: &Call,
     route: &CallRoute,
@@ -347,22 +350,29 @@
     planned: EngineKey,
     handle: &CacheHandle,
 ) -> PromptTry {
-    let mut excluded = Vec::new();
-    loop {
-        // Engines may have come or gone while the prompt was read.
-        let chosen = choose_decoder(call, route, traits, reader, &excluded);
-        let Some(decode) = chosen.or((excluded.is_empty()).then_some(planned)) else {
-            return PromptTry::Failed(call::unavailable());
-        };
-        if !excluded.is_empty() && !call.try_retry(route) {
-            return PromptTry::Failed(call::unavailable());
+    let phase = SendPhase::Decode { source: handle.clone() };
+    // Engines may have come or gone while the prompt was read.
+    let first = choose_decoder(call, route, traits, reader, &[]).unwrap_or(planned);
+    let first = target(call, first);
+    let outcome = send_whole(call, route, &first, phase.clone(), None).await;
+    if !matches!(outcome, PromptTry::NotRun(_)) {
+        return outcome;
+    }
+    let Some(second) = choose_decoder(call, route, traits, reader, &[first.key]) else {
+        return PromptTry::NotRun(reader.key);
+    };
+    if !call.try_retry(route) {
+        return PromptTry::Failed(call::unavailable());
+    }
+    let second = target(call, second);
+    match send_whole(call, route, &second, phase, None).await {
+        PromptTry::NotRun(_) => {
+            send::note_lost_export(&call.gateway, reader);
+            PromptTry::NotRun(reader.key)
         }
-        let decode = target(call, decode);
-        let phase = SendPhase::Decode { source: handle.clone() };
-        match send_whole(call, route, &decode, phase, None).await {
-            PromptTry::NotRun(key) if excluded.len() < REJECTION_LIMIT => excluded.push(key),
-            PromptTry::NotRun(_) => return PromptTry::Failed(call::unavailable()),
-            outcome => return outcome,
+        outcome => {
+            send::note_failure(&call.gateway, &first, "rejected what another engine took");
+            outcome
         }
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -138,7 +138,10 @@
             SendOutcome::Answered(SendAnswer { response, connection, guard })
         }
         AnswerMeaning::NotRun => {
-            note_failure(gateway, target, "rejected");
+            // Who is at fault for a KV cache that can't be had isn't known yet.
+            if !matches!(terms.phase, engine::SendPhase::Decode { .. }) {
+                note_failure(gateway, target, "rejected");
+            }
             SendOutcome::NotRun(NotRunReason::Rejected)
         }
         AnswerMeaning::Misdirected => SendOutcome::NotRun(NotRunReason::Misdirected),
@@ -209,6 +212,13 @@
     tracing::info!(server = %target.id, waited_ms = waited.as_millis() as u64, "server is silent");
 }
 
+/// Notes that the KV caches that a server exports can't be had.
+pub fn note_lost_export(gateway: &Gateway, target: &SendTarget) {
+    let now = gateway.now();
+    gateway.state.lock().fleet.server_mut(target.key).exports.unreachable(now);
+    tracing::info!(server = %target.id, "exported KV cache is lost");
+}
+
 fn note_unreachable(gateway: &Gateway, target: &SendTarget, fault: &SendFault) {
     let now = gateway.now();
     gateway.state.lock().fleet.server_mut(target.key).health.unreachable(now);
