Refuse requests that would be late at once instead of holding them

Cause: held requests took the room of those behind them, were late anyway and often refused near their deadline.

--- a/crates/core/src/serving/admission.rs
+++ b/crates/core/src/serving/admission.rs
@@ -1,10 +1,11 @@
-//! Whether a request is sent now, held, or refused.
+//! Whether a request is sent now or refused.
 //!
-//! Answers the load of more prompt tokens than the engines can read: requests
-//! that will have their first event on time go first; one that would be late
-//! anyway waits at the daemon until an engine has little to do, so that it
-//! doesn't make others late, and is refused as soon as its deadline can't be
-//! met.
+//! Answers the load of more prompt tokens than the engines can read: a request
+//! that will have its first event on time is sent. One that would be late is
+//! sent only where almost nothing waits, so that it makes no others late, and
+//! is refused at once otherwise, with the time after which there is likely to
+//! be room. Holding such requests at the daemon served fewer callers: they
+//! took up the room of those that came after them and were late anyway.
 
 use std::time::Duration;
 
@@ -16,8 +17,6 @@
 const LATE_WAIT_MS: f64 = 60.0;
 /// Time that must be left for the output after the first event.
 const OUTPUT_MS: f64 = 800.0;
-/// Late requests that one daemon holds.
-const HELD_LIMIT: usize = 24;
 /// Bounds of what a refused caller is told to wait.
 const RETRY_AFTER_BOUNDS_MS: (f64, f64) = (200.0, 2000.0);
 
@@ -30,16 +29,12 @@
     pub waited: Duration,
     /// Time until the deadline.
     pub time_left: Duration,
-    /// Requests that this daemon holds.
-    pub held: usize,
 }
 
 /// Says what becomes of a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionVerdict {
     Send,
-    /// Judged again shortly.
-    Hold,
     /// Refused with the time after which there may be room.
     Refuse {
         retry_after: Duration,
@@ -61,10 +56,7 @@
     if placement.wait_ms <= LATE_WAIT_MS {
         return AdmissionVerdict::Send;
     }
-    if request.held >= HELD_LIMIT && waited_ms == 0.0 {
-        return AdmissionVerdict::Refuse { retry_after };
-    }
-    AdmissionVerdict::Hold
+    AdmissionVerdict::Refuse { retry_after }
 }
 
 /// Returns when a refused caller may come back.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,8 +27,6 @@
     pub datagrams: IntCounterVec,
     /// New connections to backend servers.
     pub connections: IntCounter,
-    /// Requests held for room at an engine.
-    pub held: IntGauge,
     /// Version of the configuration in force.
     pub version: IntGauge,
 }
@@ -68,7 +66,6 @@
             store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
             datagrams: counters("datagrams_total", "Datagrams of daemons", &["direction"])?,
             connections,
-            held: gauge("held_requests", "Requests held for room at an engine")?,
             version: gauge("configuration_version", "Version of the configuration in force")?,
             registry,
         })
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -1,4 +1,4 @@
-//! A request that carries a prompt: placed, held or refused, then streamed.
+//! A request that carries a prompt: placed or refused, then streamed.
 
 use std::{sync::atomic::Ordering, sync::Arc, time::Duration};
 
@@ -28,8 +28,6 @@
     stream,
 };
 
-/// Time after which a held request is judged again.
-const HOLD_SPAN: Duration = Duration::from_millis(25);
 /// Time for reading a prompt beyond its estimate after which another engine
 /// reads it: reading may be repeated.
 const READ_LIMIT_FACTOR: f64 = 2.0;
@@ -133,31 +131,6 @@
     }
 }
 
-/// Counts a held request.
-struct HeldGuard<'a>(&'a Gateway);
-
-impl<'a> HeldGuard<'a> {
-    fn new(gateway: &'a Gateway) -> Self {
-        gateway.state.lock().held += 1;
-        gateway.metrics.held.inc();
-        Self(gateway)
-    }
-}
-
-impl Drop for HeldGuard<'_> {
-    fn drop(&mut self) {
-        self.0.state.lock().held -= 1;
-        self.0.metrics.held.dec();
-    }
-}
-
-/// What a judgement of the tables led to.
-enum Judgement {
-    Send { placement: Placement, read: ReadGuard },
-    Hold,
-    Refuse(OwnAnswer),
-}
-
 /// Carries a request to its answer.
 pub async fn run(
     call: &Call,
@@ -169,7 +142,7 @@
         if rejections > 0 && !call.try_retry(route) {
             break;
         }
-        let (placement, read) = admit(call, route, traits, &excluded).await?;
+        let (placement, read) = admit(call, route, traits, &excluded)?;
         match send_placed(call, route, traits, &placement, read).await {
             PromptTry::Answer(response) => return Ok(response),
             PromptTry::Failed(answer) => return Err(answer),
@@ -179,31 +152,13 @@
     Err(call::unavailable())
 }
 
-async fn admit(
+/// Places a request and notes that its prompt is to be read, or refuses it.
+fn admit(
     call: &Call,
     route: &CallRoute,
     traits: EngineTraits,
     excluded: &[EngineKey],
 ) -> Result<(Placement, ReadGuard), OwnAnswer> {
-    let mut held = None;
-    loop {
-        match judge(call, route, traits, excluded) {
-            Judgement::Send { placement, read } => return Ok((placement, read)),
-            Judgement::Refuse(answer) => return Err(answer),
-            Judgement::Hold => {
-                held.get_or_insert_with(|| HeldGuard::new(&call.gateway));
-                call.gateway.clock.sleep(HOLD_SPAN).await;
-            }
-        }
-    }
-}
-
-fn judge(
-    call: &Call,
-    route: &CallRoute,
-    traits: EngineTraits,
-    excluded: &[EngineKey],
-) -> Judgement {
     let gateway = &call.gateway;
     let now = gateway.now();
     let mut state = gateway.state.lock();
@@ -216,35 +171,29 @@
     };
     let placement = placement::choose(&state.fleet, &gateway.options.domains, &request, now);
     let Some(placement) = placement else {
-        return Judgement::Refuse(call::unavailable());
+        return Err(call::unavailable());
     };
     let admission = AdmissionRequest {
         objective: route.row.objective,
         waited: now.since(call.arrived),
         time_left: call.time_left(),
-        held: state.held,
     };
     let verdict = admission::judge(admission, &placement);
-    if verdict != AdmissionVerdict::Hold {
-        tracing::info!(
-            request = %call.head.request_id,
-            route = %route.row.name,
-            version = route.configuration.version,
-            path = ?placement.path,
-            reader = %state.fleet.server(placement.path.reader()).entry.id,
-            reading = placement.reading,
-            wait_ms = placement.wait_ms as u64,
-            first_event_ms = placement.first_event_ms as u64,
-            waited_ms = admission.waited.as_millis() as u64,
-            verdict = ?verdict,
-            "judged"
-        );
-    }
+    tracing::info!(
+        request = %call.head.request_id,
+        route = %route.row.name,
+        version = route.configuration.version,
+        path = ?placement.path,
+        reader = %state.fleet.server(placement.path.reader()).entry.id,
+        reading = placement.reading,
+        wait_ms = placement.wait_ms as u64,
+        first_event_ms = placement.first_event_ms as u64,
+        waited_ms = admission.waited.as_millis() as u64,
+        verdict = ?verdict,
+        "judged"
+    );
     match verdict {
-        AdmissionVerdict::Hold => Judgement::Hold,
-        AdmissionVerdict::Refuse { retry_after } => {
-            Judgement::Refuse(OwnAnswer::Unavailable { retry_after })
-        }
+        AdmissionVerdict::Refuse { retry_after } => Err(OwnAnswer::Unavailable { retry_after }),
         AdmissionVerdict::Send => {
             let key = placement.path.reader();
             let was_alone =
@@ -263,7 +212,7 @@
                 expected_ms: placement.first_event_ms,
                 is_open: true,
             };
-            Judgement::Send { placement, read }
+            Ok((placement, read))
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -38,8 +38,6 @@
     pub configuration: Option<Arc<ServingConfiguration>>,
     pub fleet: ServerFleet,
     pub suspects: SuspectTable,
-    /// Requests that wait at this daemon for room at an engine.
-    pub held: usize,
     retries: HashMap<SmolStr, RetryLedger>,
     /// Other daemons by the hash of their name and incarnation.
     peers: HashMap<u64, PeerState>,
