--- /dev/null
+++ b/crates/core/tests/serving_placement.rs
@@ -0,0 +1,289 @@
+//! Placement and admission under the load that they answer: long prompts with
+//! large shared parts, short outputs.
+
+use std::{collections::HashMap, time::Duration};
+
+use gooseberry_core::{
+    arena::EngineKey,
+    serving::{
+        admission::{self, AdmissionRequest, AdmissionVerdict},
+        backlog::SendTicket,
+        configuration::EngineTraits,
+        directory::{EngineStage, ServerEntry},
+        fleet::ServerFleet,
+        placement::{self, DomainMap, Placement, PlacementPath, PlacementRequest},
+        prompt::PromptShape,
+        stages,
+    },
+    time::Timestamp,
+};
+use smol_str::SmolStr;
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+const KV_TOKENS: u64 = 472_920;
+
+fn traits() -> EngineTraits {
+    EngineTraits {
+        kv_tokens: KV_TOKENS,
+        kv_bytes: 163_840.0,
+        link_mbps: 1_600_000.0,
+        handle_span: Duration::from_secs(5),
+        switch_span: Duration::from_secs(3),
+    }
+}
+
+fn entry(id: &str, domain: &str, stage: EngineStage) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "assistant".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.into(),
+        slots: 64,
+        is_draining: false,
+        stage,
+        born: Some(1),
+    }
+}
+
+/// Two domains with two readers and one engine for outputs each.
+fn fleet() -> ServerFleet {
+    let mut fleet = ServerFleet::default();
+    for domain in ["a", "b"] {
+        fleet.put(entry(&format!("{domain}-read-1"), domain, EngineStage::Prefill));
+        fleet.put(entry(&format!("{domain}-read-2"), domain, EngineStage::Prefill));
+        fleet.put(entry(&format!("{domain}-write"), domain, EngineStage::Decode));
+    }
+    fleet
+}
+
+fn domains() -> DomainMap {
+    let regions = [("a", "one"), ("b", "two")];
+    DomainMap::new(regions.map(|(domain, region)| (domain.into(), region.into())).into())
+}
+
+fn long_prompt(own: &str) -> PromptShape {
+    PromptShape::new("m", [("manual", 13_300), (own, 3_700)], 17_000, 100)
+}
+
+fn short_prompt(own: &str) -> PromptShape {
+    PromptShape::new("m", [(own, 1_100)], 1_100, 100)
+}
+
+fn place(fleet: &ServerFleet, prompt: &PromptShape, now: Timestamp) -> Option<Placement> {
+    let (service, home): (SmolStr, SmolStr) = ("assistant".into(), "a".into());
+    let request = PlacementRequest {
+        service: &service,
+        prompt,
+        traits: traits(),
+        home: &home,
+        excluded: &[],
+    };
+    placement::choose(fleet, &domains(), &request, now)
+}
+
+fn note(fleet: &mut ServerFleet, number: u64, key: EngineKey, prompt: &PromptShape, work: u32) {
+    let ticket = SendTicket { daemon: 1, number };
+    fleet.note_read(key, ticket, prompt, work, KV_TOKENS, START);
+}
+
+#[test]
+fn shared_parts_are_read_once_while_their_engine_has_room() {
+    let mut fleet = fleet();
+    let first = long_prompt("0");
+    let home = place(&fleet, &first, START).expect("a placement");
+    note(&mut fleet, 0, home.path.reader(), &first, home.reading);
+    fleet.end_read(home.path.reader(), SendTicket { daemon: 1, number: 0 }, START);
+    for own in ["1", "2", "3"] {
+        let placement = place(&fleet, &long_prompt(own), START).expect("a placement");
+        assert_eq!(placement.path.reader(), home.path.reader());
+        assert_eq!(placement.shared_reading, 0);
+    }
+}
+
+#[test]
+fn a_shared_part_is_read_elsewhere_when_its_engine_has_a_long_queue() {
+    let mut fleet = fleet();
+    let first = long_prompt("0");
+    let home = place(&fleet, &first, START).expect("a placement").path.reader();
+    for number in 0..4 {
+        note(&mut fleet, number, home, &long_prompt(&number.to_string()), 20_000);
+    }
+    let placement = place(&fleet, &long_prompt("next"), START).expect("a placement");
+    assert_ne!(placement.path.reader(), home);
+}
+
+#[test]
+fn all_daemons_choose_the_same_engine_for_a_new_shared_part() {
+    let fleet = fleet();
+    let prompt = long_prompt("0");
+    let service: SmolStr = "assistant".into();
+    // The domains lie 16 ms apart, which the hash may outweigh; within a domain
+    // it decides alone.
+    let choices = ["a", "a"].map(|home| {
+        let home: SmolStr = home.into();
+        let request = PlacementRequest {
+            service: &service,
+            prompt: &prompt,
+            traits: traits(),
+            home: &home,
+            excluded: &[],
+        };
+        placement::choose(&fleet, &domains(), &request, START).map(|placement| placement.path)
+    });
+    assert!(choices[0].is_some());
+    assert_eq!(choices[0], choices[1]);
+}
+
+#[test]
+fn the_output_is_made_in_the_domain_of_the_reader() {
+    let fleet = fleet();
+    let placement = place(&fleet, &long_prompt("0"), START).expect("a placement");
+    let PlacementPath::Split { prefill, decode } = placement.path else {
+        panic!("a long prompt is read apart: {placement:?}");
+    };
+    assert_eq!(fleet.server(prefill).entry.domain, fleet.server(decode).entry.domain);
+}
+
+/// Summaries were late by their pauses, not by their first events: engines that
+/// made outputs read one small prompt after another.
+#[test]
+fn small_prompts_in_a_row_do_not_pause_outputs() {
+    let mut fleet = fleet();
+    let mut beside = HashMap::new();
+    for number in 0..40 {
+        let prompt = short_prompt(&number.to_string());
+        let placement = place(&fleet, &prompt, START).expect("a placement");
+        note(&mut fleet, number, placement.path.reader(), &prompt, placement.reading);
+        if let PlacementPath::Whole { engine } = placement.path {
+            *beside.entry(engine).or_insert(0) += placement.reading;
+        }
+    }
+    assert!(beside.values().all(|tokens| *tokens <= 2048), "read beside outputs: {beside:?}");
+}
+
+#[test]
+fn outputs_read_their_own_prompts_if_no_reader_is_left() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("a-write", "a", EngineStage::Decode));
+    let placement = place(&fleet, &long_prompt("0"), START).expect("a placement");
+    assert!(matches!(placement.path, PlacementPath::Whole { .. }));
+}
+
+/// With handles that lapse at once, whole prompts were read for nothing, again
+/// and again.
+#[test]
+fn a_reader_whose_exports_are_lost_is_left_alone_for_a_while() {
+    let mut fleet = fleet();
+    let prompt = long_prompt("0");
+    let reader = place(&fleet, &prompt, START).expect("a placement").path.reader();
+    fleet.server_mut(reader).exports.unreachable(START);
+    let next = place(&fleet, &prompt, START).expect("a placement").path.reader();
+    assert_ne!(next, reader);
+    let later = START + Duration::from_secs(5);
+    assert_eq!(place(&fleet, &prompt, later).expect("a placement").path.reader(), reader);
+}
+
+fn judge(placement: &Placement, objective_ms: u64, left_ms: u64) -> AdmissionVerdict {
+    let request = AdmissionRequest {
+        objective: Duration::from_millis(objective_ms),
+        waited: Duration::ZERO,
+        time_left: Duration::from_millis(left_ms),
+    };
+    admission::judge(request, placement)
+}
+
+fn expecting(wait_ms: f64, first_event_ms: f64) -> Placement {
+    let path = PlacementPath::Whole { engine: fleet().keys()[0] };
+    Placement { path, first_event_ms, wait_ms, reading: 1, shared_reading: 0 }
+}
+
+#[test]
+fn a_request_that_will_be_on_time_is_sent() {
+    assert_eq!(judge(&expecting(100.0, 300.0), 600, 6000), AdmissionVerdict::Send);
+}
+
+#[test]
+fn a_request_behind_a_long_queue_is_refused_with_the_time_of_the_queue() {
+    let verdict = judge(&expecting(900.0, 1100.0), 600, 6000);
+    assert_eq!(verdict, AdmissionVerdict::Refuse { retry_after: Duration::from_millis(900) });
+}
+
+#[test]
+fn a_prompt_too_long_for_the_objective_is_served_where_nothing_waits() {
+    assert_eq!(judge(&expecting(0.0, 1500.0), 600, 6000), AdmissionVerdict::Send);
+}
+
+#[test]
+fn a_request_whose_deadline_passes_before_its_output_is_refused() {
+    let verdict = judge(&expecting(0.0, 1500.0), 600, 2000);
+    assert!(matches!(verdict, AdmissionVerdict::Refuse { .. }));
+}
+
+/// Plays an overload of twice the capacity at one engine and looks at what the
+/// callers get: those that are sent have their first event on time, and the
+/// engine is never idle.
+#[test]
+fn under_overload_what_is_sent_is_on_time_and_the_engine_stays_busy() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("read", "a", EngineStage::Prefill));
+    fleet.put(entry("write", "a", EngineStage::Decode));
+    let speed = fleet.server(fleet.key("read").expect("the reader")).speed();
+    let (mut busy_until, mut worked_ms, mut late, mut sent) = (0.0_f64, 0.0, 0, 0);
+    let mut running: Vec<(f64, EngineKey, SendTicket)> = Vec::new();
+    const SPAN_MS: u64 = 10_000;
+    // 4,000 tokens each 50 ms against 40 tokens a millisecond.
+    for (number, at) in (0..SPAN_MS).step_by(50).enumerate() {
+        let now = START + Duration::from_millis(at);
+        running.retain(|(end, key, ticket)| {
+            let is_done = *end <= at as f64;
+            if is_done {
+                fleet.end_read(*key, *ticket, now);
+            }
+            !is_done
+        });
+        let prompt = PromptShape::new("m", [(number.to_string().as_str(), 4_000)], 4_000, 50);
+        let placement = place(&fleet, &prompt, now).expect("a placement");
+        if judge(&placement, 600, 6000) != AdmissionVerdict::Send {
+            continue;
+        }
+        let key = placement.path.reader();
+        let ticket = SendTicket { daemon: 1, number: number as u64 };
+        fleet.note_read(key, ticket, &prompt, placement.reading, KV_TOKENS, now);
+        let reading_ms = f64::from(placement.reading) / speed;
+        busy_until = busy_until.max(at as f64) + reading_ms;
+        worked_ms += reading_ms;
+        running.push((busy_until, key, ticket));
+        sent += 1;
+        late += u32::from(busy_until - at as f64 > 600.0);
+    }
+    assert_eq!(late, 0, "{sent} were sent");
+    assert!(worked_ms > SPAN_MS as f64 * 0.95, "worked {worked_ms} ms of {SPAN_MS}");
+}
+
+#[test]
+fn each_domain_keeps_one_engine_for_outputs_and_reads_with_the_others() {
+    let mut fleet = ServerFleet::default();
+    for name in ["1", "2", "3"] {
+        fleet.put(entry(name, "a", EngineStage::Decode));
+    }
+    let service: SmolStr = "assistant".into();
+    let mut changes = 0;
+    while let Some(change) = stages::plan(&fleet, &service).first().copied() {
+        let mut entry = fleet.server(change.engine).entry.clone();
+        entry.stage = change.stage;
+        fleet.put(entry);
+        changes += 1;
+        assert!(changes <= 2, "the plan doesn't settle");
+    }
+    let readers = fleet.iter().filter(|(_, state)| state.entry.stage == EngineStage::Prefill);
+    assert_eq!(readers.count(), 2);
+}
+
+#[test]
+fn engines_without_a_stage_get_no_orders() {
+    let mut fleet = ServerFleet::default();
+    for name in ["1", "2", "3"] {
+        fleet.put(entry(name, "a", EngineStage::Mixed));
+    }
+    assert_eq!(stages::plan(&fleet, &"assistant".into()), []);
+}
--- /dev/null
+++ b/crates/core/tests/serving_tables.rs
@@ -0,0 +1,229 @@
+//! The tables of the gateway: configuration, servers, backlog, parts, budget.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    poison::RequestFingerprint,
+    serving::{
+        backlog::{ReadBacklog, SendTicket},
+        budget::{RetryAllowance, RetryLedger},
+        configuration::{CallerLimits, RouteKind, RouteRow, RouteTarget, ServingConfiguration},
+        directory::{EngineStage, ServerEntry, ServerPresence},
+        fleet::{EntryEffect, ServerFleet},
+        health::EngineHealth,
+        parts::PartTable,
+        prompt::PromptShape,
+        suspects::SuspectTable,
+    },
+    time::Timestamp,
+};
+use proptest::prelude::*;
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn after(millis: u64) -> Timestamp {
+    START + Duration::from_millis(millis)
+}
+
+fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> RouteRow {
+    RouteRow {
+        name: name.into(),
+        host: "host.example".into(),
+        path_prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(120),
+        priority: 0,
+        attempts: 2,
+        carries_prompt: false,
+        targets: targets
+            .iter()
+            .map(|(service, weight)| RouteTarget { service: (*service).into(), weight: *weight })
+            .collect(),
+    }
+}
+
+fn configuration(routes: Vec<RouteRow>) -> ServingConfiguration {
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 4_194_304,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    ServingConfiguration { version: 1, routes, services: Vec::new(), limits }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let configuration = configuration(vec![
+        route("short", "/a/", &[("s", 1)]),
+        route("long", "/a/b/", &[("s", 1)]),
+    ]);
+    let name = |host, path| configuration.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("host.example", "/a/b/c"), Some("long"));
+    assert_eq!(name("Host.Example:80", "/a/bc"), Some("short"));
+    assert_eq!(name("host.example", "/a"), None);
+    assert_eq!(name("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn a_split_route_keeps_a_request_at_one_service_and_shares_by_weight() {
+    let route = route("split", "/a/", &[("heavy", 90), ("light", 10)]);
+    let heavy = (0..1000).filter(|id| route.target(&format!("id-{id}")).unwrap() == "heavy");
+    let heavy = heavy.count();
+    assert!((850..950).contains(&heavy), "{heavy} of 1000");
+    assert_eq!(route.target("id-7"), route.target("id-7"));
+}
+
+fn entry(id: &str, born: u64) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: "a".into(),
+        slots: 6,
+        is_draining: false,
+        stage: EngineStage::Mixed,
+        born: Some(born),
+    }
+}
+
+#[test]
+fn an_entry_that_goes_while_the_store_answers_ends_its_server_at_once() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one", 1));
+    assert_eq!(fleet.remove("one", START), Some(ServerPresence::Gone));
+    assert!(!fleet.server(fleet.key("one").unwrap()).is_usable(START));
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_come_back() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("back", 1));
+    fleet.put(entry("dead", 1));
+    fleet.contact.lost(START);
+    fleet.store_regained(after(4000));
+    fleet.remove("back", after(4001));
+    fleet.remove("dead", after(4001));
+    let usable = |fleet: &ServerFleet, id: &str, now| {
+        fleet.server(fleet.key(id).expect("a known server")).is_usable(now)
+    };
+    assert!(usable(&fleet, "back", after(5900)) && usable(&fleet, "dead", after(5900)));
+    assert_eq!(fleet.put(entry("back", 1)), EntryEffect::Unchanged);
+    assert!(usable(&fleet, "back", after(6100)));
+    assert!(!usable(&fleet, "dead", after(6100)));
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_id_has_no_cache() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one", 1));
+    let key = fleet.key("one").unwrap();
+    let prompt = PromptShape::new("m", [("p", 100)], 100, 1);
+    fleet.server_mut(key).parts.note(&prompt, 1000);
+    assert_eq!(fleet.put(entry("one", 2)), EntryEffect::Restarted);
+    assert_eq!(fleet.server(key).parts.cached_tokens(&prompt, 1000), 0);
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one", 1));
+    let draining = ServerEntry { is_draining: true, ..entry("one", 1) };
+    assert_eq!(fleet.put(draining), EntryEffect::Draining);
+    assert!(!fleet.server(fleet.key("one").unwrap()).is_usable(START));
+}
+
+#[test]
+fn parts_count_as_cached_only_behind_a_cached_chain_and_until_others_fill_the_memory() {
+    let mut parts = PartTable::default();
+    let prompt = PromptShape::new("m", [("shared", 400), ("own", 100)], 500, 1);
+    parts.note(&prompt, 10_000);
+    let other = PromptShape::new("m", [("shared", 400), ("new", 100)], 500, 1);
+    assert_eq!(parts.cached_tokens(&other, 10_000), 400);
+    let moved = PromptShape::new("m", [("new", 100), ("shared", 400)], 500, 1);
+    assert_eq!(parts.cached_tokens(&moved, 10_000), 0);
+    let model = PromptShape::new("n", [("shared", 400)], 400, 1);
+    assert_eq!(parts.cached_tokens(&model, 10_000), 0);
+    for name in 0..20 {
+        let filler = PromptShape::new("m", [(name.to_string().as_str(), 500)], 500, 1);
+        parts.note(&filler, 10_000);
+    }
+    assert_eq!(parts.cached_tokens(&other, 10_000), 0);
+}
+
+#[test]
+fn an_engine_slower_than_learned_keeps_the_prompts_behind_the_first() {
+    let mut backlog = ReadBacklog::default();
+    for number in 0..3 {
+        backlog.add(SendTicket { daemon: 1, number }, 1000, 50.0, START);
+    }
+    assert_eq!(backlog.tokens_ahead(50.0, START), 3000.0);
+    assert_eq!(backlog.tokens_ahead(50.0, after(500)), 2000.0);
+}
+
+#[test]
+fn the_sends_of_a_silent_daemon_are_dropped() {
+    let mut backlog = ReadBacklog::default();
+    backlog.add(SendTicket { daemon: 1, number: 0 }, 1000, 50.0, START);
+    backlog.add(SendTicket { daemon: 2, number: 0 }, 500, 50.0, START);
+    backlog.drop_sends(|ticket, _| ticket.daemon == 1);
+    assert_eq!(backlog.tokens_ahead(50.0, START), 500.0);
+}
+
+#[test]
+fn a_failing_engine_rests_and_is_tried_again() {
+    let mut health = EngineHealth::default();
+    for _ in 0..3 {
+        health.failed(START);
+    }
+    assert!(!health.is_fit(START));
+    assert!(health.is_fit(after(1000)));
+    health.unreachable(after(1000));
+    assert!(!health.is_fit(after(2000)), "the second rest is longer");
+}
+
+#[test]
+fn a_request_is_refused_after_its_third_crash_and_not_before() {
+    let mut suspects = SuspectTable::default();
+    let request = RequestFingerprint(7);
+    for crash in 1..=3 {
+        assert!(!suspects.is_convicted(request, START));
+        assert_eq!(suspects.note_crash(request, START), crash);
+    }
+    assert!(suspects.is_convicted(request, START));
+    suspects.clear(request);
+    assert!(!suspects.is_convicted(request, START));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// However the requests and tries fall, all daemons together stay within
+    /// the budget of any window.
+    #[test]
+    fn daemons_together_stay_within_the_retry_budget(
+        steps in prop::collection::vec((0..4_usize, any::<bool>(), 0..200_u64), 1..400)
+    ) {
+        let window = Duration::from_secs(10);
+        let allowance = RetryAllowance { ratio: 0.2, window, slack: 52 };
+        let mut ledgers = vec![RetryLedger::default(); 4];
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        let mut now = START;
+        for (daemon, is_retry, wait) in steps {
+            now = now + Duration::from_millis(wait);
+            if is_retry {
+                if ledgers[daemon].try_retry(allowance, 4, now) {
+                    retries.push(now);
+                }
+            } else {
+                ledgers[daemon].note_request(window, now);
+                requests.push(now);
+            }
+            let within = |times: &[Timestamp]| {
+                times.iter().filter(|time| now.since(**time) < window).count() as f64
+            };
+            prop_assert!(within(&retries) <= within(&requests) * 0.2 + 52.0);
+        }
+    }
+}
