--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -43,6 +43,18 @@
 /// Returns an error if an address can't be bound.
 pub async fn run(options: GatewayOptions) -> anyhow::Result<()> {
     let stop = StopSignal::on_termination()?;
+    let (gateway, callers) = start(options).await?;
+    stop.wait().await;
+    leave(&gateway, &callers).await;
+    Ok(())
+}
+
+/// Starts all tasks of a gateway; returns it with the server of its callers.
+///
+/// # Errors
+///
+/// Returns an error if an address can't be bound.
+pub async fn start(options: GatewayOptions) -> anyhow::Result<(Arc<Gateway>, HttpServer)> {
     let metrics = GatewayMetrics::new().context("the metrics can't be made")?;
     let gateway = Arc::new(Gateway::new(options, Clock::system(), metrics));
     let options = &gateway.options;
@@ -57,9 +69,7 @@
     serve_metrics(&gateway).await?;
     let callers = serve_callers(&gateway).await?;
     tracing::info!(name = %options.name, domain = %options.domain, "started");
-    stop.wait().await;
-    leave(&gateway, &callers).await;
-    Ok(())
+    Ok((gateway, callers))
 }
 
 /// Answers what comes until the balancer has noticed, then lets the rest end.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -114,6 +114,7 @@
         match end {
             StreamEnd::Whole => {
                 send::note_success(&self.gateway, self.target.key);
+                self.gateway.state.lock().suspects.clear(self.fingerprint);
                 if !closes {
                     send::keep(&self.gateway, connection, idle).await;
                 }
--- /dev/null
+++ b/crates/gateway/tests/promises.rs
@@ -0,0 +1,271 @@
+//! What callers and backend servers are promised, seen from their sockets.
+
+mod support;
+
+use std::{io::Read, sync::mpsc, time::Duration};
+
+use support::{answer, entry, get, read_answer, status, write, StandinServer, System};
+
+fn sound() -> StandinServer {
+    StandinServer::start(|request, stream| answer(request, stream, "done"))
+}
+
+fn system() -> System {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    system
+}
+
+#[test]
+fn an_answer_is_passed_on_unchanged_and_the_request_as_the_caller_sent_it() {
+    let system = system();
+    let server = sound();
+    system.register("one", "plain", &server, "");
+    let forged = "X-Expect-Instance: other\r\nX-Request-Priority: 0\r\nX-Kv-Source: x\r\n\
+                  Connection: x-private\r\nX-Private: 1\r\nX-Kept: 1\r\n";
+    let text = system.send(&get("/plain/stock?id=7", forged));
+    assert_eq!(status(&text), "200");
+    assert!(text.contains("x-response-seal: seal") && text.ends_with("\r\n\r\ndone"), "{text}");
+    let seen = server.seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "GET /plain/stock?id=7 HTTP/1.1");
+    assert_eq!(seen[0].header("x-expect-instance"), Some("one"));
+    assert_eq!(seen[0].header("x-request-priority"), None);
+    assert_eq!(seen[0].header("x-kv-source"), None);
+    assert_eq!(seen[0].header("x-private"), None);
+    assert_eq!(seen[0].header("x-kept"), Some("1"));
+    let left: u64 = seen[0].header("x-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 3000, "{left} ms are more than the caller waits");
+}
+
+#[test]
+fn without_a_configuration_the_answer_is_503_and_the_daemon_is_not_ready() {
+    let system = System::start();
+    assert_eq!(status(&system.send(&get("/plain/x", ""))), "503");
+    assert!(!system.gateway.is_ready());
+    system.configure(1);
+    system.wait_version(1);
+    support::wait_for(|| system.gateway.is_ready());
+    assert_eq!(status(&system.send(&get("/nowhere/x", ""))), "404");
+}
+
+#[test]
+fn a_refusal_for_want_of_servers_says_when_to_come_back() {
+    let text = system().send(&get("/order/x", ""));
+    assert_eq!(status(&text), "503");
+    assert!(text.contains("retry-after: 0."), "{text}");
+}
+
+#[test]
+fn an_order_whose_connection_breaks_is_sent_once_and_not_called_unrun() {
+    let system = system();
+    let breaking = || StandinServer::start(|_, _| false);
+    let (one, two) = (breaking(), breaking());
+    system.register("one", "plain", &one, "");
+    system.register("two", "plain", &two, "");
+    assert_eq!(status(&system.send(&get("/order/x", ""))), "502");
+    assert_eq!(one.seen().len() + two.seen().len(), 1);
+}
+
+#[test]
+fn an_order_that_a_server_proves_unrun_goes_to_another() {
+    let system = system();
+    let full = StandinServer::start(|_, stream| {
+        write(stream, "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+    });
+    system.register("full", "plain", &full, "");
+    let first = system.send(&get("/order/x", ""));
+    assert_eq!(status(&first), "503");
+    let server = sound();
+    system.register("sound", "plain", &server, "");
+    for _ in 0..4 {
+        assert_eq!(status(&system.send(&get("/order/x", ""))), "200");
+    }
+    assert_eq!(server.seen().len(), 4);
+}
+
+#[test]
+fn an_idempotent_request_is_tried_again_after_a_broken_answer() {
+    let system = system();
+    let broken = StandinServer::start(|request, stream| {
+        let id = request.id();
+        write(
+            stream,
+            &format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n\
+                 Content-Length: 10\r\n\r\nhalf"
+            ),
+        );
+        false
+    });
+    let server = sound();
+    system.register("broken", "plain", &broken, "");
+    system.register("sound", "plain", &server, "");
+    for _ in 0..6 {
+        assert_eq!(status(&system.send(&get("/plain/x", ""))), "200");
+    }
+    assert!(!server.seen().is_empty());
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let system = system();
+    let confused = StandinServer::start(|_, stream| {
+        write(
+            stream,
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Seal: s\r\n\
+             Content-Length: 6\r\n\r\nsecret",
+        )
+    });
+    system.register("one", "plain", &confused, "");
+    let text = system.send(&get("/order/x", ""));
+    assert_eq!(status(&text), "502");
+    assert!(!text.contains("secret"));
+}
+
+#[test]
+fn a_success_without_a_signature_is_not_passed_on() {
+    let system = system();
+    let unsigned = StandinServer::start(|_, stream| {
+        write(stream, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake")
+    });
+    system.register("one", "plain", &unsigned, "");
+    assert_eq!(status(&system.send(&get("/order/x", ""))), "502");
+}
+
+#[test]
+fn a_second_answer_on_a_connection_belongs_to_nobody() {
+    let system = system();
+    let chatty = StandinServer::start(|request, stream| {
+        answer(request, stream, "done") && answer(request, stream, "extra")
+    });
+    system.register("one", "plain", &chatty, "");
+    for _ in 0..5 {
+        let text = system.send(&get("/plain/x", ""));
+        assert!(!text.contains("extra"), "{text}");
+    }
+}
+
+#[test]
+fn a_draining_server_and_one_that_is_gone_get_nothing_new() {
+    let system = system();
+    let (leaving, staying) = (sound(), sound());
+    system.register("leaving", "plain", &leaving, "");
+    system.register("staying", "plain", &staying, "");
+    system.store.put("servers/leaving", &entry("plain", &leaving, "", "draining"));
+    system.wait(|state| {
+        state.fleet.key("leaving").is_some_and(|key| state.fleet.server(key).entry.is_draining)
+    });
+    for _ in 0..8 {
+        assert_eq!(status(&system.send(&get("/plain/x", ""))), "200");
+    }
+    assert_eq!(leaving.seen().len(), 0);
+    system.store.remove("servers/staying");
+    let now = system.gateway.now();
+    system.wait(|state| {
+        state.fleet.key("staying").is_some_and(|key| !state.fleet.server(key).is_usable(now))
+    });
+    assert_eq!(status(&system.send(&get("/plain/x", ""))), "503");
+}
+
+#[test]
+fn a_malformed_entry_names_no_server_and_harms_no_other() {
+    let system = system();
+    let server = sound();
+    system.store.put("servers/odd", &serde_json::json!({"service": 7, "state": "ready"}));
+    system.store.put("servers/state", &entry("plain", &server, "", "asleep"));
+    system.register("sound", "plain", &server, "");
+    assert_eq!(status(&system.send(&get("/plain/x", ""))), "200");
+    assert!(system.gateway.state.lock().fleet.key("odd").is_none());
+    assert!(system.gateway.state.lock().fleet.key("state").is_none());
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let system = system();
+    system.configure(5);
+    system.wait_version(5);
+    system.configure(3);
+    let server = sound();
+    system.register("after", "plain", &server, "");
+    system.wait_version(5);
+}
+
+#[test]
+fn a_prompt_is_read_at_one_engine_and_its_output_made_at_another() {
+    let system = system();
+    let reader = StandinServer::start(|request, stream| {
+        assert_eq!(request.header("x-serving-stage"), Some("prefill"));
+        let body = r#"{"kv-handle":"h1","token-count":5000,"version":1}"#;
+        write(stream, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    });
+    let source = format!("{}/h1", reader.address);
+    let writer = StandinServer::start(move |request, stream| {
+        assert_eq!(request.header("x-kv-source"), Some(source.as_str()));
+        answer(request, stream, "id: 1\ndata: x\n\n")
+    });
+    system.register("reader", "model", &reader, "prefill");
+    system.register("writer", "model", &writer, "decode");
+    let prompt = "X-Model: m\r\nX-Token-Usage: 5000,20\r\nX-Prompt-Prefix: aa:4000,bb:1000\r\n";
+    let text = system.send(&get("/chat/x", prompt));
+    assert_eq!(status(&text), "200", "{text}");
+    assert!(text.contains("data: x"));
+    assert_eq!((reader.seen().len(), writer.seen().len()), (1, 1));
+}
+
+#[test]
+fn a_stream_that_breaks_off_does_not_look_whole() {
+    let system = system();
+    let breaking = StandinServer::start(|request, stream| {
+        let id = request.id();
+        write(
+            stream,
+            &format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n"
+            ),
+        );
+        false
+    });
+    system.register("one", "model", &breaking, "decode");
+    let text = system.send(&get("/chat/x", "X-Model: m\r\nX-Token-Usage: 100,20\r\n"));
+    assert!(text.contains("id: 1") && !support::is_complete(&text), "{text}");
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_at_the_engine() {
+    let system = system();
+    let (sender, left) = mpsc::channel();
+    let sender = std::sync::Mutex::new(sender);
+    let slow = StandinServer::start(move |request, stream| {
+        let id = request.id();
+        write(
+            stream,
+            &format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n"
+            ),
+        );
+        // Ends when the gateway closes the connection.
+        let _ = stream.read(&mut [0]);
+        let _ = sender.lock().unwrap().send(());
+        false
+    });
+    system.register("one", "model", &slow, "decode");
+    let mut stream = system.connect();
+    write(&mut stream, &get("/chat/x", "X-Model: m\r\nX-Token-Usage: 100,20\r\n"));
+    let mut first = [0; 64];
+    assert!(stream.read(&mut first).unwrap() > 0);
+    drop(stream);
+    left.recv_timeout(Duration::from_secs(20)).expect("the engine's connection ends");
+}
+
+#[test]
+fn readiness_is_answered_on_its_own_address() {
+    let system = system();
+    support::wait_for(|| system.gateway.is_ready());
+    let mut stream = std::net::TcpStream::connect(system.ready).expect("a connection");
+    write(&mut stream, "GET /gooseberrykeel/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(status(&read_answer(&mut stream)), "200");
+}
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use futures_lite::{ready, Stream};
 use http_body::{Body, Frame, SizeHint};
 
 /// Says why a body ended before it was whole.
@@ -30,7 +31,7 @@
     /// Parts come through a channel; `length` is known if the backend server
     /// declared it. A fault makes hyper cut the connection, so that the caller
     /// sees the answer as broken.
-    Parts { parts: Pin<Box<BodyParts>>, length: Option<u64> },
+    Parts { parts: Pin<Box<BodyParts>>, length: Option<u64>, fault: Option<BodyFault> },
 }
 
 impl AnswerBody {
@@ -42,7 +43,7 @@
 
     /// Makes a body from a channel of parts.
     pub fn parts(parts: BodyParts, length: Option<u64>) -> Self {
-        Self::Parts { parts: Box::pin(parts), length }
+        Self::Parts { parts: Box::pin(parts), length, fault: None }
     }
 }
 
@@ -56,9 +57,18 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Parts { parts, .. } => {
-                let part =
-                    futures_lite::ready!(futures_lite::Stream::poll_next(parts.as_mut(), context));
+            Self::Parts { parts, fault, .. } => {
+                if let Some(fault) = fault.take() {
+                    return Poll::Ready(Some(Err(fault)));
+                }
+                let part = ready!(Stream::poll_next(parts.as_mut(), context));
+                if let Some(Err(broken)) = part {
+                    // hyper drops what it hasn't written when a body fails:
+                    // the wait lets it write the parts before the fault.
+                    *fault = Some(broken);
+                    context.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
                 Poll::Ready(part.map(|part| part.map(Frame::data)))
             }
         }
