--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -13,5 +13,6 @@
 pub mod parts;
 pub mod placement;
 pub mod prompt;
+pub mod relays;
 pub mod stages;
 pub mod suspects;
--- a/crates/core/src/serving/admission.rs
+++ b/crates/core/src/serving/admission.rs
@@ -12,7 +12,7 @@
 use crate::serving::placement::Placement;
 
 /// Part of the objective that the estimate may fill: estimates err.
-const OBJECTIVE_SHARE: f64 = 0.65;
+const OBJECTIVE_SHARE: f64 = 0.95;
 /// Wait at an engine up to which a late request is sent.
 const LATE_WAIT_MS: f64 = 60.0;
 /// Time that must be left for the output after the first event.
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -142,12 +142,15 @@
 ) -> Option<Placement> {
     let mut best: Option<(f64, Placement)> = None;
     let has_readers = fleet.usable(request.service, now).any(|(_, state)| is_reader(state, now));
+    let mut decoders = DecoderMemo::default();
     for (key, state) in fleet.usable(request.service, now) {
         let is_lossy = state.entry.stage == EngineStage::Prefill && !is_reader(state, now);
         if request.excluded.contains(&key) || is_lossy {
             continue;
         }
-        let Some((cost, placement)) = weigh(fleet, domains, request, key, state, now) else {
+        let decoder = decoders.of_reader(fleet, domains, request, state, now);
+        let weighed = weigh(fleet, domains, request, (key, state), decoder, now);
+        let Some((cost, placement)) = weighed else {
             continue;
         };
         if has_readers && pauses_outputs(state, &placement, now) {
@@ -160,6 +163,35 @@
     best.map(|(_, placement)| placement)
 }
 
+/// Remembers the decoder of each failure domain while one request is placed.
+#[derive(Default)]
+struct DecoderMemo<'a> {
+    decoders: Vec<(&'a SmolStr, Option<EngineKey>)>,
+}
+
+impl<'a> DecoderMemo<'a> {
+    fn of_reader(
+        &mut self,
+        fleet: &ServerFleet,
+        domains: &DomainMap,
+        request: &PlacementRequest<'_>,
+        reader: &'a ServerState,
+        now: Timestamp,
+    ) -> Option<EngineKey> {
+        if reader.entry.stage != EngineStage::Prefill {
+            return None;
+        }
+        let domain = &reader.entry.domain;
+        let known = self.decoders.iter().find(|(known, _)| *known == domain);
+        if let Some((_, decoder)) = known {
+            return *decoder;
+        }
+        let decoder = choose_decoder(fleet, domains, request, domain, now);
+        self.decoders.push((domain, decoder));
+        decoder
+    }
+}
+
 /// Tells whether an engine reads prompts for others to go on with.
 fn is_reader(state: &ServerState, now: Timestamp) -> bool {
     state.entry.stage == EngineStage::Prefill && state.exports.is_fit(now)
@@ -197,8 +229,8 @@
     fleet: &ServerFleet,
     domains: &DomainMap,
     request: &PlacementRequest<'_>,
-    key: EngineKey,
-    state: &ServerState,
+    (key, state): (EngineKey, &ServerState),
+    decoder: Option<EngineKey>,
     now: Timestamp,
 ) -> Option<(f64, Placement)> {
     let prompt = request.prompt;
@@ -215,7 +247,7 @@
     let path = match state.entry.stage {
         EngineStage::Prefill => {
             let reader_domain = &state.entry.domain;
-            let decode = choose_decoder(fleet, domains, request, reader_domain, now)?;
+            let decode = decoder?;
             let to = &fleet.server(decode).entry.domain;
             first_event_ms += delay_ms
                 + EXPORT_MS
--- /dev/null
+++ b/crates/core/src/serving/relays.rs
@@ -0,0 +1,92 @@
+//! Which daemons pass news on to others.
+//!
+//! Answers fleets in which a message from each daemon to each other costs more
+//! than the requests themselves: in each failure domain the strongest daemon
+//! that hasn't fallen silent collects the news of its domain and passes it on to
+//! its members and to the relays of the other domains. Small fleets tell each
+//! other directly, which is faster.
+
+use std::collections::BTreeMap;
+
+use smol_str::SmolStr;
+
+/// Daemons up to which each tells each other directly.
+const DIRECT_LIMIT: usize = 12;
+
+/// A daemon as others see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelayCandidate<A> {
+    pub name: SmolStr,
+    pub domain: SmolStr,
+    pub address: A,
+    /// Share of a core that its VM has.
+    pub capacity: f64,
+    /// Whether it fell silent although it was to pass news on.
+    pub is_silent: bool,
+}
+
+/// What a daemon does with news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayPlan<A> {
+    /// Where own news goes.
+    pub own: Vec<A>,
+    /// Where news of this domain's members goes, if this daemon is a relay.
+    pub passed_on: Vec<A>,
+    /// Where news of other domains goes, if this daemon is a relay.
+    pub spread: Vec<A>,
+    /// The relay of this domain, if it is another daemon.
+    pub relay: Option<A>,
+    /// Relays from which news is to come.
+    pub heard_from: Vec<SmolStr>,
+}
+
+impl<A> RelayPlan<A> {
+    fn direct(own: Vec<A>) -> Self {
+        Self { own, passed_on: Vec::new(), spread: Vec::new(), relay: None, heard_from: Vec::new() }
+    }
+}
+
+/// Plans where the news of a daemon goes. `candidates` holds all daemons, this
+/// one too.
+pub fn plan<A: Copy>(name: &str, candidates: &[RelayCandidate<A>]) -> RelayPlan<A> {
+    let others = || candidates.iter().filter(|candidate| candidate.name != name);
+    if candidates.len() <= DIRECT_LIMIT {
+        return RelayPlan::direct(others().map(|candidate| candidate.address).collect());
+    }
+    let mut relays: BTreeMap<&SmolStr, &RelayCandidate<A>> = BTreeMap::new();
+    for candidate in candidates {
+        let relay = relays.entry(&candidate.domain).or_insert(candidate);
+        if is_before(candidate, relay) {
+            *relay = candidate;
+        }
+    }
+    let home = candidates.iter().find(|candidate| candidate.name == name);
+    let Some(home) = home.map(|candidate| &candidate.domain) else {
+        return RelayPlan::direct(Vec::new());
+    };
+    let relay = relays[home];
+    if relay.name != name {
+        let mut plan = RelayPlan::direct(vec![relay.address]);
+        plan.relay = Some(relay.address);
+        plan.heard_from.push(relay.name.clone());
+        return plan;
+    }
+    let members = others().filter(|candidate| candidate.domain == *home);
+    let members: Vec<A> = members.map(|candidate| candidate.address).collect();
+    let far = || relays.values().filter(|relay| relay.domain != *home);
+    let heard_from = far().map(|relay| relay.name.clone()).collect();
+    let passed_on: Vec<A> =
+        members.iter().copied().chain(far().map(|relay| relay.address)).collect();
+    RelayPlan { own: passed_on.clone(), passed_on, spread: members, relay: None, heard_from }
+}
+
+/// Orders the candidates of a domain: strong ones first, silent ones last; names
+/// break ties, so that all daemons choose alike.
+fn is_before<A>(one: &RelayCandidate<A>, other: &RelayCandidate<A>) -> bool {
+    let rank = |candidate: &RelayCandidate<A>| (!candidate.is_silent, candidate.capacity);
+    match rank(one).partial_cmp(&rank(other)) {
+        Some(std::cmp::Ordering::Greater) => true,
+        Some(std::cmp::Ordering::Less) | None => false,
+        Some(std::cmp::Ordering::Equal) => one.name < other.name,
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use gooseberry_core::serving::fleet::EntryEffect;
+use gooseberry_core::{serving::fleet::EntryEffect, time::Timestamp};
 use gooseberry_platform::{
     configuration, servers,
     store::{StoreChange, StoreClient, StoreFault, StoreNews, StoreSubject},
@@ -11,8 +11,9 @@
 use smol_str::SmolStr;
 
 use crate::{
+    changes::{ChangeLog, RelayClient},
     gateway::Gateway,
-    peers::{self, PeerDirectory},
+    peers::{self, PeerDirectory, PeerRecord},
     steward::{self, StewardSeat},
 };
 
@@ -24,6 +25,8 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Longest time for a read of all keys.
 const READ_LIMIT: Duration = Duration::from_millis(1500);
+/// Time for which the service is asked after a relay gave no news.
+const DIRECT_SPAN: Duration = Duration::from_secs(3);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -32,40 +35,105 @@
 pub struct OwnKeys {
     pub peers: Arc<PeerDirectory>,
     pub seat: Arc<StewardSeat>,
+    pub log: Arc<ChangeLog>,
+}
+
+/// Where changes come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsSource {
+    /// The key-value service.
+    Service,
+    /// The relay of this domain.
+    Relay(SocketAddr),
 }
 
 /// Follows the key-value service for as long as the process runs.
 pub async fn follow(gateway: Arc<Gateway>, keys: OwnKeys) {
-    let mut client = StoreClient::new(gateway.options.store);
-    let mut revision = None;
+    let mut follower = Follower {
+        client: StoreClient::new(gateway.options.store),
+        relay_client: RelayClient::default(),
+        revision: None,
+        direct_until: gateway.now(),
+        gateway,
+        keys,
+    };
     loop {
-        let news = match revision {
-            None => client.read_all(READ_LIMIT).await,
-            Some(revision) => client.watch(revision, WATCH_SPAN, WATCH_SLACK).await,
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    gateway: Arc<Gateway>,
+    keys: OwnKeys,
+    client: StoreClient,
+    relay_client: RelayClient,
+    /// Revision up to which all changes are known.
+    revision: Option<u64>,
+    /// Until when the service itself is asked, because the relay gave no news.
+    direct_until: Timestamp,
+}
+
+impl Follower {
+    fn source(&self) -> NewsSource {
+        let now = self.gateway.now();
+        let plan = self.keys.peers.plan(&self.gateway.options, now);
+        match plan.relay {
+            Some(relay) if now >= self.direct_until => NewsSource::Relay(relay),
+            _ => NewsSource::Service,
+        }
+    }
+
+    async fn step(&mut self) {
+        let news = match (self.revision, self.source()) {
+            (None, _) => self.client.read_all(READ_LIMIT).await,
+            (Some(revision), NewsSource::Service) => {
+                self.client.watch(revision, WATCH_SPAN, WATCH_SLACK).await
+            }
+            (Some(revision), NewsSource::Relay(relay)) => {
+                self.ask_relay(relay, revision).await;
+                return;
+            }
         };
         match news {
-            Ok(news) => {
-                note_contact(&gateway);
-                if revision.is_none() {
-                    remove_missing(&gateway, &news);
-                }
-                // A read may come from a replica that lags; what is known stays.
-                revision = Some(news.revision.max(revision.unwrap_or(0)));
-                for change in news.changes {
-                    apply(&gateway, &keys, change);
-                }
-                note_ready(&gateway);
-            }
+            Ok(news) => self.take_in(news, NewsSource::Service),
             Err(fault) => {
-                note_fault(&gateway, &fault);
+                note_fault(&self.gateway, &fault);
                 if matches!(fault, StoreFault::Compacted(_)) {
-                    revision = None;
+                    self.revision = None;
                 } else {
-                    gateway.clock.sleep(RETRY_PAUSE).await;
+                    self.gateway.clock.sleep(RETRY_PAUSE).await;
                 }
             }
         }
     }
+
+    async fn ask_relay(&mut self, relay: SocketAddr, revision: u64) {
+        match self.relay_client.watch(&self.gateway, relay, revision).await {
+            Ok(news) => self.take_in(news, NewsSource::Relay(relay)),
+            Err(fault) => {
+                tracing::info!(%relay, %fault, "relay gives no news; asking the service");
+                self.direct_until = self.gateway.now() + DIRECT_SPAN;
+            }
+        }
+    }
+
+    fn take_in(&mut self, news: StoreNews, source: NewsSource) {
+        note_contact(&self.gateway);
+        let now = self.gateway.now();
+        if self.revision.is_none() {
+            remove_missing(&self.gateway, &news);
+            self.keys.log.reset(news.revision, now);
+        } else {
+            let answered_at = (source == NewsSource::Service).then_some(now);
+            self.keys.log.extend(&news, answered_at);
+        }
+        // A read may come from a replica that lags; what is known stays.
+        self.revision = Some(news.revision.max(self.revision.unwrap_or(0)));
+        for change in news.changes {
+            apply(&self.gateway, &self.keys, change);
+        }
+        note_ready(&self.gateway);
+    }
 }
 
 fn note_contact(gateway: &Gateway) {
@@ -175,26 +243,23 @@
         keys.seat.set(value.map(|name| String::from_utf8_lossy(&name).into_owned()));
     } else if let Some(name) = key.strip_prefix(peers::KEY_PREFIX) {
         if name != gateway.options.name {
-            put_peer(&keys.peers, name, value);
+            put_peer(gateway, &keys.peers, name, value);
         }
     }
 }
 
-fn put_peer(peers: &PeerDirectory, name: &str, value: Option<Vec<u8>>) {
-    match value {
-        None => peers.remove(name),
-        Some(value) => {
-            let address = std::str::from_utf8(&value).ok().and_then(|text| text.parse().ok());
-            match address {
-                Some(address) => put_address(peers, name, address),
-                None => tracing::warn!(peer = name, "address of a peer can't be read"),
+fn put_peer(gateway: &Gateway, peers: &PeerDirectory, name: &str, value: Option<Vec<u8>>) {
+    let Some(value) = value else {
+        peers.remove(name);
+        return;
+    };
+    match serde_json::from_slice::<PeerRecord>(&value) {
+        Ok(record) => {
+            let address = record.address;
+            if peers.put(name, record, gateway.now()) {
+                tracing::info!(peer = name, %address, "peer");
             }
         }
-    }
-}
-
-fn put_address(peers: &PeerDirectory, name: &str, address: SocketAddr) {
-    if peers.put(name, address) {
-        tracing::info!(peer = name, %address, "peer");
+        Err(error) => tracing::warn!(peer = name, %error, "record of a peer can't be read"),
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `gooseberry_core::serving` over the tables of [`state::GatewayState`].
 
 pub mod call;
+pub mod changes;
 pub mod events;
 pub mod front;
 pub mod gateway;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -51,10 +51,20 @@
     },
 }
 
-/// A datagram.
+/// The news of one daemon.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NewsDatagram {
-    /// Hash of the sender's name and incarnation.
+pub struct NewsBundle {
+    /// Hash of the daemon's name and incarnation.
     pub daemon: u64,
+    /// Name of the daemon.
+    pub name: String,
     pub news: Vec<SendNews>,
 }
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsDatagram {
+    /// Name of the daemon that sent the datagram, its own news or others'.
+    pub sender: String,
+    pub bundles: Vec<NewsBundle>,
+}
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use crate::{
+    changes,
     events::{self, OwnKeys},
     front,
     gateway::Gateway,
@@ -62,6 +63,7 @@
     peers::start(&gateway, &keys.peers)
         .await
         .with_context(|| format!("can't listen at {}", options.peer_listen))?;
+    changes::serve(&gateway, &keys.log).await?;
     task::spawn(events::follow(Arc::clone(&gateway), keys.clone()));
     task::spawn(steward::run(Arc::clone(&gateway), keys.seat));
     task::spawn(peers::register(Arc::clone(&gateway)));
@@ -132,7 +134,8 @@
     Ok(())
 }
 
-fn spawn_server<S, F>(server: &HttpServer, listener: TcpListener, handler: S)
+/// Serves a listener in a task of its own.
+pub fn spawn_server<S, F>(server: &HttpServer, listener: TcpListener, handler: S)
 where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: std::future::Future<Output = Response<AnswerBody>> + Send + 'static,
@@ -142,7 +145,8 @@
     task::spawn(async move { server.serve(listener, limits, handler).await });
 }
 
-fn status(status: StatusCode) -> Response<AnswerBody> {
+/// Makes an answer without a body.
+pub fn status(status: StatusCode) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(""));
     *response.status_mut() = status;
     response
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub peer_listen: SocketAddr,
     pub store: SocketAddr,
     pub grace: Duration,
+    /// Share of a core that the VM has.
+    pub capacity: f64,
     pub retry_allowance: RetryAllowance,
 }
 
@@ -54,6 +56,7 @@
             peer_listen: address("peer_listen", &settings.peer_listen)?,
             store: address("store", &settings.store)?,
             grace: Duration::from_secs_f64(settings.grace_s),
+            capacity: settings.cpu_share,
             retry_allowance: RetryAllowance {
                 ratio: settings.retry_ratio,
                 window: Duration::from_secs_f64(settings.retry_window_s),
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -27,6 +27,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
+    #[doc = "Share of a core that the VM has."]
+    #[serde(default = "defaults::gateway_settings_cpu_share")]
+    pub cpu_share: f64,
     #[doc = "Failure domain of the VM."]
     pub failure_domain: ::std::string::String,
     #[doc = "Time from SIGTERM to SIGKILL, in seconds."]
@@ -37,9 +40,6 @@
     #[doc = "Level of the logs."]
     #[serde(default = "defaults::gateway_settings_log")]
     pub log: ::std::string::String,
-    #[doc = "Memory limit of the process, in megabytes."]
-    #[serde(default = "defaults::default_u64::<u64, 256>")]
-    pub memory_mb: u64,
     #[doc = "IP address and port of the metrics."]
     pub metrics_listen: ::std::string::String,
     #[doc = "Name of the VM."]
@@ -78,6 +78,9 @@
     {
         T::try_from(V).unwrap()
     }
+    pub(super) fn gateway_settings_cpu_share() -> f64 {
+        1_f64
+    }
     pub(super) fn gateway_settings_grace_s() -> f64 {
         8_f64
     }
