--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -147,10 +147,7 @@
         let mut excluded: Vec<EngineKey> = Vec::new();
         let mut runs = 0;
         let mut last = None;
-        loop {
-            let Some(target) = self.choose_plain(route, &excluded) else {
-                break;
-            };
+        while let Some(target) = self.choose_plain(route, &excluded) {
             let is_first = excluded.is_empty();
             if !is_first && !self.try_retry(route) {
                 break;
@@ -227,7 +224,7 @@
                 &self.head.request_id,
             );
             match sent.await {
-                SendOutcome::Answered(answer) => self.read_plain(target, answer).await,
+                SendOutcome::Answered(answer) => self.read_plain(target, *answer).await,
                 SendOutcome::NotRun(reason) => {
                     let id = &self.head.request_id;
                     tracing::info!(request = %id, server = %target.id, %reason, "not run");
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -382,7 +382,7 @@
     let choice = ConnectionChoice::Kept;
     let sent = send::send(gateway, target, &call.parts, &call.body, &terms, choice, id).await;
     let answer = match sent {
-        SendOutcome::Answered(answer) => answer,
+        SendOutcome::Answered(answer) => *answer,
         SendOutcome::NotRun(reason) => {
             log_not_run(call, target, reason);
             return Err(PromptTry::NotRun(target.key));
@@ -437,7 +437,7 @@
             if answer.response.status().is_server_error() {
                 send::note_failure(gateway, target, "the engine answered with a failure");
             }
-            PromptTry::Answer(stream::forward(call, target, answer, read))
+            PromptTry::Answer(stream::forward(call, target, *answer, read))
         }
         SendOutcome::NotRun(reason) => {
             call.may_have_run.store(false, Ordering::Relaxed);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -74,7 +74,7 @@
 #[derive(Debug)]
 pub enum SendOutcome {
     /// The server answered this request, well or badly.
-    Answered(SendAnswer),
+    Answered(Box<SendAnswer>),
     /// The request provably hasn't run.
     NotRun(NotRunReason),
     /// The request may have run and has no answer.
@@ -132,10 +132,12 @@
     };
     let meaning = engine::meaning(&response, request_id);
     let outcome = match meaning {
-        AnswerMeaning::Own => SendOutcome::Answered(SendAnswer { response, connection, guard }),
+        AnswerMeaning::Own => {
+            SendOutcome::Answered(Box::new(SendAnswer { response, connection, guard }))
+        }
         // An answer to a prefill has no signature.
         AnswerMeaning::Unsigned if terms.phase == engine::SendPhase::Prefill => {
-            SendOutcome::Answered(SendAnswer { response, connection, guard })
+            SendOutcome::Answered(Box::new(SendAnswer { response, connection, guard }))
         }
         AnswerMeaning::NotRun => {
             // Who is at fault for a KV cache that can't be had isn't known yet.
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/gateway/framing.rs
@@ -1,8 +1,6 @@
 //! Requests at the edge of HTTP/1.1, over raw sockets.
 
-mod support;
-
-use support::{answer, get, is_complete, read_answer, status, write, StandinServer, System};
+use crate::support::{answer, get, is_complete, read_answer, status, write, StandinServer, System};
 
 fn system() -> (System, StandinServer) {
     let system = System::start();
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,6 @@
+//! The gateway before stand-ins of the platform, on loopback.
+
+mod framing;
+mod news;
+mod promises;
+mod support;
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -1,10 +1,8 @@
 //! What callers and backend servers are promised, seen from their sockets.
 
-mod support;
-
 use std::{io::Read, sync::mpsc, time::Duration};
 
-use support::{answer, entry, get, read_answer, status, write, StandinServer, System};
+use crate::support::{self, answer, entry, get, read_answer, status, write, StandinServer, System};
 
 fn sound() -> StandinServer {
     StandinServer::start(|request, stream| answer(request, stream, "done"))
