--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -24,9 +24,9 @@
 /// Bounds of a sample, as a part of the speed learned before.
 const SAMPLE_BOUNDS: (f64, f64) = (0.5, 1.6);
 /// Weight of the newest sample in the learned speed.
-const SPEED_WEIGHT: f64 = 0.2;
+const SPEED_WEIGHT: f64 = 0.35;
 /// Prompt tokens below which a first event tells nothing of the speed.
-const LEAST_SAMPLE_TOKENS: u32 = 1500;
+const LEAST_SAMPLE_TOKENS: u32 = 800;
 /// Milliseconds of a first event that aren't reading: a step and the network.
 const FIRST_EVENT_MS: f64 = 20.0;
 
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -125,6 +125,21 @@
     assert_eq!(fleet.server(key).parts.cached_tokens(&prompt, 1000), 0);
 }
 
+/// After a start, estimates stayed a third too long for most of a minute and
+/// requests were refused that had room (inc-5d12).
+#[test]
+fn speeds_follow_an_engine_within_a_few_reads() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(ServerEntry { stage: EngineStage::Decode, ..entry("one", 1) });
+    let key = fleet.key("one").unwrap();
+    for _ in 0..5 {
+        // 1,000 tokens at 31 a millisecond, and a step.
+        fleet.server_mut(key).learn_speed(1000, 52.0);
+    }
+    let speed = fleet.server(key).speed();
+    assert!((27.0..33.0).contains(&speed), "{speed} tokens a millisecond");
+}
+
 #[test]
 fn a_draining_server_gets_nothing_new() {
     let mut fleet = ServerFleet::default();
