--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -102,6 +102,16 @@
         #[bpaf(long, argument("FILE"), optional)]
         html: Option<PathBuf>,
     },
+    /// Print what the log lines of gateways say of a request
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request, as the caller sent it
+        #[bpaf(positional("ID"))]
+        request: String,
+        /// Files with log lines of all daemons; standard input without any
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Set the level of the logs of the named daemons while they run
     #[bpaf(command)]
     LogLevel {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod state;
+mod story;
 mod text;
 
 use std::process::ExitCode;
@@ -39,6 +40,7 @@
         Action::Drain { author, name } => text::drain(target, author, name, style).await,
         Action::Status { engines } => state::status(target, *engines, style).await,
         Action::Orders => state::orders(target, style).await,
+        Action::Explain { request, files } => story::explain(request, files),
         Action::LogLevel { level } => state::log_level(target, level).await,
         Action::Report { html } => balance::report(target, html.as_deref(), style).await,
     }
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -1,6 +1,6 @@
 //! Exit codes, which scripts rely on.
 
-use std::process::ExitCode;
+use std::{io, process::ExitCode};
 
 use gooseberry_config::fault::TextFaults;
 
@@ -18,6 +18,10 @@
          the platform has lost data, and daemons refuse lower revisions"
     )]
     DataLost { daemon: String, revision: u64, recorded: u64 },
+    #[error("can't read the log lines: {0}")]
+    ReadLogs(io::Error),
+    #[error("no line names the request {0}; give the log lines of all daemons")]
+    UnknownRequest(String),
     #[error("{0:#}")]
     Failed(#[from] anyhow::Error),
 }
@@ -26,7 +30,7 @@
     /// Returns the exit code that stands for this error.
     pub fn code(&self) -> ExitCode {
         match self {
-            Self::Failed(_) => ExitCode::from(1),
+            Self::Failed(_) | Self::ReadLogs(_) | Self::UnknownRequest(_) => ExitCode::from(1),
             Self::InvalidText(_) => ExitCode::from(3),
             Self::Conflict { .. } => ExitCode::from(4),
             Self::Lagging { .. } => ExitCode::from(5),
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod effect;
 pub mod exit;
+pub mod explain;
 pub mod history;
 pub mod output;
 pub mod report;
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -20,6 +20,7 @@
 use gooseberry_transport::body::AnswerBody;
 use http::Response;
 use http_body_util::BodyExt;
+use smol_str::SmolStr;
 
 use crate::{
     call::{self, Call, CallRoute},
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 pub struct ReadGuard {
     gateway: Arc<Gateway>,
+    request_id: SmolStr,
     pub key: EngineKey,
     ticket: SendTicket,
     tokens: u32,
@@ -70,7 +72,7 @@
         }
         let server = state.fleet.server(self.key);
         tracing::info!(
-            number = self.ticket.number,
+            request = %self.request_id,
             server = %server.entry.id,
             tokens = self.tokens,
             elapsed_ms = now.since(self.began).as_millis() as u64,
@@ -204,6 +206,7 @@
             gateway.wake_peers();
             let read = ReadGuard {
                 gateway: Arc::clone(gateway),
+                request_id: call.head.request_id.clone(),
                 key,
                 ticket,
                 tokens,
