--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,14 +1,16 @@
 //! Runs the daemon of an entry VM.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use anyhow::Context;
 use async_std::task;
 use bpaf::Bpaf;
-use gooseberry_config::settings;
+use gooseberry_config::{fault::TextFaults, settings};
 use gooseberry_daemon::{logs, program};
 use gooseberry_gateway::settings::GatewayOptions;
-use gooseberry_wire::gateway::GatewaySettings;
 
 /// Serves callers and carries their requests to the backend servers
 #[derive(Clone, Debug, Bpaf)]
@@ -25,18 +27,10 @@
 
 fn main() -> anyhow::Result<()> {
     let arguments = arguments().run();
-    let path = arguments.settings.display();
-    let text = fs::read_to_string(&arguments.settings)
-        .with_context(|| format!("can't read the settings {path}"))?;
-    let wrong = || format!("the settings {path} are wrong");
     if arguments.gateway {
-        let settings = settings::parse_gateway(&text).with_context(wrong)?;
-        if !arguments.check {
-            run_gateway(&settings)?;
-        }
-        return Ok(());
+        return run_gateway(arguments);
     }
-    let settings = settings::parse(&text).with_context(wrong)?;
+    let settings = read(&arguments.settings, settings::parse)?;
     if arguments.check {
         return Ok(());
     }
@@ -45,12 +39,28 @@
     task::block_on(program::run(settings, levels))
 }
 
-fn run_gateway(settings: &GatewaySettings) -> anyhow::Result<()> {
+fn run_gateway(arguments: Arguments) -> anyhow::Result<()> {
+    let settings = read(&arguments.settings, settings::parse_gateway)?;
+    let options = GatewayOptions::new(&settings)?;
+    if arguments.check {
+        return Ok(());
+    }
     let _writer = logs::install_bounded(&settings.log)?;
-    let options = GatewayOptions::new(settings)?;
     // An entry VM has a part of one core.
     set_threads(1);
-    task::block_on(gooseberry_gateway::program::run(options))
+    let reload = move || {
+        let settings = read(&arguments.settings, settings::parse_gateway)?;
+        Ok(GatewayOptions::new(&settings)?)
+    };
+    task::block_on(gooseberry_gateway::program::run(options, reload))
+}
+
+/// Reads and checks settings.
+fn read<T>(path: &Path, parse: fn(&str) -> Result<T, TextFaults>) -> anyhow::Result<T> {
+    let shown = path.display();
+    let text =
+        fs::read_to_string(path).with_context(|| format!("can't read the settings {shown}"))?;
+    parse(&text).with_context(|| format!("the settings {shown} are wrong"))
 }
 
 /// Sets the number of the runtime's threads, which it reads once at its start.
--- a/crates/edges/src/stop.rs
+++ b/crates/edges/src/stop.rs
@@ -3,7 +3,7 @@
 use std::{io, thread};
 
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -61,3 +61,21 @@
         Self::new()
     }
 }
+
+/// Returns a channel that gets a message at each SIGHUP, which would end the
+/// process otherwise. Signals that come before the last was handled count once.
+///
+/// # Errors
+///
+/// Returns an error if the handler can't be installed.
+pub fn reload_requests() -> io::Result<async_channel::Receiver<()>> {
+    let (sender, receiver) = async_channel::bounded(1);
+    let mut signals = Signals::new([SIGHUP])?;
+    thread::Builder::new().name("reload".to_owned()).spawn(move || {
+        for _ in signals.forever() {
+            // A full channel means that a reload is due already.
+            let _ = sender.try_send(());
+        }
+    })?;
+    Ok(receiver)
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -100,7 +100,7 @@
     /// Carries the request to its answer.
     pub async fn run(&self, route: &CallRoute) -> Response<AnswerBody> {
         let now = self.gateway.now();
-        let window = self.gateway.options.retry_allowance.window;
+        let window = self.gateway.limits.lock().retry_allowance.window;
         {
             let mut state = self.gateway.state.lock();
             state.note_request(&route.service, window, now);
@@ -127,7 +127,7 @@
     /// Grants a further send, if the budget has one.
     pub fn try_retry(&self, route: &CallRoute) -> bool {
         let now = self.gateway.now();
-        let allowance = self.gateway.options.retry_allowance;
+        let allowance = self.gateway.limits.lock().retry_allowance;
         let granted = self.gateway.state.lock().try_retry(&route.service, allowance, now);
         let verdict = if granted { "granted" } else { "refused" };
         self.gateway.metrics.retries.with_label_values(&[verdict]).inc();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,12 +12,18 @@
 use parking_lot::Mutex;
 use xxhash_rust::xxh3;
 
-use crate::{metrics::GatewayMetrics, settings::GatewayOptions, state::GatewayState};
+use crate::{
+    metrics::GatewayMetrics,
+    settings::{GatewayLimits, GatewayOptions},
+    state::GatewayState,
+};
 
 /// Holds the tables, connections and settings of one daemon.
 #[derive(Debug)]
 pub struct Gateway {
     pub options: GatewayOptions,
+    /// The limits in force, which a reload changes.
+    pub limits: Mutex<GatewayLimits>,
     pub clock: Clock,
     pub state: Mutex<GatewayState>,
     pub connections: ConnectionPool,
@@ -38,6 +44,7 @@
         let incarnation = clock.now().as_millis();
         let daemon = xxh3::xxh3_64_with_seed(options.name.as_bytes(), incarnation);
         Self {
+            limits: Mutex::new(options.limits),
             options,
             clock,
             state: Mutex::new(GatewayState::new(daemon)),
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -3,8 +3,12 @@
 use std::{sync::atomic::Ordering, sync::Arc, time::Duration};
 
 use anyhow::Context;
+use async_channel::Receiver;
 use async_std::{net::TcpListener, task};
-use gooseberry_edges::{clock::Clock, stop::StopSignal};
+use gooseberry_edges::{
+    clock::Clock,
+    stop::{self, StopSignal},
+};
 use gooseberry_platform::front as platform_front;
 use gooseberry_transport::{
     body::AnswerBody,
@@ -37,19 +41,44 @@
 /// Time between looks at what still runs.
 const LOOK_SPAN: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until it is stopped.
+/// Runs a gateway until it is stopped. At SIGHUP the settings are read anew by
+/// `reload`.
 ///
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
-pub async fn run(options: GatewayOptions) -> anyhow::Result<()> {
+pub async fn run(
+    options: GatewayOptions,
+    reload: impl Fn() -> anyhow::Result<GatewayOptions> + Send + 'static,
+) -> anyhow::Result<()> {
     let stop = StopSignal::on_termination()?;
+    let requests = stop::reload_requests()?;
     let (gateway, callers) = start(options).await?;
+    task::spawn(reload_forever(Arc::clone(&gateway), requests, reload));
     stop.wait().await;
     leave(&gateway, &callers).await;
     Ok(())
 }
 
+async fn reload_forever(
+    gateway: Arc<Gateway>,
+    requests: Receiver<()>,
+    reload: impl Fn() -> anyhow::Result<GatewayOptions>,
+) {
+    while requests.recv().await.is_ok() {
+        match reload() {
+            Ok(options) => {
+                let fixed = gateway.options.fixed_differences(&options);
+                *gateway.limits.lock() = options.limits;
+                tracing::info!(limits = ?options.limits, needs_restart = ?fixed, "settings reloaded");
+            }
+            Err(error) => {
+                tracing::warn!(error = format!("{error:#}"), "settings not reloaded; the old hold");
+            }
+        }
+    }
+}
+
 /// Starts all tasks of a gateway; returns it with the server of its callers.
 ///
 /// # Errors
@@ -81,7 +110,8 @@
     tracing::info!(running = gateway.running.load(Ordering::Relaxed), open, "stopping");
     gateway.clock.sleep(LEAVE_SPAN).await;
     callers.close();
-    let mut left = gateway.options.grace.saturating_sub(LEAVE_SPAN + GRACE_RESERVE);
+    let grace = gateway.limits.lock().grace;
+    let mut left = grace.saturating_sub(LEAVE_SPAN + GRACE_RESERVE);
     while callers.open() > 0 && !left.is_zero() {
         gateway.clock.sleep(LOOK_SPAN).await;
         left = left.saturating_sub(LOOK_SPAN);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,9 +25,16 @@
     pub metrics_listen: SocketAddr,
     pub peer_listen: SocketAddr,
     pub store: SocketAddr,
-    pub grace: Duration,
     /// Share of a core that the VM has.
     pub capacity: f64,
+    pub limits: GatewayLimits,
+}
+
+/// The settings that can be reloaded.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayLimits {
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
     pub retry_allowance: RetryAllowance,
 }
 
@@ -55,13 +62,29 @@
             metrics_listen: address("metrics_listen", &settings.metrics_listen)?,
             peer_listen: address("peer_listen", &settings.peer_listen)?,
             store: address("store", &settings.store)?,
-            grace: Duration::from_secs_f64(settings.grace_s),
             capacity: settings.cpu_share,
-            retry_allowance: RetryAllowance {
-                ratio: settings.retry_ratio,
-                window: Duration::from_secs_f64(settings.retry_window_s),
-                slack: settings.retry_slack,
+            limits: GatewayLimits {
+                grace: Duration::from_secs_f64(settings.grace_s),
+                retry_allowance: RetryAllowance {
+                    ratio: settings.retry_ratio,
+                    window: Duration::from_secs_f64(settings.retry_window_s),
+                    slack: settings.retry_slack,
+                },
             },
         })
     }
+
+    /// Names the settings of another reading that take effect at a restart only.
+    pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
+        let rows = [
+            ("name", self.name == other.name),
+            ("failure_domain", self.domain == other.domain),
+            ("listen", self.listen == other.listen),
+            ("ready_listen", self.ready_listen == other.ready_listen),
+            ("metrics_listen", self.metrics_listen == other.metrics_listen),
+            ("peer_listen", self.peer_listen == other.peer_listen),
+            ("store", self.store == other.store),
+        ];
+        rows.into_iter().filter(|(_, is_same)| !is_same).map(|(name, _)| name).collect()
+    }
 }
