--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -117,6 +117,14 @@
             Self::Split { prefill, .. } => prefill,
         }
     }
+
+    /// Returns the engine that makes the output.
+    pub fn writer(self) -> EngineKey {
+        match self {
+            Self::Whole { engine } => engine,
+            Self::Split { decode, .. } => decode,
+        }
+    }
 }
 
 /// A choice with what it was made from.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -113,11 +113,14 @@
             Some(traits) => prompt_call::run(self, route, traits).await,
             None => self.run_plain(route).await,
         };
-        answer.unwrap_or_else(|answer| self.refuse(answer, "no whole answer"))
+        answer.unwrap_or_else(|answer| self.refuse(answer, reason(answer)))
     }
 
-    /// Makes an own answer and logs why.
+    /// Makes an own answer and logs why. An answer that promises that the
+    /// request hasn't run is never given once it may have.
     pub fn refuse(&self, answer: OwnAnswer, reason: &str) -> Response<AnswerBody> {
+        let is_false = answer.promises_not_run() && self.has_maybe_run();
+        let answer = if is_false { OwnAnswer::BackendFailed } else { answer };
         let waited_ms = self.gateway.now().since(self.arrived).as_millis() as u64;
         let id = &self.head.request_id;
         tracing::info!(request = %id, answer = ?answer, reason, waited_ms, "own answer");
@@ -287,3 +290,17 @@
 pub fn unavailable() -> OwnAnswer {
     OwnAnswer::Unavailable { retry_after: DEFAULT_RETRY_AFTER }
 }
+
+/// Says in the log why a request has no answer of a server.
+fn reason(answer: OwnAnswer) -> &'static str {
+    match answer {
+        OwnAnswer::Unavailable { .. } => "no server, or no room in time",
+        OwnAnswer::BackendFailed => "a backend server failed",
+        OwnAnswer::TimedOut => "a backend server didn't answer in time",
+        OwnAnswer::Convicted => "crashed several engines",
+        OwnAnswer::BadRequest
+        | OwnAnswer::UnknownRoute
+        | OwnAnswer::BodyTooLarge
+        | OwnAnswer::BodyTimeout => "the request can't be taken",
+    }
+}
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -2,7 +2,6 @@
 
 use std::{
     io,
-    net::SocketAddr,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
@@ -45,15 +44,6 @@
         sockopt::set_tcp_keepcnt(&stream, PROBE_COUNT)?;
         Ok(Self { stream })
     }
-
-    /// Returns the address of the other end.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the connection is gone.
-    pub fn peer_addr(&self) -> io::Result<SocketAddr> {
-        self.stream.peer_addr()
-    }
 }
 
 impl rt::Read for StreamIo {
