--- a/crates/core/src/serving/prompt.rs
+++ b/crates/core/src/serving/prompt.rs
@@ -3,7 +3,7 @@
 use xxhash_rust::xxh3;
 
 /// Context, in tokens, at which attention doubles the time to read a token.
-/// Measured on models of 70 billion parameters; it only orders estimates.
+/// That of dense models of 70 billion parameters; it only scales estimates.
 const ATTENTION_CONTEXT: f64 = 55_000.0;
 
 /// Names a part together with all parts before it: a cached part is of use
