Read the platform after the daemons before a loss of data is claimed

Cause: put read the record, then asked the daemons; an edit that another operator made in between looked like a loss. Reading the platform last can't mistake it: its revision only grows.

--- a/crates/ctl/src/commands/text.rs
+++ b/crates/ctl/src/commands/text.rs
@@ -62,7 +62,7 @@
     let store = ConfigurationStore::new(target)?;
     let recorded = store.get().await?;
     let effects = effect::effects(&recorded_fleet(recorded.as_ref()), &new);
-    check_platform(target, recorded.as_ref()).await?;
+    check_platform(target, &store).await?;
     if options.dry_run {
         style.print(&effects, || describe(&effects));
         return Ok(());
@@ -141,14 +141,14 @@
 
 /// Refuses an edit while daemons have a higher revision than the platform,
 /// because they would never put it in force.
-async fn check_platform(
-    target: &Target,
-    recorded: Option<&RecordedText>,
-) -> Result<(), CommandError> {
-    let recorded = recorded.map_or(0, |recorded| recorded.revision);
+///
+/// The platform is read after the daemons: another operator's edit that is
+/// recorded in between would look like a loss otherwise.
+async fn check_platform(target: &Target, store: &ConfigurationStore) -> Result<(), CommandError> {
     let answers = daemons::statuses(target).await;
     let statuses = answers.into_iter().filter_map(|daemon| daemon.answer.ok());
     let highest = statuses.max_by_key(|status| status.revision);
+    let recorded = store.get().await?.map_or(0, |recorded| recorded.revision);
     match highest.filter(|status| status.revision > recorded) {
         Some(DaemonStatus { daemon, revision, .. }) => {
             Err(CommandError::DataLost { daemon, revision, recorded })
