--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -13,6 +13,7 @@
 pub mod parts;
 pub mod placement;
 pub mod prompt;
+pub mod rate;
 pub mod relays;
 pub mod stages;
 pub mod suspects;
--- a/crates/core/src/serving/admission.rs
+++ b/crates/core/src/serving/admission.rs
@@ -41,16 +41,20 @@
     },
 }
 
+/// Returns the longest time to the first event with which a request is on time.
+pub fn latest_first_event_ms(request: &AdmissionRequest) -> f64 {
+    let objective_ms = request.objective.as_secs_f64() * 1000.0;
+    objective_ms * OBJECTIVE_SHARE - request.waited.as_secs_f64() * 1000.0
+}
+
 /// Judges a request by the best placement that it can have.
 pub fn judge(request: AdmissionRequest, placement: &Placement) -> AdmissionVerdict {
-    let objective_ms = request.objective.as_secs_f64() * 1000.0;
-    let waited_ms = request.waited.as_secs_f64() * 1000.0;
     let left_ms = request.time_left.as_secs_f64() * 1000.0;
     let retry_after = retry_after(placement.wait_ms);
     if placement.first_event_ms - placement.wait_ms + OUTPUT_MS > left_ms {
         return AdmissionVerdict::Refuse { retry_after };
     }
-    if waited_ms + placement.first_event_ms <= objective_ms * OBJECTIVE_SHARE {
+    if placement.first_event_ms <= latest_first_event_ms(&request) {
         return AdmissionVerdict::Send;
     }
     if placement.wait_ms <= LATE_WAIT_MS {
--- a/crates/core/src/serving/backlog.rs
+++ b/crates/core/src/serving/backlog.rs
@@ -6,7 +6,11 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::time::Timestamp;
+use crate::{
+    arena::EngineKey,
+    serving::prompt::{ChainKey, PromptShape},
+    time::Timestamp,
+};
 
 /// Part of an engine's speed at which it may read for long beside outputs: each
 /// event takes several steps, and those that read are many times longer.
@@ -20,10 +24,15 @@
     pub number: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct PendingRead {
-    tokens: f64,
-    sent_at: Timestamp,
+/// A prompt that an engine has yet to read.
+#[derive(Clone, Debug)]
+pub struct PendingRead {
+    pub prompt: PromptShape,
+    /// Work of reading it, as [`PromptShape::read_work`] counts it.
+    pub tokens: u32,
+    pub sent_at: Timestamp,
+    /// The engine that is to take over the KV cache.
+    pub writer: Option<EngineKey>,
 }
 
 /// Follows the prompts that one engine has yet to read.
@@ -43,35 +52,44 @@
 
 impl ReadBacklog {
     /// Notes a send.
-    pub fn add(&mut self, ticket: SendTicket, tokens: u32, speed: f64, now: Timestamp) {
+    pub fn add(&mut self, ticket: SendTicket, read: PendingRead, speed: f64, now: Timestamp) {
         self.settle(speed, now);
-        let tokens = f64::from(tokens);
-        if self.pending.insert(ticket, PendingRead { tokens, sent_at: now }).is_none() {
+        let tokens = f64::from(read.tokens);
+        if self.pending.insert(ticket, read).is_none() {
             self.pending_tokens += tokens;
             self.work += tokens;
         }
     }
 
-    /// Notes that a prompt was read, or that its send ended otherwise; returns
-    /// whether it was pending.
-    pub fn remove(&mut self, ticket: SendTicket, speed: f64, now: Timestamp) -> bool {
+    /// Notes that a prompt was read, or that its send ended otherwise; returns it
+    /// if it was pending.
+    pub fn remove(
+        &mut self,
+        ticket: SendTicket,
+        speed: f64,
+        now: Timestamp,
+    ) -> Option<PendingRead> {
         self.settle(speed, now);
-        let Some(read) = self.pending.remove(&ticket) else {
-            return false;
-        };
+        let read = self.pending.remove(&ticket)?;
         self.progressed_at = now;
-        self.pending_tokens = (self.pending_tokens - read.tokens).max(0.0);
+        self.pending_tokens = (self.pending_tokens - f64::from(read.tokens)).max(0.0);
         if self.pending.is_empty() {
             self.pending_tokens = 0.0;
         }
         self.work = self.work.min(self.pending_tokens);
-        true
+        Some(read)
+    }
+
+    /// Tells whether a pending prompt has a part.
+    pub fn awaits(&self, key: ChainKey) -> bool {
+        let mut parts = self.pending.values().flat_map(|read| &read.prompt.parts);
+        parts.any(|part| part.key == key)
     }
 
     /// Drops the sends of a daemon that fit a condition.
     pub fn drop_sends(&mut self, mut is_gone: impl FnMut(SendTicket, Timestamp) -> bool) {
         self.pending.retain(|ticket, read| !is_gone(*ticket, read.sent_at));
-        self.pending_tokens = self.pending.values().map(|read| read.tokens).sum();
+        self.pending_tokens = self.pending.values().map(|read| f64::from(read.tokens)).sum();
         self.work = self.work.min(self.pending_tokens);
     }
 
@@ -83,7 +101,7 @@
         let passed = now.since(self.updated_at).as_millis() as f64;
         let worked = (self.work - passed * speed).max(0.0);
         let oldest = self.pending.values().min_by_key(|read| read.sent_at);
-        let behind = self.pending_tokens - oldest.map_or(0.0, |read| read.tokens);
+        let behind = self.pending_tokens - oldest.map_or(0.0, |read| f64::from(read.tokens));
         worked.max(behind)
     }
 
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -8,11 +8,10 @@
 use crate::{
     arena::{Arena, EngineKey},
     serving::{
-        backlog::{ReadBacklog, SendTicket},
+        backlog::{PendingRead, ReadBacklog, SendTicket},
         directory::{EngineStage, ServerEntry, ServerPresence, StoreContact},
         health::EngineHealth,
         parts::PartTable,
-        prompt::PromptShape,
     },
     time::Timestamp,
 };
@@ -23,12 +22,12 @@
 const DECODE_SPEED: f64 = 20.0;
 /// Bounds of a sample, as a part of the speed learned before.
 const SAMPLE_BOUNDS: (f64, f64) = (0.5, 1.6);
-/// Weight of the newest sample in the learned speed.
+/// Weight of the newest sample in the learned speed of its engine.
 const SPEED_WEIGHT: f64 = 0.35;
+/// Weight of the newest sample in the speed of all engines of its kind.
+const KIND_WEIGHT: f64 = 0.1;
 /// Prompt tokens below which a first event tells nothing of the speed.
 const LEAST_SAMPLE_TOKENS: u32 = 800;
-/// Milliseconds of a first event that aren't reading: a step and the network.
-const FIRST_EVENT_MS: f64 = 20.0;
 
 /// Holds what is known of one backend server.
 #[derive(Clone, Debug)]
@@ -45,6 +44,8 @@
     /// Requests of other daemons that haven't ended, as they last said.
     pub running_of_peers: HashMap<u64, u32>,
     speed: Option<f64>,
+    /// Speed of the engines of its service and stage, as far as it is known.
+    kind_speed: Option<f64>,
 }
 
 impl ServerState {
@@ -59,12 +60,13 @@
             running: 0,
             running_of_peers: HashMap::new(),
             speed: None,
+            kind_speed: None,
         }
     }
 
     /// Returns the prompt tokens that are read in a millisecond.
     pub fn speed(&self) -> f64 {
-        self.speed.unwrap_or(match self.entry.stage {
+        self.speed.or(self.kind_speed).unwrap_or(match self.entry.stage {
             EngineStage::Prefill | EngineStage::Mixed => PREFILL_SPEED,
             EngineStage::Decode => DECODE_SPEED,
         })
@@ -85,18 +87,17 @@
         self.backlog.tokens_ahead(self.speed(), now) / self.speed()
     }
 
-    /// Learns from a first event that came `elapsed_ms` after a send which
-    /// found nothing ahead and all shared parts in the cache. Whether a shared
-    /// part was cached is a guess, so reads of those tell nothing.
-    pub fn learn_speed(&mut self, tokens: u32, elapsed_ms: f64) {
-        let reading_ms = elapsed_ms - FIRST_EVENT_MS;
+    /// Learns from a prompt that was read in `reading_ms`; returns the sample
+    /// that it took, in tokens a millisecond.
+    fn learn_speed(&mut self, tokens: u32, reading_ms: f64) -> Option<f64> {
         if tokens < LEAST_SAMPLE_TOKENS || reading_ms <= 0.0 {
-            return;
+            return None;
         }
         let old = self.speed();
         let sample = f64::from(tokens) / reading_ms;
         let sample = sample.clamp(old * SAMPLE_BOUNDS.0, old * SAMPLE_BOUNDS.1);
         self.speed = Some(old + (sample - old) * SPEED_WEIGHT);
+        Some(sample)
     }
 
     fn restart(&mut self) {
@@ -130,6 +131,9 @@
 pub struct ServerFleet {
     servers: Arena<EngineKey, ServerState>,
     by_hash: HashMap<u64, EngineKey>,
+    /// Learned speeds of the engines of a service in a stage, for those that
+    /// haven't been measured themselves.
+    kind_speeds: HashMap<(SmolStr, EngineStage), f64>,
     pub contact: StoreContact,
 }
 
@@ -137,14 +141,18 @@
     /// Takes in an entry that stands in the key-value service.
     pub fn put(&mut self, entry: ServerEntry) -> EntryEffect {
         let hash = server_hash(&entry.id);
+        let kind_speed = self.kind_speeds.get(&(entry.service.clone(), entry.stage)).copied();
         let Some(key) = self.by_hash.get(&hash).copied() else {
-            let key = self.servers.push(ServerState::new(entry));
+            let mut state = ServerState::new(entry);
+            state.kind_speed = kind_speed;
+            let key = self.servers.push(state);
             self.by_hash.insert(hash, key);
             return EntryEffect::Added;
         };
         let state = &mut self.servers[key];
         let was_gone = state.presence == ServerPresence::Gone;
         let old = std::mem::replace(&mut state.entry, entry);
+        state.kind_speed = kind_speed;
         state.presence = ServerPresence::Present;
         let entry = &state.entry;
         if was_gone || old.born != entry.born || old.address != entry.address {
@@ -239,24 +247,71 @@
         &mut self,
         key: EngineKey,
         ticket: SendTicket,
-        prompt: &PromptShape,
-        tokens: u32,
+        read: PendingRead,
         kv_tokens: u64,
         now: Timestamp,
     ) {
         let state = &mut self.servers[key];
         let speed = state.speed();
-        state.backlog.add(ticket, tokens, speed, now);
         if state.entry.stage == EngineStage::Decode {
-            state.backlog.note_beside(tokens, speed, now);
+            state.backlog.note_beside(read.tokens, speed, now);
+        }
+        state.parts.note(&read.prompt, kv_tokens);
+        state.backlog.add(ticket, read, speed, now);
+    }
+
+    /// Notes that a prompt was read; returns whether that is news. The engine
+    /// that takes over its KV cache keeps the parts too.
+    pub fn end_read(
+        &mut self,
+        key: EngineKey,
+        ticket: SendTicket,
+        kv_tokens: u64,
+        now: Timestamp,
+    ) -> bool {
+        let state = &mut self.servers[key];
+        let speed = state.speed();
+        let Some(read) = state.backlog.remove(ticket, speed, now) else {
+            return false;
+        };
+        state.parts.note_read(&read.prompt);
+        if let Some(writer) = read.writer {
+            let parts = &mut self.servers[writer].parts;
+            parts.note(&read.prompt, kv_tokens);
+            parts.note_read(&read.prompt);
         }
-        state.parts.note(prompt, kv_tokens);
+        true
     }
 
-    /// Notes that a prompt was read, or that its send ended otherwise.
-    pub fn end_read(&mut self, key: EngineKey, ticket: SendTicket, now: Timestamp) -> bool {
+    /// Notes that a prompt won't be read; returns whether that is news.
+    pub fn abandon_read(&mut self, key: EngineKey, ticket: SendTicket, now: Timestamp) -> bool {
         let state = &mut self.servers[key];
         let speed = state.speed();
-        state.backlog.remove(ticket, speed, now)
+        let Some(read) = state.backlog.remove(ticket, speed, now) else {
+            return false;
+        };
+        let backlog = &state.backlog;
+        state.parts.forget_unread(&read.prompt, |key| backlog.awaits(key));
+        true
+    }
+
+    /// Learns the speed of an engine from a prompt that it read in `reading_ms`
+    /// without another one ahead and without guesses on cached shared parts.
+    pub fn learn_speed(&mut self, key: EngineKey, tokens: u32, reading_ms: f64) {
+        let state = &mut self.servers[key];
+        let old = state.speed();
+        let Some(sample) = state.learn_speed(tokens, reading_ms) else {
+            return;
+        };
+        let kind = (state.entry.service.clone(), state.entry.stage);
+        let learned = self.kind_speeds.entry(kind.clone()).or_insert(old);
+        *learned += (sample - *learned) * KIND_WEIGHT;
+        let learned = *learned;
+        for key in self.keys() {
+            let state = &mut self.servers[key];
+            if state.entry.service == kind.0 && state.entry.stage == kind.1 {
+                state.kind_speed = Some(learned);
+            }
+        }
     }
 }
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -7,7 +7,7 @@
 //! waiting for its present one costs more. Among equals the hash of the shared
 //! part decides, so that all daemons choose the same engine without a message.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
@@ -39,6 +39,18 @@
 const BESIDE_OUTPUT_TOKENS: f64 = 2048.0;
 /// Milliseconds by which the hash of the shared part orders equal engines.
 const HASH_SPREAD_MS: f64 = 30.0;
+/// Fewest tokens for which a KV cache is fetched.
+const LEAST_FETCH_TOKENS: u32 = 512;
+/// Milliseconds of a fetch beside the bytes.
+const FETCH_MS: f64 = 6.0;
+/// Engines among which an output's is chosen.
+const DECODER_CHOICES: usize = 2;
+/// Fewest engines that are looked at for a prompt.
+const LEAST_GROUP: usize = 4;
+/// Groups of engines that are looked at before a request is late. Under overload
+/// all engines have queues, and if all were looked at, the first to be free
+/// would get what all daemons have at that moment.
+const MOST_GROUPS: usize = 2;
 /// One-way delay to the failure domains of the region, in milliseconds; the
 /// deployments state 0.5 to 1.4.
 const REGION_DELAY_MS: f64 = 1.0;
@@ -48,6 +60,17 @@
 const REGION_TRANSFER: f64 = 2.0;
 const FAR_TRANSFER: f64 = 10.0;
 
+/// Returns how many of the engines a daemon looks at for a prompt first.
+///
+/// Daemons that know of each other's sends only after a while all choose the
+/// engine with the shortest queue, and fill it together. So each looks at a part
+/// of the engines that differs by shared part, the smaller the more prompts
+/// are sent before their news arrives.
+pub fn group_size(engines: usize, sends_per_s: f64, news_delay: Duration) -> usize {
+    let unseen = sends_per_s * news_delay.as_secs_f64();
+    ((engines as f64 / unseen.max(1.0)).ceil() as usize).max(LEAST_GROUP)
+}
+
 /// Where a failure domain lies, seen from another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DomainDistance {
@@ -79,7 +102,8 @@
         }
     }
 
-    fn delay_ms(&self, one: &SmolStr, other: &SmolStr) -> f64 {
+    /// Returns the one-way delay between two failure domains.
+    pub fn delay_ms(&self, one: &SmolStr, other: &SmolStr) -> f64 {
         match self.distance(one, other) {
             DomainDistance::Same => 0.1,
             DomainDistance::SameRegion => REGION_DELAY_MS,
@@ -98,6 +122,12 @@
     pub home: &'a SmolStr,
     /// Engines that have failed this request.
     pub excluded: &'a [EngineKey],
+    /// Hash of the request's id.
+    pub hash: u64,
+    /// Engines that are looked at before others are, see [`group_size`].
+    pub group: usize,
+    /// Time to the first event with which the request is on time.
+    pub limit_ms: f64,
 }
 
 /// The engines that serve a request.
@@ -139,36 +169,121 @@
     pub reading: u32,
     /// Tokens to be read that belong to shared parts.
     pub shared_reading: u32,
+    /// What the reader fetches from another engine before it reads.
+    pub fetch: Option<CacheFetch>,
 }
 
 /// Chooses the engines for a prompt, or none if no engine is usable.
+///
+/// Engines are looked at in the order of [`reader_rank`], a group at a time,
+/// until one is expected to be on time.
 pub fn choose(
     fleet: &ServerFleet,
     domains: &DomainMap,
     request: &PlacementRequest<'_>,
     now: Timestamp,
 ) -> Option<Placement> {
-    let mut best: Option<(f64, Placement)> = None;
     let has_readers = fleet.usable(request.service, now).any(|(_, state)| is_reader(state, now));
+    let sources = cache_sources(fleet, request, now);
+    let mut ranked: Vec<_> = fleet
+        .usable(request.service, now)
+        .filter(|(key, state)| {
+            let is_lossy = state.entry.stage == EngineStage::Prefill && !is_reader(state, now);
+            !request.excluded.contains(key) && !is_lossy
+        })
+        .map(|(key, state)| (reader_rank(request, state), key, state))
+        .collect();
+    ranked.sort_by_key(|(rank, key, _)| (*rank, *key));
     let mut decoders = DecoderMemo::default();
-    for (key, state) in fleet.usable(request.service, now) {
-        let is_lossy = state.entry.stage == EngineStage::Prefill && !is_reader(state, now);
-        if request.excluded.contains(&key) || is_lossy {
-            continue;
+    let mut best: Option<(f64, Placement)> = None;
+    for group in ranked.chunks(request.group.max(1)).take(MOST_GROUPS) {
+        for (_, key, state) in group {
+            let decoder = decoders.of_reader(fleet, domains, request, state, now);
+            let source = best_source(domains, request, &sources, (*key, state));
+            let weighed = weigh(fleet, domains, request, (*key, state), source, decoder, now);
+            let Some((cost, placement)) = weighed else {
+                continue;
+            };
+            if has_readers && pauses_outputs(state, &placement, now) {
+                continue;
+            }
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, placement));
+            }
         }
-        let decoder = decoders.of_reader(fleet, domains, request, state, now);
-        let weighed = weigh(fleet, domains, request, (key, state), decoder, now);
-        let Some((cost, placement)) = weighed else {
-            continue;
-        };
-        if has_readers && pauses_outputs(state, &placement, now) {
+        if best.as_ref().is_some_and(|(_, placement)| placement.first_event_ms <= request.limit_ms)
+        {
+            break;
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
+
+/// Orders the engines for a request: first those that have its shared parts,
+/// then by a hash of the shared part that all daemons compute alike.
+fn reader_rank(request: &PlacementRequest<'_>, state: &ServerState) -> (bool, u64) {
+    let prompt = request.prompt;
+    let has_shared = prompt.shared_key().is_some()
+        && state.parts.cached_tokens(prompt, request.traits.kv_tokens) >= prompt.shared_tokens();
+    (!has_shared, hash_rank(request, state))
+}
+
+/// An engine that keeps a beginning of the prompt.
+#[derive(Clone, Copy, Debug)]
+struct CacheSource<'a> {
+    key: EngineKey,
+    state: &'a ServerState,
+    tokens: u32,
+}
+
+/// Returns the engines that others can fetch a beginning of the prompt from.
+fn cache_sources<'a>(
+    fleet: &'a ServerFleet,
+    request: &PlacementRequest<'a>,
+    now: Timestamp,
+) -> Vec<CacheSource<'a>> {
+    let kv_tokens = request.traits.kv_tokens;
+    let sources = fleet.usable(request.service, now).map(|(key, state)| {
+        let tokens = state.parts.fetchable_tokens(request.prompt, kv_tokens);
+        CacheSource { key, state, tokens }
+    });
+    sources.filter(|source| source.tokens >= LEAST_FETCH_TOKENS).collect()
+}
+
+/// What a reader fetches before it reads.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CacheFetch {
+    pub source: EngineKey,
+    /// Tokens of the prompt that the reader has after the fetch.
+    pub cached: u32,
+    /// Expected time of the fetch.
+    pub fetch_ms: f64,
+}
+
+/// Chooses what a reader fetches: what saves the most time, if anything does.
+fn best_source(
+    domains: &DomainMap,
+    request: &PlacementRequest<'_>,
+    sources: &[CacheSource<'_>],
+    (key, state): (EngineKey, &ServerState),
+) -> Option<CacheFetch> {
+    let prompt = request.prompt;
+    let own = state.parts.cached_tokens(prompt, request.traits.kv_tokens);
+    let reading_ms = |cached| f64::from(prompt.read_work(cached)) / state.speed();
+    let mut best: Option<(f64, CacheFetch)> = None;
+    for source in sources {
+        if source.key == key || source.tokens < own + LEAST_FETCH_TOKENS {
             continue;
         }
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, placement));
+        let distance = domains.distance(&state.entry.domain, &source.state.entry.domain);
+        let fetch_ms = FETCH_MS + transfer_ms(request.traits, source.tokens - own, distance);
+        let saved_ms = reading_ms(own) - reading_ms(source.tokens) - fetch_ms;
+        if saved_ms > 0.0 && best.as_ref().is_none_or(|(most, _)| saved_ms > *most) {
+            let fetch = CacheFetch { source: source.key, cached: source.tokens, fetch_ms };
+            best = Some((saved_ms, fetch));
         }
     }
-    best.map(|(_, placement)| placement)
+    best.map(|(_, fetch)| fetch)
 }
 
 /// Remembers the decoder of each failure domain while one request is placed.
@@ -212,7 +327,9 @@
         && beside + f64::from(placement.reading) > BESIDE_OUTPUT_TOKENS
 }
 
-/// Chooses an engine that takes over the output of a prompt read elsewhere.
+/// Chooses an engine that takes over the output of a prompt read elsewhere: the
+/// less loaded of two that the request's hash picks among the nearest. All
+/// daemons would otherwise pick the same one until they hear of each other.
 pub fn choose_decoder(
     fleet: &ServerFleet,
     domains: &DomainMap,
@@ -220,17 +337,24 @@
     reader_domain: &SmolStr,
     now: Timestamp,
 ) -> Option<EngineKey> {
-    fleet
+    let mut ranked: Vec<_> = fleet
         .usable(request.service, now)
         .filter(|(key, state)| {
             state.entry.stage != EngineStage::Prefill && !request.excluded.contains(key)
         })
-        .min_by_key(|(_, state)| {
+        .map(|(key, state)| {
             let distance = domains.distance(reader_domain, &state.entry.domain);
-            // Reading at the decoder delays its first events.
-            (distance, state.requests() + state.wait_ms(now) as u32 / 20)
+            let seed = server_hash(&state.entry.id);
+            let rank = xxh3::xxh3_64_with_seed(&request.hash.to_le_bytes(), seed);
+            ((distance, rank), key, state)
         })
-        .map(|(key, _)| key)
+        .collect();
+    ranked.sort_by_key(|(rank, key, _)| (*rank, *key));
+    let nearest = ranked.first()?.0 .0;
+    let near = ranked.iter().take_while(|((distance, _), _, _)| *distance == nearest);
+    // Reading at the decoder delays its first events.
+    let load = |state: &ServerState| state.requests() + state.wait_ms(now) as u32 / 20;
+    near.take(DECODER_CHOICES).min_by_key(|(_, _, state)| load(state)).map(|(_, key, _)| *key)
 }
 
 fn weigh(
@@ -238,19 +362,22 @@
     domains: &DomainMap,
     request: &PlacementRequest<'_>,
     (key, state): (EngineKey, &ServerState),
+    fetch: Option<CacheFetch>,
     decoder: Option<EngineKey>,
     now: Timestamp,
 ) -> Option<(f64, Placement)> {
     let prompt = request.prompt;
     let traits = request.traits;
-    let cached = state.parts.cached_tokens(prompt, traits.kv_tokens);
+    let own = state.parts.cached_tokens(prompt, traits.kv_tokens);
+    let cached = fetch.map_or(own, |fetch| fetch.cached);
+    let fetch_ms = fetch.map_or(0.0, |fetch| fetch.fetch_ms);
     let reading = prompt.read_work(cached);
     let wait_ms = state.wait_ms(now);
     let reading_ms = f64::from(reading) / state.speed();
     let shared_reading = prompt.shared_tokens().saturating_sub(cached);
     let reread_ms = f64::from(shared_reading) / state.speed() * REREAD_WEIGHT;
     let delay_ms = 2.0 * domains.delay_ms(request.home, &state.entry.domain);
-    let mut first_event_ms = wait_ms + reading_ms + delay_ms + STEP_MS;
+    let mut first_event_ms = wait_ms + fetch_ms + reading_ms + delay_ms + STEP_MS;
     let mut cost = reread_ms;
     let path = match state.entry.stage {
         EngineStage::Prefill => {
@@ -268,19 +395,17 @@
         }
     };
     if shared_reading > 0 {
-        cost += HASH_SPREAD_MS * hash_rank(prompt, state);
+        cost += HASH_SPREAD_MS * (hash_rank(request, state) as f64 / u64::MAX as f64);
     }
     cost += first_event_ms;
-    Some((cost, Placement { path, first_event_ms, wait_ms, reading, shared_reading }))
+    Some((cost, Placement { path, first_event_ms, wait_ms, reading, shared_reading, fetch }))
 }
 
-/// Orders the engines for a shared part, from 0 to 1, alike at all daemons.
-fn hash_rank(prompt: &PromptShape, state: &ServerState) -> f64 {
-    let Some(key) = prompt.shared_key() else {
-        return 0.0;
-    };
-    let hash = xxh3::xxh3_64_with_seed(&key.0.to_le_bytes(), server_hash(&state.entry.id));
-    hash as f64 / u64::MAX as f64
+/// Orders the engines for a shared part alike at all daemons. A request without
+/// one has an order of its own.
+fn hash_rank(request: &PlacementRequest<'_>, state: &ServerState) -> u64 {
+    let key = request.prompt.shared_key().map_or(request.hash, |key| key.0);
+    xxh3::xxh3_64_with_seed(&key.to_le_bytes(), server_hash(&state.entry.id))
 }
 
 fn transfer_ms(traits: EngineTraits, tokens: u32, distance: DomainDistance) -> f64 {
--- a/crates/core/src/serving/relays.rs
+++ b/crates/core/src/serving/relays.rs
@@ -6,12 +6,17 @@
 //! its members and to the relays of the other domains. Small fleets tell each
 //! other directly, which is faster.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use smol_str::SmolStr;
 
 /// Daemons up to which each tells each other directly.
 const DIRECT_LIMIT: usize = 12;
+/// Time in which news gets from one daemon to another one of a small fleet: it
+/// is collected for 3 ms and crosses regions in 8 ms.
+const DIRECT_DELAY: Duration = Duration::from_millis(10);
+/// The same through the relays of two domains, which collect it again.
+const RELAYED_DELAY: Duration = Duration::from_millis(30);
 
 /// A daemon as others see it.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +51,15 @@
     }
 }
 
+/// Returns the usual time in which news gets from one daemon to another.
+pub fn news_delay(daemons: usize) -> Duration {
+    if daemons <= DIRECT_LIMIT {
+        DIRECT_DELAY
+    } else {
+        RELAYED_DELAY
+    }
+}
+
 /// Plans where the news of a daemon goes. `candidates` holds all daemons, this
 /// one too.
 pub fn plan<A: Copy>(name: &str, candidates: &[RelayCandidate<A>]) -> RelayPlan<A> {
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -7,7 +7,7 @@
     arena::EngineKey,
     serving::{
         admission::{self, AdmissionRequest, AdmissionVerdict},
-        backlog::SendTicket,
+        backlog::{PendingRead, SendTicket},
         configuration::EngineTraits,
         directory::{EngineStage, ServerEntry},
         fleet::ServerFleet,
@@ -77,13 +77,20 @@
         traits: traits(),
         home: &home,
         excluded: &[],
+        hash: 1,
+        group: usize::MAX,
+        limit_ms: 570.0,
     };
     placement::choose(fleet, &domains(), &request, now)
 }
 
 fn note(fleet: &mut ServerFleet, number: u64, key: EngineKey, prompt: &PromptShape, work: u32) {
     let ticket = SendTicket { daemon: 1, number };
-    fleet.note_read(key, ticket, prompt, work, KV_TOKENS, START);
+    fleet.note_read(key, ticket, pending(prompt, work, START), KV_TOKENS, START);
+}
+
+fn pending(prompt: &PromptShape, tokens: u32, sent_at: Timestamp) -> PendingRead {
+    PendingRead { prompt: prompt.clone(), tokens, sent_at, writer: None }
 }
 
 #[test]
@@ -92,7 +99,7 @@
     let first = long_prompt("0");
     let home = place(&fleet, &first, START).expect("a placement");
     note(&mut fleet, 0, home.path.reader(), &first, home.reading);
-    fleet.end_read(home.path.reader(), SendTicket { daemon: 1, number: 0 }, START);
+    fleet.end_read(home.path.reader(), SendTicket { daemon: 1, number: 0 }, KV_TOKENS, START);
     for own in ["1", "2", "3"] {
         let placement = place(&fleet, &long_prompt(own), START).expect("a placement");
         assert_eq!(placement.path.reader(), home.path.reader());
@@ -100,6 +107,42 @@
     }
 }
 
+/// A third of what engines read were shared parts that another engine had.
+#[test]
+fn a_shared_part_is_fetched_where_its_engine_has_a_long_queue() {
+    let mut fleet = fleet();
+    let first = long_prompt("0");
+    let home = place(&fleet, &first, START).expect("a placement").path.reader();
+    note(&mut fleet, 0, home, &first, 20_000);
+    let unread = place(&fleet, &long_prompt("next"), START).expect("a placement");
+    assert!(unread.fetch.is_none(), "a part that is being read can't be fetched: {unread:?}");
+    fleet.end_read(home, SendTicket { daemon: 1, number: 0 }, KV_TOKENS, START);
+    for number in 1..5 {
+        note(&mut fleet, number, home, &long_prompt(&number.to_string()), 20_000);
+    }
+    let placement = place(&fleet, &long_prompt("next"), START).expect("a placement");
+    assert_ne!(placement.path.reader(), home);
+    let fetch = placement.fetch.expect("a fetch");
+    assert_eq!((fetch.source, fetch.cached), (home, 13_300));
+    assert_eq!(placement.shared_reading, 0);
+    let own = long_prompt("next").read_work(13_300);
+    assert_eq!(placement.reading, own);
+}
+
+#[test]
+fn nothing_is_fetched_that_is_read_sooner() {
+    let mut fleet = fleet();
+    let small = PromptShape::new("m", [("small", 300), ("own", 900)], 1_200, 100);
+    let home = place(&fleet, &small, START).expect("a placement").path.reader();
+    note(&mut fleet, 0, home, &small, 20_000);
+    fleet.end_read(home, SendTicket { daemon: 1, number: 0 }, KV_TOKENS, START);
+    note(&mut fleet, 1, home, &long_prompt("1"), 20_000);
+    let next = PromptShape::new("m", [("small", 300), ("next", 900)], 1_200, 100);
+    let placement = place(&fleet, &next, START).expect("a placement");
+    assert_ne!(placement.path.reader(), home);
+    assert_eq!(placement.fetch, None);
+}
+
 #[test]
 fn a_shared_part_is_read_elsewhere_when_its_engine_has_a_long_queue() {
     let mut fleet = fleet();
@@ -127,6 +170,9 @@
             traits: traits(),
             home: &home,
             excluded: &[],
+            hash: 1,
+            group: usize::MAX,
+            limit_ms: 570.0,
         };
         placement::choose(&fleet, &domains(), &request, START).map(|placement| placement.path)
     });
@@ -194,7 +240,7 @@
 
 fn expecting(wait_ms: f64, first_event_ms: f64) -> Placement {
     let path = PlacementPath::Whole { engine: fleet().keys()[0] };
-    Placement { path, first_event_ms, wait_ms, reading: 1, shared_reading: 0 }
+    Placement { path, first_event_ms, wait_ms, reading: 1, shared_reading: 0, fetch: None }
 }
 
 #[test]
@@ -237,7 +283,7 @@
         running.retain(|(end, key, ticket)| {
             let is_done = *end <= at as f64;
             if is_done {
-                fleet.end_read(*key, *ticket, now);
+                fleet.end_read(*key, *ticket, KV_TOKENS, now);
             }
             !is_done
         });
@@ -248,7 +294,8 @@
         }
         let key = placement.path.reader();
         let ticket = SendTicket { daemon: 1, number: number as u64 };
-        fleet.note_read(key, ticket, &prompt, placement.reading, KV_TOKENS, now);
+        let read = pending(&prompt, placement.reading, now);
+        fleet.note_read(key, ticket, read, KV_TOKENS, now);
         let reading_ms = f64::from(placement.reading) / speed;
         busy_until = busy_until.max(at as f64) + reading_ms;
         worked_ms += reading_ms;
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -5,7 +5,7 @@
 use gooseberry_core::{
     poison::RequestFingerprint,
     serving::{
-        backlog::{ReadBacklog, SendTicket},
+        backlog::{PendingRead, ReadBacklog, SendTicket},
         budget::{RetryAllowance, RetryLedger},
         configuration::{CallerLimits, RouteKind, RouteRow, RouteTarget, ServingConfiguration},
         directory::{EngineStage, ServerEntry, ServerPresence},
@@ -134,7 +134,7 @@
     let key = fleet.key("one").unwrap();
     for _ in 0..5 {
         // 1,000 tokens at 31 a millisecond, and a step.
-        fleet.server_mut(key).learn_speed(1000, 52.0);
+        fleet.learn_speed(key, 1000, 32.0);
     }
     let speed = fleet.server(key).speed();
     assert!((27.0..33.0).contains(&speed), "{speed} tokens a millisecond");
@@ -167,11 +167,93 @@
     assert_eq!(parts.cached_tokens(&other, 10_000), 0);
 }
 
+fn read(tokens: u32) -> PendingRead {
+    let prompt = PromptShape::new("m", [("p", tokens)], tokens, 1);
+    PendingRead { prompt, tokens, sent_at: START, writer: None }
+}
+
+/// Engines that a daemon hadn't sent to yet were taken to be a third slower than
+/// they are, and requests were refused that had room.
+#[test]
+fn engines_of_a_kind_share_what_is_learned_until_each_is_measured() {
+    let mut fleet = ServerFleet::default();
+    for id in ["one", "two"] {
+        fleet.put(ServerEntry { stage: EngineStage::Prefill, ..entry(id, 1) });
+    }
+    let one = fleet.key("one").unwrap();
+    for _ in 0..30 {
+        fleet.learn_speed(one, 6200, 100.0);
+    }
+    let speed_of = |fleet: &ServerFleet, id| fleet.server(fleet.key(id).unwrap()).speed();
+    assert!((58.0..66.0).contains(&speed_of(&fleet, "two")), "{}", speed_of(&fleet, "two"));
+    fleet.put(ServerEntry { stage: EngineStage::Prefill, ..entry("new", 1) });
+    assert!((58.0..66.0).contains(&speed_of(&fleet, "new")));
+    let two = fleet.key("two").unwrap();
+    for _ in 0..10 {
+        fleet.learn_speed(two, 2000, 100.0);
+    }
+    assert!(speed_of(&fleet, "two") < 30.0, "an engine's own measurements go first");
+    fleet.put(ServerEntry { stage: EngineStage::Decode, ..entry("other", 1) });
+    assert!(speed_of(&fleet, "other") < 30.0, "other stages have speeds of their own");
+}
+
+#[test]
+fn a_prompt_that_is_given_up_leaves_no_claim_to_its_parts() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one", 1));
+    let key = fleet.key("one").unwrap();
+    let (first, second) =
+        (SendTicket { daemon: 1, number: 1 }, SendTicket { daemon: 1, number: 2 });
+    let cached =
+        |fleet: &ServerFleet| fleet.server(key).parts.cached_tokens(&read(1000).prompt, 10_000);
+    fleet.note_read(key, first, read(1000), 10_000, START);
+    fleet.note_read(key, second, read(1000), 10_000, START);
+    assert!(fleet.abandon_read(key, first, START));
+    assert_eq!(cached(&fleet), 1000, "the second one still brings the parts in");
+    assert!(fleet.abandon_read(key, second, START));
+    assert_eq!(cached(&fleet), 0);
+    fleet.note_read(key, first, read(1000), 10_000, START);
+    assert!(fleet.end_read(key, first, 10_000, START));
+    fleet.note_read(key, second, read(1000), 10_000, START);
+    assert!(fleet.abandon_read(key, second, START));
+    assert_eq!(cached(&fleet), 1000, "what was read stays");
+}
+
+/// Engines that take outputs over were thought to keep parts that the imports
+/// had long evicted.
+#[test]
+fn an_engine_keeps_what_it_takes_over_and_evicts_for_it() {
+    let mut fleet = ServerFleet::default();
+    for id in ["reader", "writer"] {
+        fleet.put(entry(id, 1));
+    }
+    let (reader, writer) = (fleet.key("reader").unwrap(), fleet.key("writer").unwrap());
+    let old = PromptShape::new("m", [("old", 2000)], 2000, 1);
+    fleet.server_mut(writer).parts.note(&old, 10_000);
+    let imported = PromptShape::new("m", [("imported", 3000)], 3000, 1);
+    let ticket = SendTicket { daemon: 1, number: 1 };
+    let read = PendingRead {
+        prompt: imported.clone(),
+        tokens: 3000,
+        sent_at: START,
+        writer: Some(writer),
+    };
+    fleet.note_read(reader, ticket, read, 10_000, START);
+    assert_eq!(fleet.server(writer).parts.cached_tokens(&imported, 10_000), 0, "not read yet");
+    fleet.end_read(reader, ticket, 10_000, START);
+    assert_eq!(fleet.server(writer).parts.fetchable_tokens(&imported, 10_000), 3000);
+    for name in 0..3 {
+        let filler = PromptShape::new("m", [(name.to_string().as_str(), 2000)], 2000, 1);
+        fleet.server_mut(writer).parts.note(&filler, 10_000);
+    }
+    assert_eq!(fleet.server(writer).parts.cached_tokens(&old, 10_000), 0);
+}
+
 #[test]
 fn an_engine_slower_than_learned_keeps_the_prompts_behind_the_first() {
     let mut backlog = ReadBacklog::default();
     for number in 0..3 {
-        backlog.add(SendTicket { daemon: 1, number }, 1000, 50.0, START);
+        backlog.add(SendTicket { daemon: 1, number }, read(1000), 50.0, START);
     }
     assert_eq!(backlog.tokens_ahead(50.0, START), 3000.0);
     assert_eq!(backlog.tokens_ahead(50.0, after(500)), 2000.0);
@@ -180,8 +262,8 @@
 #[test]
 fn the_sends_of_a_silent_daemon_are_dropped() {
     let mut backlog = ReadBacklog::default();
-    backlog.add(SendTicket { daemon: 1, number: 0 }, 1000, 50.0, START);
-    backlog.add(SendTicket { daemon: 2, number: 0 }, 500, 50.0, START);
+    backlog.add(SendTicket { daemon: 1, number: 0 }, read(1000), 50.0, START);
+    backlog.add(SendTicket { daemon: 2, number: 0 }, read(500), 50.0, START);
     backlog.drop_sends(|ticket, _| ticket.daemon == 1);
     assert_eq!(backlog.tokens_ahead(50.0, START), 500.0);
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -74,6 +74,11 @@
         RequestFingerprint(xxh3::xxh3_64_with_seed(body, path))
     }
 
+    /// Returns a hash of the request's id.
+    pub fn hash(&self) -> u64 {
+        xxh3::xxh3_64(self.head.request_id.as_bytes())
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(self.gateway.now())
@@ -212,6 +217,7 @@
             time_left,
             rank: None,
             phase: SendPhase::Whole,
+            fetch_from: None,
             last_event: self.head.last_event.as_deref(),
         };
         let choice = Self::connection_choice(route.row.kind);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -12,6 +12,8 @@
     pub number: u64,
     /// Hash of the server's id.
     pub server: u64,
+    /// Hash of the id of the server that is to take over the KV cache.
+    pub writer: Option<u64>,
     /// Tokens that have to be read.
     pub tokens: u32,
     pub prompt_tokens: u32,
@@ -30,6 +32,22 @@
     }
 }
 
+/// How a read ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadEnd {
+    /// The prompt was read, with what that tells of the engine's speed.
+    Read(Option<ReadSample>),
+    /// The send failed or the caller left.
+    Abandoned,
+}
+
+/// How long an engine read a prompt that had nothing ahead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadSample {
+    pub tokens: u32,
+    pub reading_ms: u32,
+}
+
 /// One piece of news.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SendNews {
@@ -38,6 +56,7 @@
     Ended {
         number: u64,
         server: u64,
+        end: ReadEnd,
     },
     /// All sends whose prompt isn't read yet, and the requests that run at each
     /// server.
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -1,14 +1,15 @@
 //! A request that carries a prompt: placed or refused, then streamed.
 
-use std::{sync::atomic::Ordering, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::atomic::Ordering, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
 use gooseberry_core::{
     arena::EngineKey,
     serving::{
         admission::{self, AdmissionRequest, AdmissionVerdict},
-        backlog::SendTicket,
+        backlog::{PendingRead, SendTicket},
         configuration::EngineTraits,
+        directory::EngineStage,
         placement::{self, Placement, PlacementPath, PlacementRequest},
     },
     time::Timestamp,
@@ -25,7 +26,9 @@
 use crate::{
     call::{self, Call, CallRoute},
     gateway::Gateway,
+    news::{ReadEnd, ReadSample},
     send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
+    state::GatewayState,
     stream,
 };
 
@@ -33,6 +36,9 @@
 /// reads it: reading may be repeated.
 const READ_LIMIT_FACTOR: f64 = 2.0;
 const READ_LIMIT_SLACK: Duration = Duration::from_millis(600);
+/// Milliseconds of a read that are neither reading nor the network's delay: a
+/// step of the engine and the handling at both ends.
+const SEND_MS: f64 = 10.0;
 /// Time between looks at a silent engine.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// Sends of one request that servers may reject before it is refused.
@@ -65,11 +71,8 @@
         self.is_open = false;
         let now = self.gateway.now();
         let mut state = self.gateway.state.lock();
-        state.end_read(self.key, self.ticket, now);
-        if self.was_alone {
-            let elapsed_ms = now.since(self.began).as_millis() as f64;
-            state.fleet.server_mut(self.key).learn_speed(self.tokens, elapsed_ms);
-        }
+        let sample = self.sample(&state, now);
+        state.end_read(self.key, self.ticket, ReadEnd::Read(sample), now);
         let server = state.fleet.server(self.key);
         tracing::info!(
             request = %self.request_id,
@@ -86,11 +89,25 @@
     }
 }
 
+impl ReadGuard {
+    /// Returns what a read that ends now tells of the engine's speed.
+    fn sample(&self, state: &GatewayState, now: Timestamp) -> Option<ReadSample> {
+        let options = &self.gateway.options;
+        let domain = &state.fleet.server(self.key).entry.domain;
+        let delay_ms = 2.0 * options.domains.delay_ms(&options.domain, domain);
+        let elapsed_ms = now.since(self.began).as_millis() as f64;
+        let reading_ms = (elapsed_ms - delay_ms - SEND_MS).max(0.0) as u32;
+        self.was_alone.then_some(ReadSample { tokens: self.tokens, reading_ms })
+    }
+}
+
 impl Drop for ReadGuard {
     fn drop(&mut self) {
         if self.is_open {
             let now = self.gateway.now();
-            self.gateway.state.lock().end_read(self.key, self.ticket, now);
+            let mut state = self.gateway.state.lock();
+            state.end_read(self.key, self.ticket, ReadEnd::Abandoned, now);
+            drop(state);
             self.gateway.wake_peers();
         }
     }
@@ -164,22 +181,25 @@
     let gateway = &call.gateway;
     let now = gateway.now();
     let mut state = gateway.state.lock();
+    let admission = AdmissionRequest {
+        objective: route.row.objective,
+        waited: now.since(call.arrived),
+        time_left: call.time_left(),
+    };
     let request = PlacementRequest {
         service: &route.service,
         prompt: &call.head.prompt,
         traits,
         home: &gateway.options.domain,
         excluded,
+        hash: call.hash(),
+        group: state.placement_group(state.fleet.usable(&route.service, now).count(), now),
+        limit_ms: admission::latest_first_event_ms(&admission),
     };
     let placement = placement::choose(&state.fleet, &gateway.options.domains, &request, now);
     let Some(placement) = placement else {
         return Err(call::unavailable());
     };
-    let admission = AdmissionRequest {
-        objective: route.row.objective,
-        waited: now.since(call.arrived),
-        time_left: call.time_left(),
-    };
     let verdict = admission::judge(admission, &placement);
     tracing::info!(
         request = %call.head.request_id,
@@ -189,6 +209,8 @@
         writer = %state.fleet.server(placement.path.writer()).entry.id,
         reading = placement.reading,
         wait_ms = placement.wait_ms as u64,
+        fetch_from = placement.fetch.map(|fetch| state.fleet.server(fetch.source).entry.id.as_str()),
+        fetch_ms = placement.fetch.map(|fetch| fetch.fetch_ms as u64),
         first_event_ms = placement.first_event_ms as u64,
         waited_ms = admission.waited.as_millis() as u64,
         verdict = ?verdict,
@@ -198,10 +220,17 @@
         AdmissionVerdict::Refuse { retry_after } => Err(OwnAnswer::Unavailable { retry_after }),
         AdmissionVerdict::Send => {
             let key = placement.path.reader();
-            let was_alone =
-                placement.shared_reading == 0 && state.fleet.server(key).backlog.is_empty();
+            let was_alone = placement.shared_reading == 0
+                && placement.fetch.is_none()
+                && state.fleet.server(key).backlog.is_empty();
             let tokens = placement.reading;
-            let ticket = state.begin_read(key, &call.head.prompt, tokens, now);
+            let writer = match placement.path {
+                PlacementPath::Whole { .. } => None,
+                PlacementPath::Split { decode, .. } => Some(decode),
+            };
+            let prompt = call.head.prompt.clone();
+            let read = PendingRead { prompt, tokens, sent_at: now, writer };
+            let ticket = state.begin_read(key, read, now);
             drop(state);
             gateway.wake_peers();
             let read = ReadGuard {
@@ -235,10 +264,11 @@
     placement: &Placement,
     read: ReadGuard,
 ) -> PromptTry {
+    let fetch_from = placement.fetch.map(|fetch| target(call, fetch.source).address);
     match placement.path {
         PlacementPath::Whole { engine } => {
             let target = target(call, engine);
-            send_whole(call, route, &target, SendPhase::Whole, Some(read)).await
+            send_whole(call, route, &target, SendPhase::Whole, fetch_from, Some(read)).await
         }
         PlacementPath::Split { prefill, decode } => {
             let prefill = target(call, prefill);
@@ -246,7 +276,7 @@
                 wait_for_silence(call, &prefill, read_limit(placement)).await;
                 Err(PromptTry::NotRun(prefill.key))
             };
-            let handle = match read_prompt(call, route, &prefill).or(silent).await {
+            let handle = match read_prompt(call, route, &prefill, fetch_from).or(silent).await {
                 Ok(handle) => handle,
                 Err(outcome) => return outcome,
             };
@@ -303,10 +333,14 @@
     handle: &CacheHandle,
 ) -> PromptTry {
     let phase = SendPhase::Decode { source: handle.clone() };
-    // Engines may have come or gone while the prompt was read.
-    let first = choose_decoder(call, route, traits, reader, &[]).unwrap_or(planned);
-    let first = target(call, first);
-    let outcome = send_whole(call, route, &first, phase.clone(), None).await;
+    let first = target(
+        call,
+        still_usable(call, route, planned).unwrap_or_else(|| {
+            // It may have gone while the prompt was read.
+            choose_decoder(call, route, traits, reader, &[]).unwrap_or(planned)
+        }),
+    );
+    let outcome = send_whole(call, route, &first, phase.clone(), None, None).await;
     if !matches!(outcome, PromptTry::NotRun(_)) {
         return outcome;
     }
@@ -317,7 +351,7 @@
         return PromptTry::Failed(call::unavailable());
     }
     let second = target(call, second);
-    match send_whole(call, route, &second, phase, None).await {
+    match send_whole(call, route, &second, phase, None, None).await {
         PromptTry::NotRun(_) => {
             send::note_lost_export(&call.gateway, reader);
             PromptTry::NotRun(reader.key)
@@ -329,6 +363,17 @@
     }
 }
 
+/// Returns an engine that was chosen before if it still takes new outputs.
+fn still_usable(call: &Call, route: &CallRoute, key: EngineKey) -> Option<EngineKey> {
+    let gateway = &call.gateway;
+    let state = gateway.state.lock();
+    let server = state.fleet.server(key);
+    let is_usable = server.is_usable(gateway.now())
+        && server.entry.service == route.service
+        && server.entry.stage != EngineStage::Prefill;
+    is_usable.then_some(key)
+}
+
 fn target(call: &Call, key: EngineKey) -> SendTarget {
     SendTarget::new(key, call.gateway.state.lock().fleet.server(key))
 }
@@ -348,6 +393,9 @@
         traits,
         home: &options.domain,
         excluded,
+        hash: call.hash(),
+        group: 1,
+        limit_ms: 0.0,
     };
     placement::choose_decoder(
         &state.fleet,
@@ -363,12 +411,14 @@
     route: &CallRoute,
     target: &'a SendTarget,
     phase: SendPhase,
+    fetch_from: Option<SocketAddr>,
 ) -> SendTerms<'a> {
     SendTerms {
         server_id: &target.id,
         time_left: call.time_left(),
         rank: Some(route.row.priority),
         phase,
+        fetch_from,
         last_event: call.head.last_event.as_deref(),
     }
 }
@@ -378,9 +428,10 @@
     call: &Call,
     route: &CallRoute,
     target: &SendTarget,
+    fetch_from: Option<SocketAddr>,
 ) -> Result<CacheHandle, PromptTry> {
     let gateway = &call.gateway;
-    let terms = terms(call, route, target, SendPhase::Prefill);
+    let terms = terms(call, route, target, SendPhase::Prefill, fetch_from);
     let id = &call.head.request_id;
     let choice = ConnectionChoice::Kept;
     let sent = send::send(gateway, target, &call.parts, &call.body, &terms, choice, id).await;
@@ -427,10 +478,11 @@
     route: &CallRoute,
     target: &SendTarget,
     phase: SendPhase,
+    fetch_from: Option<SocketAddr>,
     read: Option<ReadGuard>,
 ) -> PromptTry {
     let gateway = &call.gateway;
-    let terms = terms(call, route, target, phase);
+    let terms = terms(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
     let choice = Call::connection_choice(route.row.kind);
     call.may_have_run.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,19 +9,21 @@
 use gooseberry_core::{
     arena::EngineKey,
     serving::{
-        backlog::SendTicket,
+        backlog::{PendingRead, SendTicket},
         budget::{RetryAllowance, RetryLedger},
         configuration::ServingConfiguration,
         directory::{ServerEntry, ServerPresence},
         fleet::{self, EntryEffect, ServerFleet},
-        prompt::PromptShape,
+        placement,
+        rate::EventRate,
+        relays,
         suspects::SuspectTable,
     },
     time::Timestamp,
 };
 use smol_str::SmolStr;
 
-use crate::news::{SendNews, SendRecord};
+use crate::news::{ReadEnd, SendNews, SendRecord};
 
 /// Time after which a daemon that isn't heard of no longer counts.
 pub const PEER_SILENCE: Duration = Duration::from_millis(2500);
@@ -46,6 +48,8 @@
     /// What the other daemons haven't been told yet.
     outgoing: VecDeque<SendNews>,
     next_ticket: u64,
+    /// Prompts that other daemons send.
+    sends_of_others: EventRate,
     /// Hash of this daemon's name and incarnation.
     daemon: u64,
 }
@@ -99,37 +103,51 @@
     }
 
     /// Notes an own send whose prompt is to be read, and what to tell of it.
-    pub fn begin_read(
-        &mut self,
-        key: EngineKey,
-        prompt: &PromptShape,
-        tokens: u32,
-        now: Timestamp,
-    ) -> SendTicket {
+    pub fn begin_read(&mut self, key: EngineKey, read: PendingRead, now: Timestamp) -> SendTicket {
         let kv_tokens = self.kv_tokens(key);
         let ticket = SendTicket { daemon: self.daemon, number: self.next_ticket };
         self.next_ticket += 1;
-        self.fleet.note_read(key, ticket, prompt, tokens, kv_tokens, now);
-        let server = fleet::server_hash(&self.fleet.server(key).entry.id);
+        let hash = |key| fleet::server_hash(&self.fleet.server(key).entry.id);
         let record = SendRecord {
             number: ticket.number,
-            server,
-            tokens,
-            prompt_tokens: prompt.prompt_tokens,
-            parts: prompt.parts.iter().map(|part| (part.key.0, part.tokens)).collect(),
+            server: hash(key),
+            writer: read.writer.map(hash),
+            tokens: read.tokens,
+            prompt_tokens: read.prompt.prompt_tokens,
+            parts: read.prompt.parts.iter().map(|part| (part.key.0, part.tokens)).collect(),
         };
+        self.fleet.note_read(key, ticket, read, kv_tokens, now);
         self.own_reads.insert(ticket.number, record.clone());
         self.outgoing.push_back(SendNews::Began(record));
         ticket
     }
 
-    /// Notes that the prompt of an own send was read or that it ended.
-    pub fn end_read(&mut self, key: EngineKey, ticket: SendTicket, now: Timestamp) {
-        if self.fleet.end_read(key, ticket, now) {
+    /// Notes how an own send to be read ended.
+    pub fn end_read(&mut self, key: EngineKey, ticket: SendTicket, end: ReadEnd, now: Timestamp) {
+        if self.take_end(key, ticket, end, now) {
             self.own_reads.remove(&ticket.number);
             let server = fleet::server_hash(&self.fleet.server(key).entry.id);
-            self.outgoing.push_back(SendNews::Ended { number: ticket.number, server });
+            self.outgoing.push_back(SendNews::Ended { number: ticket.number, server, end });
+        }
+    }
+
+    fn take_end(
+        &mut self,
+        key: EngineKey,
+        ticket: SendTicket,
+        end: ReadEnd,
+        now: Timestamp,
+    ) -> bool {
+        let sample = match end {
+            ReadEnd::Abandoned => return self.fleet.abandon_read(key, ticket, now),
+            ReadEnd::Read(sample) => sample,
+        };
+        let kv_tokens = self.kv_tokens(key);
+        let is_news = self.fleet.end_read(key, ticket, kv_tokens, now);
+        if let (true, Some(sample)) = (is_news, sample) {
+            self.fleet.learn_speed(key, sample.tokens, f64::from(sample.reading_ms));
         }
+        is_news
     }
 
     /// Takes what the other daemons haven't been told yet.
@@ -157,14 +175,17 @@
                 SendNews::Began(record) => {
                     if let Some(key) = self.fleet.key_of_hash(record.server) {
                         let ticket = SendTicket { daemon, number: record.number };
-                        let prompt = record.prompt();
+                        let writer = record.writer.and_then(|hash| self.fleet.key_of_hash(hash));
+                        let (prompt, tokens) = (record.prompt(), record.tokens);
+                        let read = PendingRead { prompt, tokens, sent_at: now, writer };
                         let kv_tokens = self.kv_tokens(key);
-                        self.fleet.note_read(key, ticket, &prompt, record.tokens, kv_tokens, now);
+                        self.fleet.note_read(key, ticket, read, kv_tokens, now);
+                        self.sends_of_others.note(now);
                     }
                 }
-                SendNews::Ended { number, server } => {
+                SendNews::Ended { number, server, end } => {
                     if let Some(key) = self.fleet.key_of_hash(*server) {
-                        self.fleet.end_read(key, SendTicket { daemon, number: *number }, now);
+                        self.take_end(key, SendTicket { daemon, number: *number }, *end, now);
                     }
                 }
                 SendNews::Summary { pending, running } => {
@@ -203,6 +224,12 @@
         self.peers.retain(|daemon, _| !silent.contains(daemon));
     }
 
+    /// Returns how many of the engines a prompt is placed among first.
+    pub fn placement_group(&self, engines: usize, now: Timestamp) -> usize {
+        let delay = relays::news_delay(1 + self.living_peers(now) as usize);
+        placement::group_size(engines, self.sends_of_others.per_second(now), delay)
+    }
+
     /// Returns the tokens that a server's KV cache holds.
     fn kv_tokens(&self, key: EngineKey) -> u64 {
         let service = &self.fleet.server(key).entry.service;
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -4,7 +4,7 @@
 
 use gooseberry_core::{
     serving::{
-        backlog::SendTicket,
+        backlog::{PendingRead, SendTicket},
         directory::{EngineStage, ServerEntry},
         prompt::PromptShape,
     },
@@ -12,6 +12,7 @@
 };
 use gooseberry_gateway::{
     changes::ChangeLog,
+    news::{ReadEnd, ReadSample, SendNews},
     state::{GatewayState, PEER_SILENCE},
 };
 use gooseberry_platform::store::{StoreChange, StoreNews, StoreSubject};
@@ -43,7 +44,8 @@
 fn begin(state: &mut GatewayState) -> SendTicket {
     let key = state.fleet.key("one").expect("the server");
     let prompt = PromptShape::new("m", [("p", 5000)], 5000, 10);
-    state.begin_read(key, &prompt, 5000, START)
+    let read = PendingRead { prompt, tokens: 5000, sent_at: START, writer: None };
+    state.begin_read(key, read, START)
 }
 
 #[test]
@@ -53,21 +55,51 @@
     other.hear(1, &one.take_outgoing(), START);
     assert_eq!(ahead(&other, START), 5000.0);
     let key = one.fleet.key("one").expect("the server");
-    one.end_read(key, ticket, START);
+    one.end_read(key, ticket, ReadEnd::Read(None), START);
     other.hear(1, &one.take_outgoing(), START);
     assert_eq!(ahead(&other, START), 0.0);
 }
 
+#[test]
+fn a_daemon_learns_speeds_from_the_reads_of_others() {
+    let (mut one, mut other) = (state(1), state(2));
+    let key = one.fleet.key("one").expect("the server");
+    let before = other.fleet.server(key).speed();
+    for _ in 0..10 {
+        let ticket = begin(&mut one);
+        let sample = ReadSample { tokens: 5000, reading_ms: 50 };
+        one.end_read(key, ticket, ReadEnd::Read(Some(sample)), START);
+    }
+    other.hear(1, &one.take_outgoing(), START);
+    let after = other.fleet.server(key).speed();
+    assert!(before < 50.0 && after > 80.0, "{before} and then {after} tokens a millisecond");
+}
+
+#[test]
+fn a_part_can_be_fetched_once_its_reader_said_so() {
+    let (mut one, mut other) = (state(1), state(2));
+    let key = one.fleet.key("one").expect("the server");
+    let prompt = PromptShape::new("m", [("p", 5000)], 5000, 10);
+    let ticket = begin(&mut one);
+    other.hear(1, &one.take_outgoing(), START);
+    let fetchable =
+        |state: &GatewayState| state.fleet.server(key).parts.fetchable_tokens(&prompt, 500_000);
+    assert_eq!(fetchable(&other), 0);
+    one.end_read(key, ticket, ReadEnd::Read(None), START);
+    other.hear(1, &one.take_outgoing(), START);
+    assert_eq!(fetchable(&other), 5000);
+}
+
 #[test]
 fn a_summary_repairs_the_loss_of_an_end() {
     let (mut one, mut other) = (state(1), state(2));
     let ticket = begin(&mut one);
     other.hear(1, &one.take_outgoing(), START);
     let key = one.fleet.key("one").expect("the server");
-    one.end_read(key, ticket, START);
+    one.end_read(key, ticket, ReadEnd::Read(None), START);
     one.take_outgoing();
     let (pending, running) = one.own_summary();
-    other.hear(1, &[gooseberry_gateway::news::SendNews::Summary { pending, running }], START);
+    other.hear(1, &[SendNews::Summary { pending, running }], START);
     assert_eq!(ahead(&other, START), 0.0);
 }
 
