Want changes of stage by failure domain, not by engine

Cause: a change had to be wanted for the same engine for 2 s, but the idlest engine differs at each look under load. Ruled out: a lost steward (it held its key). Now a domain wants a change, up to a quarter of its engines may be away at once, and an engine that refused an order makes room for another.

--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -13,7 +13,7 @@
         fleet::ServerFleet,
         placement::{self, DomainMap, Placement, PlacementPath, PlacementRequest},
         prompt::PromptShape,
-        stages,
+        stages::{self, OrderState},
     },
     time::Timestamp,
 };
@@ -315,7 +315,7 @@
     }
     let service: SmolStr = "assistant".into();
     let mut changes = 0;
-    while let Some(change) = stages::plan(&fleet, &service).first().copied() {
+    while let Some(change) = stages::plan(&fleet, &service, &HashMap::new()).first().copied() {
         let mut entry = fleet.server(change.engine).entry.clone();
         entry.stage = change.stage;
         fleet.put(entry);
@@ -332,5 +332,59 @@
     for name in ["1", "2", "3"] {
         fleet.put(entry(name, "a", EngineStage::Mixed));
     }
-    assert_eq!(stages::plan(&fleet, &"assistant".into()), []);
+    assert_eq!(stages::plan(&fleet, &"assistant".into(), &HashMap::new()), []);
+}
+
+/// Under load the idlest engine changed from one look to the next, and a domain
+/// of fifteen kept ten engines for outputs through the day.
+#[test]
+fn a_large_domain_gets_its_readers_whatever_engine_is_the_idlest() {
+    let mut fleet = ServerFleet::default();
+    let service: SmolStr = "assistant".into();
+    for number in 0..15 {
+        let stage = if number < 5 { EngineStage::Prefill } else { EngineStage::Decode };
+        fleet.put(entry(&format!("e-{number:02}"), "a", stage));
+    }
+    let mut orders = HashMap::new();
+    let (mut rounds, mut most_away) = (0, 0);
+    loop {
+        // Which engines are busy differs at each look.
+        for (number, key) in fleet.keys().into_iter().enumerate() {
+            fleet.server_mut(key).running = ((number + rounds * 7) % 15) as u32;
+        }
+        let changes = stages::plan(&fleet, &service, &orders);
+        if changes.is_empty() {
+            break;
+        }
+        for change in &changes {
+            orders.insert(change.engine, OrderState::UnderWay(change.stage));
+        }
+        let again = stages::plan(&fleet, &service, &orders);
+        assert_eq!(again, [], "no more may be away at once");
+        most_away = most_away.max(changes.len());
+        for change in changes {
+            let mut entry = fleet.server(change.engine).entry.clone();
+            entry.stage = change.stage;
+            fleet.put(entry);
+        }
+        orders.clear();
+        rounds += 1;
+        assert!(rounds < 10, "the plan doesn't settle");
+    }
+    let writers = fleet.iter().filter(|(_, state)| state.entry.stage == EngineStage::Decode);
+    assert_eq!(writers.count(), 4);
+    assert!(most_away <= 4, "{most_away} away at once");
+}
+
+#[test]
+fn an_engine_that_refused_an_order_is_left_alone_and_another_takes_its_place() {
+    let mut fleet = ServerFleet::default();
+    for name in ["1", "2", "3"] {
+        fleet.put(entry(name, "a", EngineStage::Decode));
+    }
+    let service: SmolStr = "assistant".into();
+    let first = stages::plan(&fleet, &service, &HashMap::new())[0].engine;
+    let orders = HashMap::from([(first, OrderState::Refused)]);
+    let next = stages::plan(&fleet, &service, &orders)[0].engine;
+    assert_ne!(next, first);
 }
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -15,7 +15,7 @@
     arena::EngineKey,
     serving::{
         directory::EngineStage,
-        stages::{self, StageChange},
+        stages::{self, OrderState, StageChange},
     },
     time::Timestamp,
 };
@@ -26,6 +26,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 
 use crate::{
     gateway::Gateway,
@@ -52,6 +53,8 @@
 /// Time until an engine is ordered again: an order that got no answer may be
 /// carried out up to 12 s later.
 const ORDER_PAUSE: Duration = Duration::from_secs(13);
+/// Time until an engine that refused an order is ordered again.
+const REFUSED_PAUSE: Duration = Duration::from_secs(5);
 /// Greatest spread of the daemons' tries to take a free key.
 const TRY_SPREAD_MS: u64 = 400;
 
@@ -94,8 +97,10 @@
     gateway: &'a Gateway,
     lease: u64,
     fence: u64,
-    wanted: HashMap<EngineKey, (EngineStage, Timestamp)>,
-    ordered: HashMap<EngineKey, Timestamp>,
+    /// Since when a failure domain has wanted more engines in a stage.
+    wanted: HashMap<(SmolStr, EngineStage), Timestamp>,
+    /// Orders of late, with the time at which they were given.
+    ordered: HashMap<EngineKey, (OrderState, Timestamp)>,
 }
 
 async fn hold(gateway: &Gateway, client: &mut StoreClient) -> Result<(), StoreFault> {
@@ -133,21 +138,21 @@
         let Some(configuration) = &state.configuration else {
             return Vec::new();
         };
+        self.ordered.retain(|_, (order, at)| now.since(*at) < order_pause(*order));
+        let orders = self.ordered.iter().map(|(key, (order, _))| (*key, *order)).collect();
         let services = configuration.services.iter().filter(|service| service.engine.is_some());
-        let changes: Vec<_> =
-            services.flat_map(|service| stages::plan(&state.fleet, &service.name)).collect();
-        self.wanted.retain(|engine, (stage, _)| {
-            changes.contains(&StageChange { engine: *engine, stage: *stage })
-        });
+        let changes: Vec<_> = services
+            .flat_map(|service| stages::plan(&state.fleet, &service.name, &orders))
+            .collect();
+        let want = |change: &StageChange| {
+            (state.fleet.server(change.engine).entry.domain.clone(), change.stage)
+        };
+        self.wanted.retain(|wanted, _| changes.iter().any(|change| want(change) == *wanted));
         for change in &changes {
-            self.wanted.entry(change.engine).or_insert((change.stage, now));
+            self.wanted.entry(want(change)).or_insert(now);
         }
-        self.ordered.retain(|_, at| now.since(*at) < ORDER_PAUSE);
-        changes
-            .into_iter()
-            .filter(|change| !self.ordered.contains_key(&change.engine))
-            .filter(|change| now.since(self.wanted[&change.engine].1) >= WANTED_SPAN)
-            .collect()
+        let is_due = |change: &StageChange| now.since(self.wanted[&want(change)]) >= WANTED_SPAN;
+        changes.into_iter().filter(is_due).collect()
     }
 
     async fn order(
@@ -160,8 +165,10 @@
             let state = gateway.state.lock();
             SendTarget::new(change.engine, state.fleet.server(change.engine))
         };
-        self.ordered.insert(change.engine, gateway.now());
+        let under_way = OrderState::UnderWay(change.stage);
+        self.ordered.insert(change.engine, (under_way, gateway.now()));
         let Some(orders) = accepted_orders(gateway, &target).await else {
+            self.ordered.insert(change.engine, (OrderState::Refused, gateway.now()));
             return Ok(());
         };
         client.renew(self.lease, CALL_LIMIT).await?;
@@ -186,6 +193,9 @@
             }
             Err(_) => StatusCode::REQUEST_TIMEOUT,
         };
+        if outcome.is_client_error() && outcome != StatusCode::REQUEST_TIMEOUT {
+            self.ordered.insert(change.engine, (OrderState::Refused, gateway.now()));
+        }
         tracing::info!(
             server = %target.id,
             stage = %change.stage,
@@ -198,6 +208,13 @@
     }
 }
 
+fn order_pause(order: OrderState) -> Duration {
+    match order {
+        OrderState::UnderWay(_) => ORDER_PAUSE,
+        OrderState::Refused => REFUSED_PAUSE,
+    }
+}
+
 /// Asks an engine how many orders it has accepted; none if it is at work on one
 /// or doesn't answer.
 async fn accepted_orders(gateway: &Gateway, target: &SendTarget) -> Option<u64> {
