--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod health;
+pub mod pace;
 pub mod parts;
 pub mod placement;
 pub mod prompt;
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -39,6 +39,10 @@
 const BESIDE_OUTPUT_TOKENS: f64 = 2048.0;
 /// Milliseconds by which the hash of the shared part orders equal engines.
 const HASH_SPREAD_MS: f64 = 30.0;
+/// Cost of a kilobyte that crosses regions, as time: traffic between regions is
+/// paid by volume. A body of 17 kB that goes to two engines costs as much as a
+/// twentieth of a second.
+const FAR_MS_PER_KB: f64 = 1.5;
 /// Fewest tokens for which a KV cache is fetched.
 const LEAST_FETCH_TOKENS: u32 = 512;
 /// Milliseconds of a fetch beside the bytes.
@@ -47,10 +51,6 @@
 const DECODER_CHOICES: usize = 2;
 /// Fewest engines that are looked at for a prompt.
 const LEAST_GROUP: usize = 4;
-/// Groups of engines that are looked at before a request is late. Under overload
-/// all engines have queues, and if all were looked at, the first to be free
-/// would get what all daemons have at that moment.
-const MOST_GROUPS: usize = 2;
 /// One-way delay to the failure domains of the region, in milliseconds; the
 /// deployments state 0.5 to 1.4.
 const REGION_DELAY_MS: f64 = 1.0;
@@ -124,6 +124,8 @@
     pub excluded: &'a [EngineKey],
     /// Hash of the request's id.
     pub hash: u64,
+    /// Size of the request's body.
+    pub body_bytes: usize,
     /// Engines that are looked at before others are, see [`group_size`].
     pub group: usize,
     /// Time to the first event with which the request is on time.
@@ -175,8 +177,10 @@
 
 /// Chooses the engines for a prompt, or none if no engine is usable.
 ///
-/// Engines are looked at in the order of [`reader_rank`], a group at a time,
-/// until one is expected to be on time.
+/// A group of engines is looked at, in the order of [`ReaderRank`], and a second
+/// one from everywhere if none of the first is expected to be on time. Not more:
+/// under overload all engines have queues, and if all were looked at, the first to
+/// be free would get what all daemons have at that moment.
 pub fn choose(
     fleet: &ServerFleet,
     domains: &DomainMap,
@@ -191,12 +195,16 @@
             let is_lossy = state.entry.stage == EngineStage::Prefill && !is_reader(state, now);
             !request.excluded.contains(key) && !is_lossy
         })
-        .map(|(key, state)| (reader_rank(request, state), key, state))
+        .map(|(key, state)| (reader_rank(domains, request, state), key, state))
         .collect();
     ranked.sort_by_key(|(rank, key, _)| (*rank, *key));
+    let count = request.group.min(ranked.len());
+    let (first, rest) = ranked.split_at_mut(count);
+    rest.sort_by_key(|(rank, key, _)| (rank.hash, *key));
+    let second = &rest[..rest.len().min(request.group)];
     let mut decoders = DecoderMemo::default();
     let mut best: Option<(f64, Placement)> = None;
-    for group in ranked.chunks(request.group.max(1)).take(MOST_GROUPS) {
+    for group in [&*first, second] {
         for (_, key, state) in group {
             let decoder = decoders.of_reader(fleet, domains, request, state, now);
             let source = best_source(domains, request, &sources, (*key, state));
@@ -220,12 +228,26 @@
 }
 
 /// Orders the engines for a request: first those that have its shared parts,
-/// then by a hash of the shared part that all daemons compute alike.
-fn reader_rank(request: &PlacementRequest<'_>, state: &ServerState) -> (bool, u64) {
+/// then those of the own region, then by a hash of the shared part that all
+/// daemons compute alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReaderRank {
+    lacks_shared: bool,
+    is_far: bool,
+    hash: u64,
+}
+
+fn reader_rank(
+    domains: &DomainMap,
+    request: &PlacementRequest<'_>,
+    state: &ServerState,
+) -> ReaderRank {
     let prompt = request.prompt;
     let has_shared = prompt.shared_key().is_some()
         && state.parts.cached_tokens(prompt, request.traits.kv_tokens) >= prompt.shared_tokens();
-    (!has_shared, hash_rank(request, state))
+    let distance = domains.distance(request.home, &state.entry.domain);
+    let is_far = distance == DomainDistance::OtherRegion;
+    ReaderRank { lacks_shared: !has_shared, is_far, hash: hash_rank(request, state) }
 }
 
 /// An engine that keeps a beginning of the prompt.
@@ -379,6 +401,9 @@
     let delay_ms = 2.0 * domains.delay_ms(request.home, &state.entry.domain);
     let mut first_event_ms = wait_ms + fetch_ms + reading_ms + delay_ms + STEP_MS;
     let mut cost = reread_ms;
+    let is_far = domains.distance(request.home, &state.entry.domain) == DomainDistance::OtherRegion;
+    let body_kb = request.body_bytes as f64 / 1000.0;
+    let far_cost_ms = if is_far { body_kb * FAR_MS_PER_KB } else { 0.0 };
     let path = match state.entry.stage {
         EngineStage::Prefill => {
             let reader_domain = &state.entry.domain;
@@ -387,10 +412,12 @@
             first_event_ms += delay_ms
                 + EXPORT_MS
                 + transfer_ms(traits, prompt.prompt_tokens, domains.distance(reader_domain, to));
+            // The engine of the output gets the body too.
+            cost += 2.0 * far_cost_ms;
             PlacementPath::Split { prefill: key, decode }
         }
         EngineStage::Decode | EngineStage::Mixed => {
-            cost += reading_ms * INTERFERENCE_WEIGHT;
+            cost += reading_ms * INTERFERENCE_WEIGHT + far_cost_ms;
             PlacementPath::Whole { engine: key }
         }
     };
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -120,6 +120,7 @@
             home: &home,
             excluded: &[],
             hash: xxh3::xxh3_64(name.as_bytes()),
+            body_bytes: 1_000,
             group: group(READERS as usize + 6),
             limit_ms: TARGET_MS,
         };
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -78,6 +78,7 @@
         home: &home,
         excluded: &[],
         hash: 1,
+        body_bytes: 1_000,
         group: usize::MAX,
         limit_ms: 570.0,
     };
@@ -171,6 +172,7 @@
             home: &home,
             excluded: &[],
             hash: 1,
+            body_bytes: 1_000,
             group: usize::MAX,
             limit_ms: 570.0,
         };
@@ -388,3 +390,22 @@
     let next = stages::plan(&fleet, &service, &orders)[0].engine;
     assert_ne!(next, first);
 }
+
+/// Bodies that crossed regions cost more than anything else on calm days, with
+/// engines at home as idle as those far away.
+#[test]
+fn a_prompt_stays_in_its_region_while_there_is_room() {
+    let mut fleet = fleet();
+    for number in 0..20 {
+        let name = format!("manual-{number}");
+        let prompt = PromptShape::new("m", [(name.as_str(), 3_000), ("own", 500)], 3_500, 100);
+        let placement = place(&fleet, &prompt, START).expect("a placement");
+        assert_eq!(fleet.server(placement.path.reader()).entry.domain, "a");
+    }
+    for name in ["a-read-1", "a-read-2"] {
+        let key = fleet.key(name).expect("a reader");
+        note(&mut fleet, u64::from(name.ends_with('2')), key, &long_prompt("x"), 40_000);
+    }
+    let placement = place(&fleet, &long_prompt("next"), START).expect("a placement");
+    assert_eq!(fleet.server(placement.path.reader()).entry.domain, "b");
+}
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -11,6 +11,7 @@
         directory::{EngineStage, ServerEntry, ServerPresence},
         fleet::{EntryEffect, ServerFleet},
         health::EngineHealth,
+        pace::RetryPace,
         parts::PartTable,
         prompt::PromptShape,
         suspects::SuspectTable,
@@ -324,3 +325,16 @@
         }
     }
 }
+
+/// In an outage of 8 s 89 daemons called the service each 250 ms.
+#[test]
+fn pauses_grow_in_an_outage_and_start_anew_after_it() {
+    let (first, longest) = (Duration::from_millis(250), Duration::from_secs(1));
+    let mut pace = RetryPace::new(first, longest, 0);
+    let pauses: Vec<u128> = (0..4).map(|_| pace.failed().as_millis()).collect();
+    assert_eq!(pauses, [250, 500, 1000, 1000]);
+    pace.succeeded();
+    assert_eq!(pace.failed(), first);
+    let mut other = RetryPace::new(first, longest, u64::MAX);
+    assert!(other.failed() < first, "daemons don't call at the same moment");
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,7 +3,10 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use gooseberry_core::{serving::fleet::EntryEffect, time::Timestamp};
+use gooseberry_core::{
+    serving::{fleet::EntryEffect, pace::RetryPace},
+    time::Timestamp,
+};
 use gooseberry_platform::{
     configuration, servers,
     store::{StoreChange, StoreClient, StoreFault, StoreNews, StoreSubject},
@@ -27,8 +30,20 @@
 const READ_LIMIT: Duration = Duration::from_millis(1500);
 /// Time for which the service is asked after a relay gave no news.
 const DIRECT_SPAN: Duration = Duration::from_secs(3);
-/// Pause after a failed call.
+/// Pause after the first failed call; later ones grow up to the longest. An
+/// outage must be noticed as over within the second that servers have to write
+/// their entries again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+/// The same for a daemon whose relay has no contact either: it asks the service
+/// itself in case only the relay is cut off from it.
+const PROBE_PAUSE: Duration = Duration::from_millis(1000);
+const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(4000);
+/// Pause before a relay that gave no news is asked again.
+const RELAY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after an answer with changes: they come in series, and each answer is
+/// a call.
+const COLLECT_SPAN: Duration = Duration::from_millis(150);
 
 /// What is told of this system's own keys.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +69,9 @@
         relay_client: RelayClient::default(),
         revision: None,
         direct_until: gateway.now(),
+        probe_at: gateway.now(),
+        pace: RetryPace::new(RETRY_PAUSE, LONGEST_PAUSE, gateway.daemon),
+        probe_pace: RetryPace::new(PROBE_PAUSE, LONGEST_PROBE_PAUSE, gateway.daemon),
         gateway,
         keys,
     };
@@ -71,9 +89,17 @@
     revision: Option<u64>,
     /// Until when the service itself is asked, because the relay gave no news.
     direct_until: Timestamp,
+    /// When the service itself may be asked again although there is a relay.
+    probe_at: Timestamp,
+    pace: RetryPace,
+    probe_pace: RetryPace,
 }
 
 impl Follower {
+    fn has_relay(&self, now: Timestamp) -> bool {
+        self.keys.peers.plan(&self.gateway.options, now).relay.is_some()
+    }
+
     fn source(&self) -> NewsSource {
         let now = self.gateway.now();
         let plan = self.keys.peers.plan(&self.gateway.options, now);
@@ -95,13 +121,27 @@
             }
         };
         match news {
-            Ok(news) => self.take_in(news, NewsSource::Service),
+            Ok(news) => {
+                self.pace.succeeded();
+                self.probe_pace.succeeded();
+                let has_changes = !news.changes.is_empty();
+                self.take_in(news, NewsSource::Service);
+                if has_changes {
+                    self.gateway.clock.sleep(COLLECT_SPAN).await;
+                }
+            }
             Err(fault) => {
                 note_fault(&self.gateway, &fault);
                 if matches!(fault, StoreFault::Compacted(_)) {
                     self.revision = None;
+                    return;
+                }
+                let now = self.gateway.now();
+                if self.has_relay(now) && self.revision.is_some() {
+                    self.direct_until = now;
+                    self.probe_at = now + self.probe_pace.failed();
                 } else {
-                    self.gateway.clock.sleep(RETRY_PAUSE).await;
+                    self.gateway.clock.sleep(self.pace.failed()).await;
                 }
             }
         }
@@ -111,8 +151,13 @@
         match self.relay_client.watch(&self.gateway, relay, revision).await {
             Ok(news) => self.take_in(news, NewsSource::Relay(relay)),
             Err(fault) => {
+                let now = self.gateway.now();
+                if now < self.probe_at {
+                    self.gateway.clock.sleep(RELAY_PAUSE).await;
+                    return;
+                }
                 tracing::info!(%relay, %fault, "relay gives no news; asking the service");
-                self.direct_until = self.gateway.now() + DIRECT_SPAN;
+                self.direct_until = now + DIRECT_SPAN;
             }
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,10 @@
 
 use async_std::{net::UdpSocket, task};
 use gooseberry_core::{
-    serving::relays::{self, RelayCandidate, RelayPlan},
+    serving::{
+        pace::RetryPace,
+        relays::{self, RelayCandidate, RelayPlan},
+    },
     time::Timestamp,
 };
 use gooseberry_platform::store::{StoreClient, StoreFault, StorePut};
@@ -51,8 +54,10 @@
 const RENEW_SPAN: Duration = Duration::from_secs(7);
 /// Longest time for a call.
 const CALL_LIMIT: Duration = Duration::from_millis(1500);
-/// Pause after a failed call.
+/// Pause after the first failed call; later ones grow up to the longest, so that
+/// an address comes back within seconds of an outage.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
 /// What a daemon writes of itself to the key-value service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -180,30 +185,49 @@
 /// Writes this daemon's address and keeps it there.
 pub async fn register(gateway: Arc<Gateway>) {
     let mut client = StoreClient::new(gateway.options.store);
+    let mut pace = RetryPace::new(RETRY_PAUSE, LONGEST_PAUSE, gateway.daemon);
+    let mut lease = None;
     loop {
-        let fault = match keep_registered(&gateway, &mut client).await {
+        let fault = match keep_registered(&gateway, &mut client, &mut lease, &mut pace).await {
             Ok(never) => match never {},
             Err(fault) => fault,
         };
         gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
         tracing::info!(%fault, "address isn't registered");
-        gateway.clock.sleep(RETRY_PAUSE).await;
+        if matches!(fault, StoreFault::NoLease) {
+            lease = None;
+        } else {
+            gateway.clock.sleep(pace.failed()).await;
+        }
     }
 }
 
 async fn keep_registered(
     gateway: &Gateway,
     client: &mut StoreClient,
+    registered: &mut Option<u64>,
+    pace: &mut RetryPace,
 ) -> Result<std::convert::Infallible, StoreFault> {
     let options = &gateway.options;
-    let lease = client.lease(LEASE_SPAN, CALL_LIMIT).await?;
-    let key = format!("{KEY_PREFIX}{}", options.name);
-    let value = serde_json::to_vec(&PeerRecord::own(options))?;
-    let put = StorePut { key: &key, value: &value, lease: lease.id, expected: None };
-    client.put(&put, CALL_LIMIT).await?;
+    let lease = match *registered {
+        // The lease may have outlived an outage.
+        Some(lease) => lease,
+        None => {
+            let lease = client.lease(LEASE_SPAN, CALL_LIMIT).await?.id;
+            let key = format!("{KEY_PREFIX}{}", options.name);
+            let value = serde_json::to_vec(&PeerRecord::own(options))?;
+            let put = StorePut { key: &key, value: &value, lease, expected: None };
+            client.put(&put, CALL_LIMIT).await?;
+            *registered = Some(lease);
+            pace.succeeded();
+            gateway.clock.sleep(RENEW_SPAN).await;
+            lease
+        }
+    };
     loop {
+        client.renew(lease, CALL_LIMIT).await?;
+        pace.succeeded();
         gateway.clock.sleep(RENEW_SPAN).await;
-        client.renew(lease.id, CALL_LIMIT).await?;
     }
 }
 
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -193,6 +193,7 @@
         home: &gateway.options.domain,
         excluded,
         hash: call.hash(),
+        body_bytes: call.body.len(),
         group: state.placement_group(state.fleet.usable(&route.service, now).count(), now),
         limit_ms: admission::latest_first_event_ms(&admission),
     };
@@ -396,6 +397,7 @@
         home: &options.domain,
         excluded,
         hash: call.hash(),
+        body_bytes: call.body.len(),
         group: 1,
         limit_ms: 0.0,
     };
