Try a stream that may be resumed elsewhere before its first event; remember earlier runs

Cause: a stream whose engine broke the connection before the first event was answered 502 whatever its kind, though resumable ones may run again. Beside it, a proof that a second send hasn't run cleared the doubt about the first, so that a timeout could have been answered with a 503; state of sends and of ended sends are now apart. a_stream_that_may_be_resumed_goes_to_another_engine_before_its_first_event failed first (502). A test failed once with an address in use: it bound a port, let it go, and another test's listener got it. Addresses of gateways in tests are counted now on a host of the process's own, as in the harness.

--- a/crates/daemon/tests/gateway_signals.rs
+++ b/crates/daemon/tests/gateway_signals.rs
@@ -3,16 +3,21 @@
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
 };
 
 use rustix::process::{Pid, Signal};
 
+/// Returns an address whose host is this process's own and whose port is counted,
+/// so that no other listener takes it before the gateway does.
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [.., middle, low] = std::process::id().to_be_bytes();
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 101, middle, low], port))
 }
 
 struct GatewayProcess {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -52,13 +52,41 @@
     pub body: Bytes,
     pub arrived: Timestamp,
     pub deadline: Timestamp,
-    /// Set once a byte of the request may have reached a server that doesn't
-    /// deny having run it.
-    pub may_have_run: Arc<AtomicBool>,
+    pub runs: RunState,
     /// What engines compute for the request, whoever sends it.
     pub fingerprint: RequestFingerprint,
 }
 
+/// Whether a server may have run a request.
+#[derive(Debug, Default)]
+pub struct RunState {
+    /// Whether a send is on its way that may reach a server.
+    is_sent: AtomicBool,
+    /// Whether an earlier send has run, or ended without proof that it hasn't.
+    has_ended: AtomicBool,
+}
+
+impl RunState {
+    /// Notes that a send begins.
+    pub fn sent(&self) {
+        self.is_sent.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that the present send provably hasn't run.
+    pub fn proved_unrun(&self) {
+        self.is_sent.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that the present send has or may have run.
+    pub fn ended(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed) || self.has_ended.load(Ordering::Relaxed)
+    }
+}
+
 /// What is decided of a request by its route.
 #[derive(Clone, Debug)]
 pub struct CallRoute {
@@ -86,7 +114,7 @@
 
     /// Tells whether a server may have run the request.
     pub fn has_maybe_run(&self) -> bool {
-        self.may_have_run.load(Ordering::Relaxed)
+        self.runs.may_have_run()
     }
 
     /// Finds the route and service of the request in the configuration that is
@@ -221,7 +249,7 @@
             last_event: self.head.last_event.as_deref(),
         };
         let choice = Self::connection_choice(route.row.kind);
-        self.may_have_run.store(true, Ordering::Relaxed);
+        self.runs.sent();
         let work = async {
             let sent = send::send(
                 &self.gateway,
@@ -250,8 +278,9 @@
                 PlainTry::Failed(Err(OwnAnswer::TimedOut))
             }
         };
-        if matches!(outcome, PlainTry::NotRun) {
-            self.may_have_run.store(false, Ordering::Relaxed);
+        match outcome {
+            PlainTry::NotRun => self.runs.proved_unrun(),
+            PlainTry::Answer(_) | PlainTry::Failed(_) => self.runs.ended(),
         }
         outcome
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,10 +1,7 @@
 //! Takes callers' requests in.
 
 use std::{
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
+    sync::{atomic::Ordering, Arc},
     time::Duration,
 };
 
@@ -15,7 +12,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use crate::{call::Call, gateway::Gateway};
+use crate::{
+    call::{Call, RunState},
+    gateway::Gateway,
+};
 
 /// Largest body before a configuration states it; bodies are held in memory.
 const DEFAULT_BODY_LIMIT: u64 = 4 * 1024 * 1024;
@@ -85,7 +85,7 @@
         body,
         arrived,
         deadline: arrived + time_left,
-        may_have_run: Arc::new(AtomicBool::new(false)),
+        runs: RunState::default(),
     };
     let route = match call.route() {
         Ok(route) => route,
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -1,6 +1,6 @@
 //! A request that carries a prompt: placed or refused, then streamed.
 
-use std::{net::SocketAddr, sync::atomic::Ordering, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_lite::FutureExt;
 use gooseberry_core::{
@@ -157,18 +157,30 @@
     traits: EngineTraits,
 ) -> Result<Response<AnswerBody>, OwnAnswer> {
     let mut excluded: Vec<EngineKey> = Vec::new();
-    for rejections in 0..=REJECTION_LIMIT {
-        if rejections > 0 && !call.try_retry(route) {
+    let mut runs = 0;
+    for sends in 0..=REJECTION_LIMIT {
+        if sends > 0 && !call.try_retry(route) {
             break;
         }
-        let (placement, read) = admit(call, route, traits, &excluded)?;
+        let (placement, read) = match admit(call, route, traits, &excluded) {
+            // An earlier try may have run, which a refusal would deny.
+            Err(_) if runs > 0 => break,
+            admitted => admitted?,
+        };
         match send_placed(call, route, traits, &placement, read).await {
             PromptTry::Answer(response) => return Ok(response),
             PromptTry::Failed(answer) => return Err(answer),
             PromptTry::NotRun(key) => excluded.push(key),
+            PromptTry::Lost(key) => {
+                runs += 1;
+                if !route.row.kind.is_repeatable() || runs >= route.row.attempts {
+                    break;
+                }
+                excluded.push(key);
+            }
         }
     }
-    Err(call::unavailable())
+    Err(if runs > 0 { OwnAnswer::BackendFailed } else { call::unavailable() })
 }
 
 /// Places a request and notes that its prompt is to be read, or refuses it.
@@ -257,6 +269,8 @@
     Answer(Response<AnswerBody>),
     /// The server provably hasn't run it.
     NotRun(EngineKey),
+    /// The server may have run it and gave no answer.
+    Lost(EngineKey),
     Failed(OwnAnswer),
 }
 
@@ -489,7 +503,7 @@
     let terms = terms(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
     let choice = Call::connection_choice(route.row.kind);
-    call.may_have_run.store(true, Ordering::Relaxed);
+    call.runs.sent();
     let sent = send::send(gateway, target, &call.parts, &call.body, &terms, choice, id).await;
     match sent {
         SendOutcome::Answered(answer) => {
@@ -499,15 +513,16 @@
             PromptTry::Answer(stream::forward(call, target, *answer, read))
         }
         SendOutcome::NotRun(reason) => {
-            call.may_have_run.store(false, Ordering::Relaxed);
+            call.runs.proved_unrun();
             log_not_run(call, target, reason);
             PromptTry::NotRun(target.key)
         }
         SendOutcome::Unknown(_) => {
+            call.runs.ended();
             let now = gateway.now();
             gateway.state.lock().note_crash(call.fingerprint.0, now);
             gateway.wake_peers();
-            PromptTry::Failed(OwnAnswer::BackendFailed)
+            PromptTry::Lost(target.key)
         }
     }
 }
--- a/crates/gateway/tests/gateway/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -1,6 +1,13 @@
 //! What callers and backend servers are promised, seen from their sockets.
 
-use std::{io::Read, sync::mpsc, time::Duration};
+use std::{
+    io::Read,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        mpsc, Arc,
+    },
+    time::Duration,
+};
 
 use crate::support::{self, answer, entry, get, read_answer, status, write, StandinServer, System};
 
@@ -231,6 +238,30 @@
     assert!(text.contains("id: 1") && !support::is_complete(&text), "{text}");
 }
 
+/// Reviews whose engine reset the connection before the first event were lost,
+/// though they may run again.
+#[test]
+fn a_stream_that_may_be_resumed_goes_to_another_engine_before_its_first_event() {
+    for (path, expected, sends) in [("/review/x", "200", 2), ("/chat/x", "502", 1)] {
+        let system = system();
+        let count = Arc::new(AtomicUsize::new(0));
+        let engine = || {
+            let count = Arc::clone(&count);
+            StandinServer::start(move |request, stream| {
+                let is_first = count.fetch_add(1, Ordering::Relaxed) == 0;
+                !is_first && answer(request, stream, "data: 1\n\n")
+            })
+        };
+        let (one, two) = (engine(), engine());
+        system.register("one", "model", &one, "");
+        system.register("two", "model", &two, "");
+        let prompt = "X-Model: m\r\nX-Token-Usage: 100,5\r\nX-Prompt-Prefix: aa:100\r\n";
+        let text = system.send(&get(path, prompt));
+        assert_eq!(status(&text), expected, "{text}");
+        assert_eq!(one.seen().len() + two.seen().len(), sends);
+    }
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_work_at_the_engine() {
     let system = system();
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -6,7 +6,7 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU16, AtomicU64, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -62,6 +62,16 @@
     Some(SeenRequest { line, headers, body: String::from_utf8(body).expect("a body of text") })
 }
 
+/// Returns an address for a gateway. Its host is this process's own and its
+/// ports are counted, so that no listener on a port of the system's choice takes
+/// it before the gateway does.
+fn free() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [.., middle, low] = std::process::id().to_be_bytes();
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 100, middle, low], port))
+}
+
 fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -264,7 +274,6 @@
     /// Starts a gateway before a store that holds nothing.
     pub fn start() -> Self {
         let store = StandinStore::start();
-        let free = || listener().1;
         let (callers, ready) = (free(), free());
         let settings: GatewaySettings = serde_json::from_value(json!({
             "name": "daemon-1",
@@ -302,6 +311,7 @@
                     route("plain", "idempotent", "plain", 2, false),
                     route("order", "non_idempotent", "plain", 1, false),
                     route("chat", "streaming", "model", 1, false),
+                    route("review", "streaming", "model", 2, true),
                 ],
                 "services": [
                     {"name": "plain", "health-path": "/healthz", "max-conns": 50},
