Soak the gateway as processes: faults from outside, promises checked after

crates/soak starts daemons, a store and servers on loopback, plays the faults of a seed (kills, pauses, planned stops, reloads, cut, frozen, deaf and slow links, a store that refuses, loses answers, is slow or forgets, servers that are full, lose answers or leave, routes that move) and checks what callers and servers saw. Its stand-ins are those of the gateway's tests, moved to the stand-ins' crate with leases that end; links of the harness can be deaf or slow.

--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -28,6 +28,27 @@
     Cut,
     /// Connections stay open and new ones are taken, but nothing passes.
     Frozen,
+    /// As frozen, but only what the target sends back doesn't pass.
+    Deaf,
+    /// Bytes pass both ways, each step this much later.
+    Delayed(Duration),
+}
+
+/// The way that bytes take through a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkWay {
+    There,
+    Back,
+}
+
+impl LinkState {
+    fn holds(self, way: LinkWay) -> bool {
+        match self {
+            Self::Open | Self::Cut | Self::Delayed(_) => false,
+            Self::Frozen => true,
+            Self::Deaf => way == LinkWay::Back,
+        }
+    }
 }
 
 /// Forwards bytes to one address; ends with its handle.
@@ -115,7 +136,7 @@
 
     fn carry(self: Arc<Self>, near: TcpStream) {
         let _ = near.set_nonblocking(false);
-        self.wait_passable();
+        self.wait_passable(LinkWay::There);
         let Ok(far) = TcpStream::connect(&self.target) else { return close(&near) };
         let kept = [&near, &far].map(|stream| self.keep(stream));
         if self.state() == LinkState::Cut {
@@ -123,8 +144,8 @@
         }
         let (Ok(from), Ok(to)) = (near.try_clone(), far.try_clone()) else { return };
         let link = Arc::clone(&self);
-        let back = thread::spawn(move || link.pass(&to, &from));
-        self.pass(&near, &far);
+        let back = thread::spawn(move || link.pass(&to, &from, LinkWay::Back));
+        self.pass(&near, &far, LinkWay::There);
         let _ = back.join();
         let mut connections = self.connections.lock().expect("no panic under this lock");
         connections.retain(|id, _| !kept.contains(id));
@@ -140,11 +161,11 @@
     }
 
     /// Passes bytes one way until an end closes.
-    fn pass(&self, mut from: &TcpStream, mut to: &TcpStream) {
+    fn pass(&self, mut from: &TcpStream, mut to: &TcpStream, way: LinkWay) {
         let mut chunk = [0; CHUNK_BYTES];
         while let Ok(read) = from.read(&mut chunk) {
             // Bytes that came in a freeze wait, and so does a close.
-            self.wait_passable();
+            self.wait_passable(way);
             if read == 0 || to.write_all(&chunk[..read]).is_err() {
                 break;
             }
@@ -152,10 +173,13 @@
         let _ = to.shutdown(Shutdown::Write);
     }
 
-    fn wait_passable(&self) {
+    fn wait_passable(&self, way: LinkWay) {
         let state = self.state.lock().expect("no panic under this lock");
-        let is_frozen = |state: &mut LinkState| *state == LinkState::Frozen;
-        drop(self.changed.wait_while(state, is_frozen).expect("no panic under this lock"));
+        let is_held = |state: &mut LinkState| state.holds(way);
+        let state = *self.changed.wait_while(state, is_held).expect("no panic under this lock");
+        if let LinkState::Delayed(span) = state {
+            thread::sleep(span);
+        }
     }
 }
 
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -88,6 +88,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Waits for the process to end.
     pub fn wait(&mut self) -> ExitStatus {
         let deadline = Instant::now() + HANG_LIMIT;
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,187 @@
+//! Callers that send requests to daemons that the balancer would choose.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use gooseberry_standins::site;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    ledger::{CallKind, CallRecord, SoakLedger},
+    system::SoakSystem,
+    SoakTerms,
+};
+
+/// Callers that send at the same time.
+const CALLERS: usize = 12;
+/// Longest wait for an answer: the requests' deadline of 3 s and a second.
+pub const ANSWER_LIMIT: Duration = Duration::from_secs(4);
+/// Longest wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Longest pause of a caller between two requests.
+const PAUSE_MS: u64 = 60;
+/// Time between the balancer's questions, and the misses that it takes.
+const CHECK_SPAN: Duration = Duration::from_millis(250);
+const CHECK_MISSES: u32 = 2;
+/// Share of requests that go on the connection of the one before.
+const KEPT_SHARE: f64 = 0.6;
+
+/// The addresses of a daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct DaemonAddress {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// The threads of callers and of the balancer.
+pub struct SoakTraffic {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl SoakTraffic {
+    /// Lets all callers end their requests.
+    pub fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().expect("callers don't panic");
+        }
+    }
+}
+
+/// Starts the callers and the balancer.
+pub fn start(system: &SoakSystem, terms: SoakTerms) -> SoakTraffic {
+    let stop = Arc::new(AtomicBool::new(false));
+    let addresses: Arc<Vec<DaemonAddress>> = Arc::new(system.addresses());
+    let rotation = Arc::new(Mutex::new((0..addresses.len()).collect::<Vec<_>>()));
+    let mut threads = Vec::new();
+    {
+        let (stop, addresses) = (Arc::clone(&stop), Arc::clone(&addresses));
+        let rotation = Arc::clone(&rotation);
+        threads.push(thread::spawn(move || balance(&stop, &addresses, &rotation)));
+    }
+    for number in 0..CALLERS {
+        let mut caller = SoakCaller {
+            number,
+            rng: ChaCha8Rng::seed_from_u64(terms.seed ^ ((number as u64 + 1) << 32)),
+            addresses: Arc::clone(&addresses),
+            rotation: Arc::clone(&rotation),
+            ledger: Arc::clone(&system.ledger),
+            kept: None,
+            sent: 0,
+        };
+        let stop = Arc::clone(&stop);
+        threads.push(thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                caller.call();
+            }
+        }));
+    }
+    SoakTraffic { stop, threads }
+}
+
+fn balance(stop: &AtomicBool, addresses: &[DaemonAddress], rotation: &Mutex<Vec<usize>>) {
+    let mut misses = vec![0; addresses.len()];
+    while !stop.load(Ordering::Relaxed) {
+        for (daemon, address) in addresses.iter().enumerate() {
+            misses[daemon] = if is_ready(address.ready) { 0 } else { misses[daemon] + 1 };
+        }
+        let chosen = (0..addresses.len()).filter(|daemon| misses[*daemon] < CHECK_MISSES);
+        *rotation.lock() = chosen.collect();
+        thread::sleep(CHECK_SPAN);
+    }
+}
+
+/// Asks a daemon whether it takes callers.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, CHECK_SPAN) else {
+        return false;
+    };
+    let _ = stream.set_read_timeout(Some(CHECK_SPAN));
+    site::write(&mut stream, site::READINESS)
+        && site::status(&site::read_answer(&mut stream)) == "200"
+}
+
+struct SoakCaller {
+    number: usize,
+    rng: ChaCha8Rng,
+    addresses: Arc<Vec<DaemonAddress>>,
+    rotation: Arc<Mutex<Vec<usize>>>,
+    ledger: Arc<Mutex<SoakLedger>>,
+    kept: Option<(usize, TcpStream)>,
+    sent: usize,
+}
+
+impl SoakCaller {
+    fn call(&mut self) {
+        thread::sleep(Duration::from_millis(self.rng.random_range(0..PAUSE_MS)));
+        let Some((daemon, stream)) = self.connection() else {
+            return;
+        };
+        let kinds = [CallKind::Plain, CallKind::Order, CallKind::Chat, CallKind::Review];
+        let kind = kinds[self.rng.random_range(0..kinds.len())];
+        self.sent += 1;
+        let id = format!("c{}-{}", self.number, self.sent);
+        let shared = format!("{:x}", self.rng.random_range(0..6));
+        let headers = match kind {
+            CallKind::Plain | CallKind::Order => String::new(),
+            CallKind::Chat | CallKind::Review => {
+                site::prompt_headers(&shared, &format!("{:x}{:x}", self.number, self.sent))
+            }
+        };
+        let text = site::get(&id, &format!("/{kind}/x"), &headers);
+        let sent_at = Instant::now();
+        let (answer, stream) = exchange(stream, &text);
+        let record = CallRecord {
+            id,
+            kind,
+            daemon,
+            sent_at,
+            ended_at: Instant::now(),
+            is_connected: stream.is_some(),
+            answer,
+        };
+        let closes = record.answer.to_ascii_lowercase().contains("\r\nconnection: close");
+        if site::is_complete(&record.answer) && !closes {
+            self.kept = stream.map(|stream| (daemon, stream));
+        }
+        self.ledger.lock().calls.push(record);
+    }
+
+    fn connection(&mut self) -> Option<(usize, Option<TcpStream>)> {
+        let kept = self.kept.take();
+        if self.rng.random_bool(KEPT_SHARE) {
+            if let Some((daemon, stream)) = kept {
+                return Some((daemon, Some(stream)));
+            }
+        }
+        let rotation = self.rotation.lock().clone();
+        if rotation.is_empty() {
+            return None;
+        }
+        let daemon = rotation[self.rng.random_range(0..rotation.len())];
+        let address = self.addresses[daemon].callers;
+        Some((daemon, TcpStream::connect_timeout(&address, CONNECT_LIMIT).ok()))
+    }
+}
+
+fn exchange(stream: Option<TcpStream>, text: &str) -> (String, Option<TcpStream>) {
+    let Some(mut stream) = stream else {
+        return (String::new(), None);
+    };
+    let _ = stream.set_read_timeout(Some(ANSWER_LIMIT));
+    if !site::write(&mut stream, text) {
+        return (String::new(), None);
+    }
+    let answer = site::read_answer(&mut stream);
+    (answer, Some(stream))
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,167 @@
+//! The promises that are checked after a soak.
+
+use std::time::{Duration, Instant};
+
+use gooseberry_standins::site;
+
+use crate::{
+    callers::ANSWER_LIMIT,
+    engines::EVENTS,
+    ledger::{CallKind, CallRecord, FaultScope, RunRecord, SoakLedger},
+};
+
+/// Time after which a server that leaves gets nothing new, and a configuration is
+/// in force: what the platform allows on its largest deployments.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+/// Time that a daemon must have been undisturbed for bounds in time to hold.
+const STABLE_SPAN: Duration = Duration::from_secs(4);
+/// Time after the last fault after which requests must be served again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(5);
+/// Share of requests that must be served then.
+const RECOVERED_SHARE: f64 = 0.9;
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, strum::Display)]
+pub enum Violation {
+    /// A request that may run once ran more often.
+    RanTwice(String),
+    /// An answer says that the request hasn't run, though it has.
+    FalseRefusal(String),
+    /// A success isn't a whole answer of a server to this request.
+    MixedAnswer(String),
+    /// A connection ended without an answer and without a fault that explains it.
+    LostAnswer(String),
+    /// A server got a request long after it said that it leaves.
+    SentAfterLeaving(String),
+    /// A request was run by the old service long after a new configuration.
+    OldConfiguration(String),
+    /// Requests aren't served again after the last fault.
+    NotRecovered(String),
+    /// A daemon ended by itself, or a planned stop failed.
+    BadExit(String),
+}
+
+/// Checks all promises.
+pub fn check(ledger: &SoakLedger, exits: &[String]) -> Vec<Violation> {
+    let mut violations: Vec<Violation> =
+        exits.iter().map(|exit| Violation::BadExit(exit.clone())).collect();
+    for call in &ledger.calls {
+        let runs = ledger.runs.get(&call.id).map_or(&[][..], Vec::as_slice);
+        violations.extend(check_call(ledger, call, runs));
+    }
+    violations.extend(check_leaving(ledger));
+    violations.extend(check_recovery(ledger));
+    violations
+}
+
+fn check_call(ledger: &SoakLedger, call: &CallRecord, runs: &[RunRecord]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let story = || format!("{call:?} ran {runs:?}");
+    if !call.kind.is_repeatable() {
+        if runs.len() > 1 {
+            violations.push(Violation::RanTwice(story()));
+        }
+        if call.promises_not_run() && !runs.is_empty() {
+            violations.push(Violation::FalseRefusal(story()));
+        }
+    }
+    let is_success = site::status(&call.answer) == "200";
+    if is_success && site::is_complete(&call.answer) && !is_own_answer(call, runs) {
+        violations.push(Violation::MixedAnswer(story()));
+    }
+    if call.is_connected && !site::is_complete(&call.answer) && !is_excused(ledger, call) {
+        violations.push(Violation::LostAnswer(story()));
+    }
+    violations.extend(check_service(ledger, call, runs));
+    violations
+}
+
+/// Tells whether an answer is the signed, whole answer of one run of the request.
+fn is_own_answer(call: &CallRecord, runs: &[RunRecord]) -> bool {
+    let Some((_, body)) = call.answer.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let is_of_run = |run: &RunRecord| match call.kind {
+        CallKind::Plain | CallKind::Order => body == run.body,
+        CallKind::Chat | CallKind::Review => {
+            let text = unchunk(body);
+            text == run.body && text.matches("\n\n").count() == EVENTS
+        }
+    };
+    site::is_signed(&call.answer) && runs.iter().any(is_of_run)
+}
+
+fn unchunk(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((length, rest)) = body.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).unwrap_or(0);
+        if length == 0 || rest.len() < length + 2 {
+            break;
+        }
+        text.push_str(&rest[..length]);
+        body = &rest[length + 2..];
+    }
+    text
+}
+
+/// Tells whether a fault explains that no whole answer came.
+fn is_excused(ledger: &SoakLedger, call: &CallRecord) -> bool {
+    let slack = Duration::from_secs(1);
+    let from = call.sent_at.checked_sub(slack).unwrap_or(call.sent_at);
+    ledger.is_disturbed(from, call.ended_at, |scope| match scope {
+        FaultScope::Daemon(daemon) => daemon == call.daemon,
+        FaultScope::Servers => true,
+        FaultScope::StoreLink(_) | FaultScope::Store => false,
+    })
+}
+
+/// A daemon that was undisturbed must have known of a new configuration.
+fn check_service(ledger: &SoakLedger, call: &CallRecord, runs: &[RunRecord]) -> Option<Violation> {
+    if !matches!(call.kind, CallKind::Plain | CallKind::Order) {
+        return None;
+    }
+    let (moved_at, service) = *ledger.moves.iter().rfind(|(at, _)| *at <= call.sent_at)?;
+    let is_due = call.sent_at >= moved_at + IN_FORCE_LIMIT;
+    let wrong = runs.iter().find(|run| run.service != service)?;
+    let from = moved_at.checked_sub(STABLE_SPAN).unwrap_or(moved_at);
+    let is_disturbed =
+        is_out_of_touch(ledger, from, wrong.began_at, |daemon| daemon == call.daemon);
+    let story = || format!("{call:?} ran {wrong:?} after a move to {service}");
+    (is_due && !is_disturbed).then(|| Violation::OldConfiguration(story()))
+}
+
+fn check_leaving(ledger: &SoakLedger) -> Option<Violation> {
+    let late = ledger.arrivals.iter().find(|(server, at)| {
+        let Some(left_at) = ledger.left.get(server) else {
+            return false;
+        };
+        let from = left_at.checked_sub(STABLE_SPAN).unwrap_or(*left_at);
+        *at > *left_at + IN_FORCE_LIMIT && !is_out_of_touch(ledger, from, *at, |_| true)
+    })?;
+    Some(Violation::SentAfterLeaving(late.0.clone()))
+}
+
+fn is_out_of_touch(
+    ledger: &SoakLedger,
+    from: Instant,
+    until: Instant,
+    is_meant: impl Fn(usize) -> bool,
+) -> bool {
+    ledger.is_disturbed(from, until, |scope| match scope {
+        FaultScope::Daemon(daemon) | FaultScope::StoreLink(daemon) => is_meant(daemon),
+        FaultScope::Store => true,
+        FaultScope::Servers => false,
+    })
+}
+
+fn check_recovery(ledger: &SoakLedger) -> Option<Violation> {
+    let since = ledger.calm_since? + RECOVERY_LIMIT;
+    let after: Vec<&CallRecord> =
+        ledger.calls.iter().filter(|call| call.sent_at >= since).collect();
+    let served = after.iter().filter(|call| call.is_served()).count();
+    let is_recovered = !after.is_empty() && served as f64 >= after.len() as f64 * RECOVERED_SHARE;
+    let slowest = after.iter().map(|call| call.ended_at - call.sent_at).max();
+    let story =
+        || format!("{served} of {} served, slowest {slowest:?} of {ANSWER_LIMIT:?}", after.len());
+    (!is_recovered).then(|| Violation::NotRecovered(story()))
+}
--- /dev/null
+++ b/crates/soak/src/engines.rs
@@ -0,0 +1,130 @@
+//! Backend servers of the soak: sound, full, or losing their answers.
+
+use std::{net::TcpStream, sync::Arc, thread, time::Duration, time::Instant};
+
+use gooseberry_harness::link::TestLink;
+use gooseberry_standins::site::{self, SeenRequest, StandinServer};
+use parking_lot::Mutex;
+
+use crate::ledger::{RunRecord, SoakLedger};
+
+/// Time of a plain call at a server.
+const CALL_SPAN: Duration = Duration::from_millis(15);
+/// Time between events of a stream.
+const EVENT_SPAN: Duration = Duration::from_millis(20);
+/// Events of a stream.
+pub const EVENTS: usize = 5;
+
+/// What a server does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServerMood {
+    #[default]
+    Sound,
+    /// Rejects all.
+    Full,
+    /// Runs what comes and closes the connection.
+    LosingAnswers,
+}
+
+/// A backend server with the link that leads to it.
+pub struct SoakServer {
+    /// Changes when the server starts anew.
+    pub id: String,
+    pub service: &'static str,
+    pub stage: &'static str,
+    pub link: TestLink,
+    pub mood: Arc<Mutex<ServerMood>>,
+    name: Arc<Mutex<String>>,
+}
+
+impl SoakServer {
+    /// Starts a server.
+    pub fn start(
+        id: &str,
+        service: &'static str,
+        stage: &'static str,
+        ledger: &Arc<Mutex<SoakLedger>>,
+    ) -> Self {
+        let mood = Arc::new(Mutex::new(ServerMood::Sound));
+        let name = Arc::new(Mutex::new(id.to_owned()));
+        let server = {
+            let (mood, name, ledger) = (Arc::clone(&mood), Arc::clone(&name), Arc::clone(ledger));
+            StandinServer::start(move |request, stream| {
+                let (mood, name) = (*mood.lock(), name.lock().clone());
+                let work = ServerWork { name, service, ledger: &ledger, mood };
+                work.answer(request, stream)
+            })
+        };
+        let link = TestLink::open(&server.address.to_string());
+        Self { id: id.to_owned(), service, stage, link, mood, name }
+    }
+
+    /// Gives the server a new id.
+    pub fn rename(&mut self, id: String) {
+        *self.name.lock() = id.clone();
+        self.id = id;
+    }
+}
+
+struct ServerWork<'a> {
+    name: String,
+    service: &'static str,
+    ledger: &'a Mutex<SoakLedger>,
+    mood: ServerMood,
+}
+
+impl ServerWork<'_> {
+    fn answer(&self, request: &SeenRequest, stream: &mut TcpStream) -> bool {
+        if request.id().is_empty() {
+            // A report or an order: this server takes none.
+            return site::write(stream, "HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n");
+        }
+        self.ledger.lock().arrivals.push((self.name.clone(), Instant::now()));
+        if self.mood == ServerMood::Full {
+            return site::reject(stream);
+        }
+        if request.is_prefill() {
+            thread::sleep(CALL_SPAN);
+            return site::answer_prefill(request, stream);
+        }
+        let is_stream = self.service == "model";
+        let body = if is_stream { events(request.id(), &self.name) } else { self.plain(request) };
+        let run = RunRecord {
+            server: self.name.clone(),
+            service: self.service,
+            began_at: Instant::now(),
+            body: body.clone(),
+        };
+        self.ledger.lock().runs.entry(request.id().to_owned()).or_default().push(run);
+        thread::sleep(CALL_SPAN);
+        if self.mood == ServerMood::LosingAnswers {
+            return false;
+        }
+        if is_stream {
+            return self.stream(request, stream, &body);
+        }
+        site::answer(request, stream, &body)
+    }
+
+    fn plain(&self, request: &SeenRequest) -> String {
+        format!("{} {} of {}", request.path(), request.id(), self.name)
+    }
+
+    fn stream(&self, request: &SeenRequest, stream: &mut TcpStream, body: &str) -> bool {
+        let head = site::answer_head(request, "Transfer-Encoding: chunked");
+        let mut alive = site::write(stream, &head);
+        for event in body.split_inclusive("\n\n") {
+            if !alive {
+                return false;
+            }
+            alive = site::write(stream, &format!("{:x}\r\n{event}\r\n", event.len()));
+            thread::sleep(EVENT_SPAN);
+        }
+        alive && site::write(stream, "0\r\n\r\n")
+    }
+}
+
+/// The events of a request's stream at a server.
+fn events(id: &str, server: &str) -> String {
+    (1..=EVENTS).map(|number| format!("id: {number}\ndata: {id} of {server}\n\n")).collect()
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,64 @@
+//! Runs soaks by hand: one seed, or a series of seeds.
+
+use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
+
+use bpaf::Bpaf;
+use gooseberry_soak::SoakTerms;
+
+/// Runs gateways as processes, injects faults and checks promises
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// First seed
+    #[bpaf(long, argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Number of seeds
+    #[bpaf(long, argument("COUNT"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Seconds in which faults begin
+    #[bpaf(long, argument("SECONDS"), fallback(12), display_fallback)]
+    seconds: u64,
+    /// Daemons of the system; more than twelve use relays
+    #[bpaf(long, argument("COUNT"), fallback(4), display_fallback)]
+    daemons: usize,
+    /// Folder for the logs of seeds that fail
+    #[bpaf(long, argument("FOLDER"), fallback(PathBuf::from("target/soak")))]
+    logs: PathBuf,
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let arguments = arguments().run();
+    let mut failed = 0;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let span = Duration::from_secs(arguments.seconds);
+        let terms = SoakTerms { seed, span, daemons: arguments.daemons };
+        let folder = tempfile::tempdir()?;
+        let report = gooseberry_soak::run(terms, folder.path());
+        println!(
+            "seed {seed}: {} requests, {} served, {} faults, {} violations",
+            report.requests,
+            report.served,
+            report.faults.len(),
+            report.violations.len()
+        );
+        if report.violations.is_empty() {
+            continue;
+        }
+        failed += 1;
+        let kept = arguments.logs.join(format!("seed-{seed}"));
+        fs::create_dir_all(&kept)?;
+        for entry in fs::read_dir(folder.path())? {
+            let entry = entry?;
+            fs::copy(entry.path(), kept.join(entry.file_name()))?;
+        }
+        for fault in &report.faults {
+            println!("  {fault:?}");
+        }
+        for violation in &report.violations {
+            println!("  {violation:?}");
+        }
+        println!("  logs are in {}", kept.display());
+    }
+    println!("{failed} of {} seeds failed", arguments.seeds);
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod plain;
 pub mod platform;
 pub mod program;
+pub mod site;
 pub mod token;
