--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -43,6 +43,8 @@
 /// paid by volume. A body of 17 kB that goes to two engines costs as much as a
 /// twentieth of a second.
 const FAR_MS_PER_KB: f64 = 1.5;
+/// The same between failure domains of a region.
+const REGION_MS_PER_KB: f64 = 0.75;
 /// Fewest tokens for which a KV cache is fetched.
 const LEAST_FETCH_TOKENS: u32 = 512;
 /// Milliseconds of a fetch beside the bytes.
@@ -401,9 +403,12 @@
     let delay_ms = 2.0 * domains.delay_ms(request.home, &state.entry.domain);
     let mut first_event_ms = wait_ms + fetch_ms + reading_ms + delay_ms + STEP_MS;
     let mut cost = reread_ms;
-    let is_far = domains.distance(request.home, &state.entry.domain) == DomainDistance::OtherRegion;
-    let body_kb = request.body_bytes as f64 / 1000.0;
-    let far_cost_ms = if is_far { body_kb * FAR_MS_PER_KB } else { 0.0 };
+    let ms_per_kb = match domains.distance(request.home, &state.entry.domain) {
+        DomainDistance::Same => 0.0,
+        DomainDistance::SameRegion => REGION_MS_PER_KB,
+        DomainDistance::OtherRegion => FAR_MS_PER_KB,
+    };
+    let body_cost_ms = request.body_bytes as f64 / 1000.0 * ms_per_kb;
     let path = match state.entry.stage {
         EngineStage::Prefill => {
             let reader_domain = &state.entry.domain;
@@ -413,11 +418,11 @@
                 + EXPORT_MS
                 + transfer_ms(traits, prompt.prompt_tokens, domains.distance(reader_domain, to));
             // The engine of the output gets the body too.
-            cost += 2.0 * far_cost_ms;
+            cost += 2.0 * body_cost_ms;
             PlacementPath::Split { prefill: key, decode }
         }
         EngineStage::Decode | EngineStage::Mixed => {
-            cost += reading_ms * INTERFERENCE_WEIGHT + far_cost_ms;
+            cost += reading_ms * INTERFERENCE_WEIGHT + body_cost_ms;
             PlacementPath::Whole { engine: key }
         }
     };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,6 +15,7 @@
     serving::{
         configuration::{RouteKind, RouteRow, ServingConfiguration},
         placement,
+        prompt::PromptShape,
     },
     time::Timestamp,
 };
@@ -96,10 +97,17 @@
 }
 
 impl Call {
-    /// Computes the fingerprint of a request.
-    pub fn fingerprint(parts: &request::Parts, body: &Bytes) -> RequestFingerprint {
+    /// Computes the fingerprint of a request. One without a body has only its
+    /// prompt to tell it from others on the same path.
+    pub fn fingerprint(
+        parts: &request::Parts,
+        body: &Bytes,
+        prompt: &PromptShape,
+    ) -> RequestFingerprint {
         let path = xxh3::xxh3_64(parts.uri.path().as_bytes());
-        RequestFingerprint(xxh3::xxh3_64_with_seed(body, path))
+        let last_part = prompt.parts.last().filter(|_| body.is_empty());
+        let seed = last_part.map_or(path, |part| path ^ part.key.0);
+        RequestFingerprint(xxh3::xxh3_64_with_seed(body, seed))
     }
 
     /// Returns a hash of the request's id.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -43,7 +43,7 @@
 const RELAY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after an answer with changes: they come in series, and each answer is
 /// a call.
-const COLLECT_SPAN: Duration = Duration::from_millis(150);
+const COLLECT_SPAN: Duration = Duration::from_millis(300);
 
 /// What is told of this system's own keys.
 #[derive(Clone, Debug, Default)]
@@ -166,7 +166,8 @@
         note_contact(&self.gateway);
         let now = self.gateway.now();
         if self.revision.is_none() {
-            remove_missing(&self.gateway, &news);
+            remove_missing_servers(&self.gateway, &news);
+            remove_missing_keys(&self.keys, &news);
             self.keys.log.reset(news.revision, now);
         } else {
             let answered_at = (source == NewsSource::Service).then_some(now);
@@ -210,7 +211,7 @@
 }
 
 /// Takes the servers that a read of all keys doesn't name as missing.
-fn remove_missing(gateway: &Gateway, news: &StoreNews) {
+fn remove_missing_servers(gateway: &Gateway, news: &StoreNews) {
     let named: HashSet<&SmolStr> = news
         .changes
         .iter()
@@ -228,6 +229,21 @@
     }
 }
 
+/// Takes the daemons and the steward that a read of all keys doesn't name as
+/// gone.
+fn remove_missing_keys(keys: &OwnKeys, news: &StoreNews) {
+    let own = news.changes.iter().filter_map(|change| match &change.subject {
+        StoreSubject::Own(key) => Some(key.as_str()),
+        _ => None,
+    });
+    let named: HashSet<&str> = own.collect();
+    if !named.contains(steward::KEY) {
+        keys.seat.set(None);
+    }
+    let named_peers = named.iter().filter_map(|key| key.strip_prefix(peers::KEY_PREFIX));
+    keys.peers.retain(&named_peers.collect());
+}
+
 fn apply(gateway: &Gateway, keys: &OwnKeys, change: StoreChange) {
     let revision = change.revision;
     match (change.subject, change.value) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -79,7 +79,7 @@
     let time_left = head.time_left.unwrap_or(DEFAULT_TIME_LEFT);
     let mut call = Call {
         gateway: Arc::clone(gateway),
-        fingerprint: Call::fingerprint(&parts, &body),
+        fingerprint: Call::fingerprint(&parts, &body, &head.prompt),
         parts,
         head,
         body,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,7 +6,12 @@
 //! In large fleets relays collect it, as `gooseberry_core::serving::relays`
 //! plans.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::{net::UdpSocket, task};
 use gooseberry_core::{
@@ -132,6 +137,12 @@
         *self.planned.lock() = None;
     }
 
+    /// Forgets all daemons but those named.
+    pub fn retain(&self, named: &HashSet<&str>) {
+        self.rows.lock().retain(|name, _| named.contains(name.as_str()));
+        *self.planned.lock() = None;
+    }
+
     /// Returns where news goes now.
     pub fn plan(&self, options: &GatewayOptions, now: Timestamp) -> Arc<RelayPlan<SocketAddr>> {
         let mut planned = self.planned.lock();
--- a/crates/gateway/tests/gateway/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -186,6 +186,17 @@
     assert!(system.gateway.state.lock().fleet.key("state").is_none());
 }
 
+/// A steward that died while the history was lost left its seat taken for good.
+#[test]
+fn a_steward_that_went_with_the_history_leaves_its_seat_free() {
+    let system = System::start();
+    system.store.put("gateway/steward", &"another".into());
+    system.configure(1);
+    system.wait_version(1);
+    system.store.remove_unseen("gateway/steward");
+    support::wait_for(|| system.store.text("gateway/steward").as_deref() == Some("daemon-1"));
+}
+
 #[test]
 fn an_older_configuration_never_comes_back() {
     let system = system();
@@ -262,6 +273,33 @@
     }
 }
 
+/// A soak had all chats refused after three of them had lost their answers: they
+/// had the same path and no body (seeds 102 and 113).
+#[test]
+fn prompts_without_a_body_are_not_convicted_for_each_other() {
+    let system = system();
+    let engine = StandinServer::start(|request, stream| {
+        let is_sound = request.header("x-prompt-prefix") == Some("bb:100");
+        is_sound && answer(request, stream, "data: 1\n\n")
+    });
+    system.register("one", "model", &engine, "");
+    let prompt =
+        |part| format!("X-Model: m\r\nX-Token-Usage: 100,5\r\nX-Prompt-Prefix: {part}:100\r\n");
+    let mut statuses = Vec::new();
+    for part in ["aa", "aa", "aa", "aa", "bb"] {
+        support::wait_for(|| {
+            let state = system.gateway.state.lock();
+            let key = state.fleet.key("one").expect("the engine");
+            state.fleet.server(key).is_usable(system.gateway.now())
+        });
+        statuses.push(status(&system.send(&get("/chat/x", &prompt(part)))).to_owned());
+    }
+    assert_eq!(statuses[..3], ["502", "502", "502"]);
+    assert_ne!(statuses[3], "502", "the fourth would crash another engine");
+    assert_eq!(statuses[4], "200");
+    assert_eq!(engine.seen().len(), 4);
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_work_at_the_engine() {
     let system = system();
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -12,6 +12,12 @@
     assert!(report.violations.is_empty(), "{:#?} after {:#?}", report.violations, report.faults);
 }
 
+/// Chats were refused as crashing after three of them had lost their answers.
+#[test]
+fn seed_102_recovers_after_lost_answers() {
+    soak(102, 10, 4);
+}
+
 #[test]
 fn a_short_soak_keeps_all_promises() {
     soak(1, 6, 3);
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -293,6 +293,20 @@
         self.tables.lock().write(key, None, 0);
     }
 
+    /// Removes a key and all history, so that no watch tells of it.
+    pub fn remove_unseen(&self, key: &str) {
+        let mut tables = self.tables.lock();
+        tables.write(key, None, 0);
+        tables.floor = tables.revision;
+    }
+
+    /// Returns the text of a key.
+    pub fn text(&self, key: &str) -> Option<String> {
+        let tables = self.tables.lock();
+        let value = tables.items.get(key)?.value.as_ref()?;
+        String::from_utf8(STANDARD.decode(value).ok()?).ok()
+    }
+
     fn call(&self, request: &SeenRequest) -> (u16, Value) {
         self.tables.lock().end_leases();
         let target = request.line.split(' ').nth(1).unwrap_or_default();
