--- a/crates/core/src/serving/budget.rs
+++ b/crates/core/src/serving/budget.rs
@@ -13,7 +13,7 @@
 const USED_SHARE: f64 = 0.6;
 
 /// What the system as a whole may spend on retries.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
     /// Retries for each request.
     pub ratio: f64,
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use anyhow::Context;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{
     fmt, layer::SubscriberExt, reload, util::SubscriberInitExt, EnvFilter, Registry,
 };
@@ -45,18 +45,19 @@
 
 /// Installs the logs of this process on standard output, written by a thread of
 /// their own. Lines are dropped while the reader doesn't keep up, so that logs
-/// never delay a request.
+/// never delay a request; the counter tells how many.
 ///
 /// # Errors
 ///
 /// Returns an error if the text names no level or logs are installed already.
-pub fn install_bounded(level: &str) -> anyhow::Result<WorkerGuard> {
+pub fn install_bounded(level: &str) -> anyhow::Result<(WorkerGuard, ErrorCounter)> {
     let filter = EnvFilter::try_new(level).with_context(|| format!("{level} isn't a log level"))?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LINE_LIMIT)
         .finish(io::stdout());
+    let dropped = writer.error_counter();
     let lines = fmt::layer().json().flatten_event(true).with_writer(writer);
     tracing_subscriber::registry().with(filter).with(lines).try_init()?;
-    Ok(guard)
+    Ok((guard, dropped))
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -45,14 +45,15 @@
     if arguments.check {
         return Ok(());
     }
-    let _writer = logs::install_bounded(&settings.log)?;
+    let (_writer, dropped) = logs::install_bounded(&settings.log)?;
     // An entry VM has a part of one core.
     set_threads(1);
     let reload = move || {
         let settings = read(&arguments.settings, settings::parse_gateway)?;
         Ok(GatewayOptions::new(&settings)?)
     };
-    task::block_on(gooseberry_gateway::program::run(options, reload))
+    let dropped_lines = Box::new(move || dropped.dropped_lines() as u64);
+    task::block_on(gooseberry_gateway::program::run(options, reload, dropped_lines))
 }
 
 /// Reads and checks settings.
--- a/crates/daemon/tests/gateway_signals.rs
+++ b/crates/daemon/tests/gateway_signals.rs
@@ -2,8 +2,8 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
-    net::SocketAddr,
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
@@ -24,16 +24,17 @@
     child: Child,
     lines: BufReader<ChildStdout>,
     settings: PathBuf,
+    callers: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl GatewayProcess {
     fn start(name: &str) -> Self {
         let settings = std::env::temp_dir().join(format!("{name}-{}.yaml", std::process::id()));
+        let (callers, metrics) = (free(), free());
         let text = format!(
-            "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {}\n\
-             ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\nstore: {}\n",
-            free(),
-            free(),
+            "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {callers}\n\
+             ready_listen: {}\nmetrics_listen: {metrics}\npeer_listen: {}\nstore: {}\n",
             free(),
             free(),
             free()
@@ -46,11 +47,23 @@
             .spawn()
             .expect("a process");
         let lines = BufReader::new(child.stdout.take().expect("its output"));
-        let mut process = Self { child, lines, settings };
+        let mut process = Self { child, lines, settings, callers, metrics };
         process.line("\"started\"");
         process
     }
 
+    /// Asks an address of the process for a path and returns all of the answer.
+    fn ask(&self, address: SocketAddr, path: &str) -> String {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: close\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).expect("a request");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer of text");
+        answer
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal).expect("the process lives");
@@ -92,6 +105,39 @@
     assert!(process.child.wait().expect("a status").success());
 }
 
+/// The platform may replace the file without a signal.
+#[test]
+fn a_settings_file_that_changes_without_a_signal_is_read_again() {
+    let mut process = GatewayProcess::start("changed");
+    let text = fs::read_to_string(&process.settings).expect("settings");
+    fs::write(&process.settings, format!("{text}retry_slack: 9\n")).expect("settings");
+    assert!(process.line("settings reloaded").contains("slack: 9"));
+}
+
+/// A reader that stops must not delay requests: lines are dropped and counted.
+#[test]
+fn a_log_that_nobody_reads_stops_nothing_and_the_lost_lines_are_counted() {
+    let process = GatewayProcess::start("unread");
+    let dropped = || {
+        let text = process.ask(process.metrics, "/metrics");
+        let mut lines = text.lines().filter_map(|line| {
+            line.strip_prefix("gooseberrykeel_log_lines_dropped ")?.parse::<u64>().ok()
+        });
+        lines.next().unwrap_or_else(|| panic!("no count of dropped lines in {text}"))
+    };
+    assert_eq!(dropped(), 0);
+    // Each of these is logged; the pipe and the queue hold some thousands.
+    let mut requests = 0;
+    while dropped() == 0 {
+        for _ in 0..500 {
+            let answer = process.ask(process.callers, "/nowhere/x");
+            assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+        }
+        requests += 500;
+        assert!(requests < 50_000, "no line was dropped");
+    }
+}
+
 #[test]
 fn sigterm_ends_the_process_in_order() {
     let mut process = GatewayProcess::start("stop");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms, served as text.
 
+use std::fmt;
+
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -9,10 +11,14 @@
 /// 0.8 s and the deadlines of 0.8 to 8 s.
 const LATENCY_BUCKETS: &[f64] = &[0.01, 0.03, 0.06, 0.12, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3.0, 8.0];
 
+/// Tells how many lines the log has lost.
+pub type LineCounter = Box<dyn Fn() -> u64 + Send + Sync>;
+
 /// Holds the metrics of one daemon.
-#[derive(Clone, Debug)]
 pub struct GatewayMetrics {
     registry: Registry,
+    lines_dropped: IntGauge,
+    count_dropped_lines: LineCounter,
     /// Ended requests by route and outcome.
     pub requests: IntCounterVec,
     /// Time to the head of the answer by route.
@@ -31,13 +37,19 @@
     pub version: IntGauge,
 }
 
+impl fmt::Debug for GatewayMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("GatewayMetrics").finish_non_exhaustive()
+    }
+}
+
 impl GatewayMetrics {
     /// Makes the metrics.
     ///
     /// # Errors
     ///
     /// Returns an error if two metrics have one name.
-    pub fn new() -> Result<Self, prometheus::Error> {
+    pub fn new(count_dropped_lines: LineCounter) -> Result<Self, prometheus::Error> {
         let registry = Registry::new_custom(Some("gooseberrykeel".to_owned()), None)?;
         let counters = |name: &str, help: &str, labels: &[&str]| {
             let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
@@ -66,6 +78,8 @@
             store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
             datagrams: counters("datagrams_total", "Datagrams of daemons", &["direction"])?,
             connections,
+            lines_dropped: gauge("log_lines_dropped", "Lines that the log has lost")?,
+            count_dropped_lines,
             version: gauge("configuration_version", "Version of the configuration in force")?,
             registry,
         })
@@ -77,6 +91,7 @@
     ///
     /// Returns an error if a metric can't be written.
     pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        self.lines_dropped.set((self.count_dropped_lines)() as i64);
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -22,9 +22,9 @@
     events::{self, OwnKeys},
     front,
     gateway::Gateway,
-    metrics::GatewayMetrics,
+    metrics::{GatewayMetrics, LineCounter},
     peers,
-    settings::GatewayOptions,
+    settings::{GatewayLimits, GatewayOptions},
     steward,
 };
 
@@ -38,11 +38,14 @@
 const LEAVE_SPAN: Duration = Duration::from_millis(2600);
 /// Part of the grace time that is left unused.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
+/// Time between looks at the settings file.
+const RELOAD_SPAN: Duration = Duration::from_secs(5);
 /// Time between looks at what still runs.
 const LOOK_SPAN: Duration = Duration::from_millis(50);
 
-/// Runs a gateway until it is stopped. At SIGHUP the settings are read anew by
-/// `reload`.
+/// Runs a gateway until it is stopped. The settings are read anew by `reload` at
+/// SIGHUP and now and then besides, because the file may change without a signal.
+/// `dropped_lines` counts the lines that the log has lost.
 ///
 /// # Errors
 ///
@@ -50,10 +53,11 @@
 pub async fn run(
     options: GatewayOptions,
     reload: impl Fn() -> anyhow::Result<GatewayOptions> + Send + 'static,
+    dropped_lines: LineCounter,
 ) -> anyhow::Result<()> {
     let stop = StopSignal::on_termination()?;
     let requests = stop::reload_requests()?;
-    let (gateway, callers) = start(options).await?;
+    let (gateway, callers) = start(options, dropped_lines).await?;
     task::spawn(reload_forever(Arc::clone(&gateway), requests, reload));
     stop.wait().await;
     leave(&gateway, &callers).await;
@@ -65,17 +69,36 @@
     requests: Receiver<()>,
     reload: impl Fn() -> anyhow::Result<GatewayOptions>,
 ) {
-    while requests.recv().await.is_ok() {
-        match reload() {
+    let mut last = None;
+    loop {
+        let is_asked = gateway.clock.timeout(RELOAD_SPAN, requests.recv()).await.is_ok();
+        let reading = match reload() {
             Ok(options) => {
                 let fixed = gateway.options.fixed_differences(&options);
-                *gateway.limits.lock() = options.limits;
-                tracing::info!(limits = ?options.limits, needs_restart = ?fixed, "settings reloaded");
-            }
-            Err(error) => {
-                tracing::warn!(error = format!("{error:#}"), "settings not reloaded; the old hold");
+                Ok((options.limits, fixed))
             }
+            Err(error) => Err(format!("{error:#}")),
+        };
+        let is_news = match &last {
+            Some(last) => *last != reading,
+            None => reading != Ok((*gateway.limits.lock(), Vec::new())),
+        };
+        if is_asked || is_news {
+            take_settings(&gateway, &reading);
         }
+        last = Some(reading);
+    }
+}
+
+/// Puts the settings that can be reloaded into force; `reading` has them with the
+/// names of those that need a restart.
+fn take_settings(gateway: &Gateway, reading: &Result<(GatewayLimits, Vec<&str>), String>) {
+    match reading {
+        Ok((limits, needs_restart)) => {
+            *gateway.limits.lock() = *limits;
+            tracing::info!(?limits, ?needs_restart, "settings reloaded");
+        }
+        Err(error) => tracing::warn!(error, "settings not reloaded; the old hold"),
     }
 }
 
@@ -84,8 +107,11 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
-pub async fn start(options: GatewayOptions) -> anyhow::Result<(Arc<Gateway>, HttpServer)> {
-    let metrics = GatewayMetrics::new().context("the metrics can't be made")?;
+pub async fn start(
+    options: GatewayOptions,
+    dropped_lines: LineCounter,
+) -> anyhow::Result<(Arc<Gateway>, HttpServer)> {
+    let metrics = GatewayMetrics::new(dropped_lines).context("the metrics can't be made")?;
     let gateway = Arc::new(Gateway::new(options, Clock::system(), metrics));
     let options = &gateway.options;
     let keys = OwnKeys::default();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,7 +31,7 @@
 }
 
 /// The settings that can be reloaded.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GatewayLimits {
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -56,7 +56,7 @@
         }))
         .expect("settings");
         let options = GatewayOptions::new(&settings).expect("options");
-        let started = async_std::task::block_on(program::start(options));
+        let started = async_std::task::block_on(program::start(options, Box::new(|| 0)));
         let (gateway, _) = started.expect("a gateway");
         Self { store, gateway, callers, ready }
     }
