--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -6,8 +6,12 @@
 pub mod admission;
 pub mod backlog;
 pub mod budget;
+pub mod candidates;
 pub mod configuration;
+pub mod decoders;
 pub mod directory;
+pub mod distance;
+pub mod fetches;
 pub mod fleet;
 pub mod health;
 pub mod pace;
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -7,10 +7,12 @@
     arena::EngineKey,
     serving::{
         backlog::{PendingRead, SendTicket},
+        candidates,
         configuration::EngineTraits,
         directory::{EngineStage, ServerEntry},
+        distance::DomainMap,
         fleet::ServerFleet,
-        placement::{self, DomainMap, PlacementRequest},
+        placement::{self, PlacementRequest},
         prompt::PromptShape,
         relays,
     },
@@ -145,7 +147,7 @@
     let delay = relays::news_delay(89);
     for seed in 1..=3 {
         let (share, longest) =
-            play(seed, |engines| placement::group_size(engines, SENDS_PER_S, delay));
+            play(seed, |engines| candidates::group_size(engines, SENDS_PER_S, delay));
         assert!(share >= TARGET_SHARE, "seed {seed}: {share} within {TARGET_MS} ms, {longest} ms");
         let (naive, longest) = play(seed, |engines| engines);
         assert!(
@@ -158,6 +160,6 @@
 #[test]
 fn daemons_of_a_small_fleet_look_at_all_engines() {
     let delay = relays::news_delay(8);
-    assert_eq!(placement::group_size(9, 60.0, delay), 9);
-    assert!(placement::group_size(96, 400.0, relays::news_delay(89)) < 16);
+    assert_eq!(candidates::group_size(9, 60.0, delay), 9);
+    assert!(candidates::group_size(96, 400.0, relays::news_delay(89)) < 16);
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod program;
 pub mod prompt_call;
+pub mod reads;
 pub mod send;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -7,12 +7,12 @@
     arena::EngineKey,
     serving::{
         admission::{self, AdmissionRequest, AdmissionVerdict},
-        backlog::{PendingRead, SendTicket},
+        backlog::PendingRead,
         configuration::EngineTraits,
+        decoders,
         directory::EngineStage,
         placement::{self, Placement, PlacementPath, PlacementRequest},
     },
-    time::Timestamp,
 };
 use gooseberry_platform::{
     engine::{self, CacheHandle, SendPhase, SendTerms},
@@ -21,14 +21,11 @@
 use gooseberry_transport::body::AnswerBody;
 use http::Response;
 use http_body_util::BodyExt;
-use smol_str::SmolStr;
 
 use crate::{
     call::{self, Call, CallRoute},
-    gateway::Gateway,
-    news::{ReadEnd, ReadSample},
+    reads::{HandleGuard, ReadGuard},
     send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
-    state::GatewayState,
     stream,
 };
 
@@ -36,120 +33,11 @@
 /// reads it: reading may be repeated.
 const READ_LIMIT_FACTOR: f64 = 2.0;
 const READ_LIMIT_SLACK: Duration = Duration::from_millis(600);
-/// Milliseconds of a read that are neither reading nor the network's delay: a
-/// step of the engine and the handling at both ends.
-const SEND_MS: f64 = 10.0;
 /// Time between looks at a silent engine.
 const SILENCE_LOOK: Duration = Duration::from_millis(100);
 /// Sends of one request that servers may reject before it is refused.
 const REJECTION_LIMIT: usize = 3;
 
-/// A prompt on its way to being read; ends its entry in the backlog when it is
-/// dropped.
-#[derive(Debug)]
-pub struct ReadGuard {
-    gateway: Arc<Gateway>,
-    request_id: SmolStr,
-    pub key: EngineKey,
-    ticket: SendTicket,
-    tokens: u32,
-    began: Timestamp,
-    /// Whether the engine had nothing else to read when this was sent, and all
-    /// shared parts in its cache.
-    was_alone: bool,
-    /// Expected time to the first event when this was sent.
-    expected_ms: f64,
-    is_open: bool,
-}
-
-impl ReadGuard {
-    /// Notes that the prompt was read; the engine's speed is learned from it.
-    pub fn read(&mut self) {
-        if !self.is_open {
-            return;
-        }
-        self.is_open = false;
-        let now = self.gateway.now();
-        let mut state = self.gateway.state.lock();
-        let sample = self.sample(&state, now);
-        state.end_read(self.key, self.ticket, ReadEnd::Read(sample), now);
-        let server = state.fleet.server(self.key);
-        tracing::info!(
-            request = %self.request_id,
-            server = %server.entry.id,
-            tokens = self.tokens,
-            elapsed_ms = now.since(self.began).as_millis() as u64,
-            expected_ms = self.expected_ms as u64,
-            was_alone = self.was_alone,
-            speed = server.speed(),
-            "prompt read"
-        );
-        drop(state);
-        self.gateway.wake_peers();
-    }
-}
-
-impl ReadGuard {
-    /// Returns what a read that ends now tells of the engine's speed.
-    fn sample(&self, state: &GatewayState, now: Timestamp) -> Option<ReadSample> {
-        let options = &self.gateway.options;
-        let domain = &state.fleet.server(self.key).entry.domain;
-        let delay_ms = 2.0 * options.domains.delay_ms(&options.domain, domain);
-        let elapsed_ms = now.since(self.began).as_millis() as f64;
-        let reading_ms = (elapsed_ms - delay_ms - SEND_MS).max(0.0) as u32;
-        self.was_alone.then_some(ReadSample { tokens: self.tokens, reading_ms })
-    }
-}
-
-impl Drop for ReadGuard {
-    fn drop(&mut self) {
-        if self.is_open {
-            let now = self.gateway.now();
-            let mut state = self.gateway.state.lock();
-            state.end_read(self.key, self.ticket, ReadEnd::Abandoned, now);
-            drop(state);
-            self.gateway.wake_peers();
-        }
-    }
-}
-
-/// Frees an exported KV cache that no engine has taken.
-#[derive(Debug)]
-struct HandleGuard {
-    gateway: Arc<Gateway>,
-    target: SendTarget,
-    handle: Option<CacheHandle>,
-}
-
-impl HandleGuard {
-    fn taken(mut self) {
-        self.handle = None;
-    }
-}
-
-impl Drop for HandleGuard {
-    fn drop(&mut self) {
-        if let Some(handle) = self.handle.take() {
-            let (gateway, target) = (Arc::clone(&self.gateway), self.target.clone());
-            async_std::task::spawn(async move { release(&gateway, &target, &handle).await });
-        }
-    }
-}
-
-async fn release(gateway: &Gateway, target: &SendTarget, handle: &CacheHandle) {
-    let request = || engine::release(handle);
-    match send::exchange(gateway, target, request, ConnectionChoice::Kept).await {
-        Ok((response, connection)) => {
-            let idle = engine::idle_limit(response.headers());
-            if response.into_body().collect().await.is_ok() {
-                send::keep(gateway, connection, idle).await;
-            }
-        }
-        // The engine frees it by itself after a while.
-        Err(fault) => tracing::info!(server = %target.id, %fault, "KV cache not freed"),
-    }
-}
-
 /// Carries a request to its answer.
 pub async fn run(
     call: &Call,
@@ -415,13 +303,7 @@
         group: 1,
         limit_ms: 0.0,
     };
-    placement::choose_decoder(
-        &state.fleet,
-        &options.domains,
-        &request,
-        &reader.domain,
-        call.gateway.now(),
-    )
+    decoders::choose(&state.fleet, &options.domains, &request, &reader.domain, call.gateway.now())
 }
 
 fn terms<'a>(
--- /dev/null
+++ b/crates/gateway/src/reads.rs
@@ -0,0 +1,124 @@
+//! What is held while an engine reads a prompt, and given back however that ends.
+
+use std::sync::Arc;
+
+use gooseberry_core::{arena::EngineKey, serving::backlog::SendTicket, time::Timestamp};
+use gooseberry_platform::engine::{self, CacheHandle};
+use http_body_util::BodyExt;
+use smol_str::SmolStr;
+
+use crate::{
+    gateway::Gateway,
+    news::{ReadEnd, ReadSample},
+    send::{self, ConnectionChoice, SendTarget},
+    state::GatewayState,
+};
+
+/// Milliseconds of a read that are neither reading nor the network's delay: a
+/// step of the engine and the handling at both ends.
+const SEND_MS: f64 = 10.0;
+
+/// A prompt on its way to being read; ends its entry in the backlog when it is
+/// dropped.
+#[derive(Debug)]
+pub struct ReadGuard {
+    pub gateway: Arc<Gateway>,
+    pub request_id: SmolStr,
+    pub key: EngineKey,
+    pub ticket: SendTicket,
+    pub tokens: u32,
+    pub began: Timestamp,
+    /// Whether the engine had nothing else to read when this was sent, and all
+    /// shared parts in its cache.
+    pub was_alone: bool,
+    /// Expected time to the first event when this was sent.
+    pub expected_ms: f64,
+    pub is_open: bool,
+}
+
+impl ReadGuard {
+    /// Notes that the prompt was read; the engine's speed is learned from it.
+    pub fn read(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        self.is_open = false;
+        let now = self.gateway.now();
+        let mut state = self.gateway.state.lock();
+        let sample = self.sample(&state, now);
+        state.end_read(self.key, self.ticket, ReadEnd::Read(sample), now);
+        let server = state.fleet.server(self.key);
+        tracing::info!(
+            request = %self.request_id,
+            server = %server.entry.id,
+            tokens = self.tokens,
+            elapsed_ms = now.since(self.began).as_millis() as u64,
+            expected_ms = self.expected_ms as u64,
+            was_alone = self.was_alone,
+            speed = server.speed(),
+            "prompt read"
+        );
+        drop(state);
+        self.gateway.wake_peers();
+    }
+
+    /// Returns what a read that ends now tells of the engine's speed.
+    fn sample(&self, state: &GatewayState, now: Timestamp) -> Option<ReadSample> {
+        let options = &self.gateway.options;
+        let domain = &state.fleet.server(self.key).entry.domain;
+        let delay_ms = 2.0 * options.domains.delay_ms(&options.domain, domain);
+        let elapsed_ms = now.since(self.began).as_millis() as f64;
+        let reading_ms = (elapsed_ms - delay_ms - SEND_MS).max(0.0) as u32;
+        self.was_alone.then_some(ReadSample { tokens: self.tokens, reading_ms })
+    }
+}
+
+impl Drop for ReadGuard {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now = self.gateway.now();
+            let mut state = self.gateway.state.lock();
+            state.end_read(self.key, self.ticket, ReadEnd::Abandoned, now);
+            drop(state);
+            self.gateway.wake_peers();
+        }
+    }
+}
+
+/// Frees an exported KV cache that no engine has taken.
+#[derive(Debug)]
+pub struct HandleGuard {
+    pub gateway: Arc<Gateway>,
+    pub target: SendTarget,
+    pub handle: Option<CacheHandle>,
+}
+
+impl HandleGuard {
+    /// Notes that an engine has taken it.
+    pub fn taken(mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for HandleGuard {
+    fn drop(&mut self) {
+        if let Some(handle) = self.handle.take() {
+            let (gateway, target) = (Arc::clone(&self.gateway), self.target.clone());
+            async_std::task::spawn(async move { release(&gateway, &target, &handle).await });
+        }
+    }
+}
+
+async fn release(gateway: &Gateway, target: &SendTarget, handle: &CacheHandle) {
+    let request = || engine::release(handle);
+    match send::exchange(gateway, target, request, ConnectionChoice::Kept).await {
+        Ok((response, connection)) => {
+            let idle = engine::idle_limit(response.headers());
+            if response.into_body().collect().await.is_ok() {
+                send::keep(gateway, connection, idle).await;
+            }
+        }
+        // The engine frees it by itself after a while.
+        Err(fault) => tracing::info!(server = %target.id, %fault, "KV cache not freed"),
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use gooseberry_core::serving::{budget::RetryAllowance, placement::DomainMap};
+use gooseberry_core::serving::{budget::RetryAllowance, distance::DomainMap};
 use gooseberry_wire::gateway::GatewaySettings;
 use smol_str::SmolStr;
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,10 +11,10 @@
     serving::{
         backlog::{PendingRead, SendTicket},
         budget::{RetryAllowance, RetryLedger},
+        candidates,
         configuration::ServingConfiguration,
         directory::{ServerEntry, ServerPresence},
         fleet::{self, EntryEffect, ServerFleet},
-        placement,
         rate::EventRate,
         relays,
         suspects::SuspectTable,
@@ -227,7 +227,7 @@
     /// Returns how many of the engines a prompt is placed among first.
     pub fn placement_group(&self, engines: usize, now: Timestamp) -> usize {
         let delay = relays::news_delay(1 + self.living_peers(now) as usize);
-        placement::group_size(engines, self.sends_of_others.per_second(now), delay)
+        candidates::group_size(engines, self.sends_of_others.per_second(now), delay)
     }
 
     /// Returns the tokens that a server's KV cache holds.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::{
     call::Call,
     gateway::Gateway,
-    prompt_call::ReadGuard,
+    reads::ReadGuard,
     send::{self, SendAnswer, SendTarget},
 };
 
