--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -109,7 +109,8 @@
     }
 }
 
-/// A third of what engines read were shared parts that another engine had.
+/// A fifth of what engines read on a calm day were shared parts that another
+/// engine had.
 #[test]
 fn a_shared_part_is_fetched_where_its_engine_has_a_long_queue() {
     let mut fleet = fleet();
