Ask the service at once when a relay has lost the history; ask again in time after a cut

It had been cut off for 12 s while the store lost its history: its relay answered 410, and the daemon waited out the pause after its own failed calls, up to 4 s, before it asked the service. Now a relay without the history sends its members to the service at once, and pauses end at 0.5 s, or 1.5 s where there is a relay. after_a_long_cut_a_daemon_asks_again_in_time failed with the old longest pause (3.2 s of 3 s); the decision is core::serving::watching, apart from the calls.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -22,3 +22,4 @@
 pub mod relays;
 pub mod stages;
 pub mod suspects;
+pub mod watching;
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -15,6 +15,7 @@
         parts::PartTable,
         prompt::PromptShape,
         suspects::SuspectTable,
+        watching::{RelayLack, WatchPlan, WatchSource},
     },
     time::Timestamp,
 };
@@ -326,6 +327,49 @@
     }
 }
 
+/// On a day of the tool library a daemon that had been cut off learned of a
+/// configuration 4 s too late: its relay had lost the history, and the daemon waited
+/// before it asked the service, as if that had failed (scale-2, CONFIG).
+#[test]
+fn a_daemon_that_its_relay_cannot_help_asks_the_service_at_once() {
+    let mut plan = WatchPlan::new(0, START);
+    assert_eq!(plan.source(true, START), WatchSource::Relay);
+    assert_eq!(plan.relay_failed(RelayLack::Contact, START), None);
+    assert_eq!(plan.source(true, START), WatchSource::Service);
+    for _ in 0..5 {
+        plan.service_failed(true, START);
+    }
+    assert!(plan.relay_failed(RelayLack::Contact, START).is_some());
+    assert_eq!(plan.source(true, START), WatchSource::Relay);
+    assert_eq!(plan.relay_failed(RelayLack::History, START), None);
+    assert_eq!(plan.source(true, START), WatchSource::Service);
+}
+
+/// A daemon has `stable-ms` from the end of a cut to know of what it missed: 3 s, or
+/// 4 s where there are relays. A call on a connection that fell silent ends after
+/// 2.2 s, and the call that follows the pause must be done by then.
+#[test]
+fn after_a_long_cut_a_daemon_asks_again_in_time() {
+    const SILENT_CALL: Duration = Duration::from_millis(2200);
+    for (has_relay, limit) in [(false, 3000), (true, 4000)] {
+        let mut plan = WatchPlan::new(0, START);
+        let mut now = START;
+        for _ in 0..10 {
+            now = now + plan.service_failed(has_relay, now);
+        }
+        let mut waited = SILENT_CALL + plan.service_failed(has_relay, now);
+        if has_relay {
+            let from = now;
+            while let Some(pause) =
+                plan.relay_failed(RelayLack::Contact, from + (waited - SILENT_CALL))
+            {
+                waited += pause;
+            }
+        }
+        assert!(waited < Duration::from_millis(limit), "{waited:?} with relay {has_relay}");
+    }
+}
+
 /// In an outage of 8 s 89 daemons called the service each 250 ms.
 #[test]
 fn pauses_grow_in_an_outage_and_start_anew_after_it() {
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -11,7 +11,7 @@
 use async_std::net::TcpListener;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use gooseberry_core::time::Timestamp;
+use gooseberry_core::{serving::watching::RelayLack, time::Timestamp};
 use gooseberry_platform::store::{StoreChange, StoreNews};
 use gooseberry_transport::{
     body::AnswerBody,
@@ -51,6 +51,18 @@
     Form(#[from] postcard::Error),
 }
 
+impl RelayFault {
+    /// Returns what the relay lacks.
+    pub fn lack(&self) -> RelayLack {
+        match self {
+            Self::Status(StatusCode::GONE) => RelayLack::History,
+            Self::Send(_) | Self::Broken(_) | Self::Late | Self::Status(_) | Self::Form(_) => {
+                RelayLack::Contact
+            }
+        }
+    }
+}
+
 /// Keeps the latest changes.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,7 +4,10 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use gooseberry_core::{
-    serving::{fleet::EntryEffect, pace::RetryPace},
+    serving::{
+        fleet::EntryEffect,
+        watching::{WatchPlan, WatchSource},
+    },
     time::Timestamp,
 };
 use gooseberry_platform::{
@@ -28,19 +31,6 @@
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Longest time for a read of all keys.
 const READ_LIMIT: Duration = Duration::from_millis(1500);
-/// Time for which the service is asked after a relay gave no news.
-const DIRECT_SPAN: Duration = Duration::from_secs(3);
-/// Pause after the first failed call; later ones grow up to the longest. An
-/// outage must be noticed as over within the second that servers have to write
-/// their entries again.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
-/// The same for a daemon whose relay has no contact either: it asks the service
-/// itself in case only the relay is cut off from it.
-const PROBE_PAUSE: Duration = Duration::from_millis(1000);
-const LONGEST_PROBE_PAUSE: Duration = Duration::from_millis(4000);
-/// Pause before a relay that gave no news is asked again.
-const RELAY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after an answer with changes: they come in series, and each answer is
 /// a call.
 const COLLECT_SPAN: Duration = Duration::from_millis(300);
@@ -53,25 +43,13 @@
     pub log: Arc<ChangeLog>,
 }
 
-/// Where changes come from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NewsSource {
-    /// The key-value service.
-    Service,
-    /// The relay of this domain.
-    Relay(SocketAddr),
-}
-
 /// Follows the key-value service for as long as the process runs.
 pub async fn follow(gateway: Arc<Gateway>, keys: OwnKeys) {
     let mut follower = Follower {
         client: StoreClient::new(gateway.options.store),
         relay_client: RelayClient::default(),
         revision: None,
-        direct_until: gateway.now(),
-        probe_at: gateway.now(),
-        pace: RetryPace::new(RETRY_PAUSE, LONGEST_PAUSE, gateway.daemon),
-        probe_pace: RetryPace::new(PROBE_PAUSE, LONGEST_PROBE_PAUSE, gateway.daemon),
+        plan: WatchPlan::new(gateway.daemon, gateway.now()),
         gateway,
         keys,
     };
@@ -87,45 +65,33 @@
     relay_client: RelayClient,
     /// Revision up to which all changes are known.
     revision: Option<u64>,
-    /// Until when the service itself is asked, because the relay gave no news.
-    direct_until: Timestamp,
-    /// When the service itself may be asked again although there is a relay.
-    probe_at: Timestamp,
-    pace: RetryPace,
-    probe_pace: RetryPace,
+    plan: WatchPlan,
 }
 
 impl Follower {
-    fn has_relay(&self, now: Timestamp) -> bool {
-        self.keys.peers.plan(&self.gateway.options, now).relay.is_some()
-    }
-
-    fn source(&self) -> NewsSource {
-        let now = self.gateway.now();
-        let plan = self.keys.peers.plan(&self.gateway.options, now);
-        match plan.relay {
-            Some(relay) if now >= self.direct_until => NewsSource::Relay(relay),
-            _ => NewsSource::Service,
-        }
+    /// Returns the relay of this domain, if it is another daemon.
+    fn relay(&self, now: Timestamp) -> Option<SocketAddr> {
+        self.keys.peers.plan(&self.gateway.options, now).relay
     }
 
     async fn step(&mut self) {
-        let news = match (self.revision, self.source()) {
-            (None, _) => self.client.read_all(READ_LIMIT).await,
-            (Some(revision), NewsSource::Service) => {
-                self.client.watch(revision, WATCH_SPAN, WATCH_SLACK).await
-            }
-            (Some(revision), NewsSource::Relay(relay)) => {
+        let now = self.gateway.now();
+        // A daemon that knows nothing yet reads all keys itself.
+        let relay = self.relay(now).filter(|_| self.revision.is_some());
+        let source = self.plan.source(relay.is_some(), now);
+        let news = match (self.revision, relay, source) {
+            (Some(revision), Some(relay), WatchSource::Relay) => {
                 self.ask_relay(relay, revision).await;
                 return;
             }
+            (Some(revision), _, _) => self.client.watch(revision, WATCH_SPAN, WATCH_SLACK).await,
+            (None, _, _) => self.client.read_all(READ_LIMIT).await,
         };
         match news {
             Ok(news) => {
-                self.pace.succeeded();
-                self.probe_pace.succeeded();
+                self.plan.service_answered();
                 let has_changes = !news.changes.is_empty();
-                self.take_in(news, NewsSource::Service);
+                self.take_in(news, WatchSource::Service);
                 if has_changes {
                     self.gateway.clock.sleep(COLLECT_SPAN).await;
                 }
@@ -136,33 +102,24 @@
                     self.revision = None;
                     return;
                 }
-                let now = self.gateway.now();
-                if self.has_relay(now) && self.revision.is_some() {
-                    self.direct_until = now;
-                    self.probe_at = now + self.probe_pace.failed();
-                } else {
-                    self.gateway.clock.sleep(self.pace.failed()).await;
-                }
+                let pause = self.plan.service_failed(relay.is_some(), self.gateway.now());
+                self.gateway.clock.sleep(pause).await;
             }
         }
     }
 
     async fn ask_relay(&mut self, relay: SocketAddr, revision: u64) {
-        match self.relay_client.watch(&self.gateway, relay, revision).await {
-            Ok(news) => self.take_in(news, NewsSource::Relay(relay)),
-            Err(fault) => {
-                let now = self.gateway.now();
-                if now < self.probe_at {
-                    self.gateway.clock.sleep(RELAY_PAUSE).await;
-                    return;
-                }
-                tracing::info!(%relay, %fault, "relay gives no news; asking the service");
-                self.direct_until = now + DIRECT_SPAN;
-            }
+        let fault = match self.relay_client.watch(&self.gateway, relay, revision).await {
+            Ok(news) => return self.take_in(news, WatchSource::Relay),
+            Err(fault) => fault,
+        };
+        match self.plan.relay_failed(fault.lack(), self.gateway.now()) {
+            Some(pause) => self.gateway.clock.sleep(pause).await,
+            None => tracing::info!(%relay, %fault, "relay gives no news; asking the service"),
         }
     }
 
-    fn take_in(&mut self, news: StoreNews, source: NewsSource) {
+    fn take_in(&mut self, news: StoreNews, source: WatchSource) {
         note_contact(&self.gateway);
         let now = self.gateway.now();
         if self.revision.is_none() {
@@ -170,7 +127,7 @@
             remove_missing_keys(&self.keys, &news);
             self.keys.log.reset(news.revision, now);
         } else {
-            let answered_at = (source == NewsSource::Service).then_some(now);
+            let answered_at = (source == WatchSource::Service).then_some(now);
             self.keys.log.extend(&news, answered_at);
         }
         // A read may come from a replica that lags; what is known stays.
