Refuse what a leaving daemon could not end

Ruled out: answers that were running at SIGTERM. Now a leaving daemon takes a request only if it is likely to end before the exit, and refuses it at once otherwise. a_leaving_daemon_refuses_what_it_could_not_end failed first (200 with one second of grace).

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -14,6 +14,7 @@
 pub mod fetches;
 pub mod fleet;
 pub mod health;
+pub mod leaving;
 pub mod pace;
 pub mod parts;
 pub mod placement;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use gooseberry_core::serving::leaving;
 use gooseberry_platform::front::{self, OwnAnswer};
 use gooseberry_transport::body::AnswerBody;
 use http::{header, HeaderValue, Request, Response};
@@ -92,6 +93,11 @@
         Err(answer) => return call.refuse(answer, "no route"),
     };
     call.deadline = arrived + time_left.min(route.row.timeout);
+    if let Some(until_exit) = gateway.time_until_exit() {
+        if !leaving::may_begin(route.row.kind, call.time_left(), until_exit) {
+            return call.refuse(crate::call::unavailable(), "this daemon is leaving");
+        }
+    }
     let limit = call.time_left() + TIMEOUT_SLACK;
     let name = route.row.name.clone();
     let response = match gateway.clock.timeout(limit, call.run(&route)).await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::atomic::{AtomicBool, AtomicUsize, Ordering},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
@@ -18,6 +18,9 @@
     state::GatewayState,
 };
 
+/// Part of the grace time that is left unused.
+const GRACE_RESERVE: Duration = Duration::from_millis(400);
+
 /// Holds the tables, connections and settings of one daemon.
 #[derive(Debug)]
 pub struct Gateway {
@@ -30,7 +33,8 @@
     pub metrics: GatewayMetrics,
     /// Set once the configuration and the servers were read, until the stop.
     is_ready: AtomicBool,
-    is_stopping: AtomicBool,
+    /// When this daemon began to leave.
+    stopping_since: Mutex<Option<Timestamp>>,
     /// Requests that haven't got their whole answer.
     pub running: AtomicUsize,
     /// Hash of this daemon's name and incarnation.
@@ -51,7 +55,7 @@
             connections: ConnectionPool::default(),
             metrics,
             is_ready: AtomicBool::new(false),
-            is_stopping: AtomicBool::new(false),
+            stopping_since: Mutex::new(None),
             running: AtomicUsize::new(0),
             daemon,
             wake: async_channel::bounded(1),
@@ -80,12 +84,19 @@
 
     /// Tells whether this daemon is leaving.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stopping_since.lock().is_some()
+    }
+
+    /// Returns the time until this daemon exits, if it is leaving.
+    pub fn time_until_exit(&self) -> Option<Duration> {
+        let since = (*self.stopping_since.lock())?;
+        let span = self.limits.lock().grace.saturating_sub(GRACE_RESERVE);
+        Some(span.saturating_sub(self.now().since(since)))
     }
 
     /// Says that this daemon is leaving.
     pub fn set_stopping(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        *self.stopping_since.lock() = Some(self.now());
     }
 
     /// Wakes the task that tells the other daemons.
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -36,8 +36,6 @@
 /// Time after SIGTERM in which the balancer still sends new connections: it
 /// takes two of its checks, one a second.
 const LEAVE_SPAN: Duration = Duration::from_millis(2600);
-/// Part of the grace time that is left unused.
-const GRACE_RESERVE: Duration = Duration::from_millis(400);
 /// Time between looks at the settings file.
 const RELOAD_SPAN: Duration = Duration::from_secs(5);
 /// Time between looks at what still runs.
@@ -136,11 +134,9 @@
     tracing::info!(running = gateway.running.load(Ordering::Relaxed), open, "stopping");
     gateway.clock.sleep(LEAVE_SPAN).await;
     callers.close();
-    let grace = gateway.limits.lock().grace;
-    let mut left = grace.saturating_sub(LEAVE_SPAN + GRACE_RESERVE);
-    while callers.open() > 0 && !left.is_zero() {
+    let is_over = || gateway.time_until_exit().is_none_or(|left| left.is_zero());
+    while callers.open() > 0 && !is_over() {
         gateway.clock.sleep(LOOK_SPAN).await;
-        left = left.saturating_sub(LOOK_SPAN);
     }
     tracing::info!(cut = callers.open(), "stopped");
 }
--- a/crates/gateway/tests/gateway/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -328,6 +328,22 @@
     left.recv_timeout(Duration::from_secs(20)).expect("the engine's connection ends");
 }
 
+/// Callers that came more than three seconds after SIGTERM were cut at the exit: the
+/// balancer sends to leaving daemons if a failure domain has no others (LOST).
+#[test]
+fn a_leaving_daemon_refuses_what_it_could_not_end() {
+    for (grace_s, expected) in [(8, "200"), (1, "503")] {
+        let system = system();
+        let server = sound();
+        system.register("one", "plain", &server, "");
+        system.gateway.limits.lock().grace = Duration::from_secs(grace_s);
+        system.gateway.set_stopping();
+        let text = system.send(&get("/order/x", ""));
+        assert_eq!(status(&text), expected, "{text}");
+        assert!(text.contains("connection: close"), "{text}");
+    }
+}
+
 #[test]
 fn readiness_is_answered_on_its_own_address() {
     let system = system();
