Log how an engine framed a stream and whether an event was cut

The logs couldn't tell whether the engine had closed a connection without framing or had framed the truncated stream as complete itself. Change: 'stream ended' has framing, events and open_bytes; streams_total counts ends by framing. core::serving::event_stream finds the boundaries. No decision changes.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -15,6 +15,7 @@
 pub mod decode_engines;
 pub mod directory;
 pub mod distance;
+pub mod event_stream;
 pub mod fleet;
 pub mod health;
 pub mod placement;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,9 @@
 
 use async_std::task;
 use futures_lite::FutureExt;
-use gooseberry_core::{poison::RequestFingerprint, time::Timestamp};
+use gooseberry_core::{
+    poison::RequestFingerprint, serving::event_stream::EventTracker, time::Timestamp,
+};
 use gooseberry_platform::{engine, front};
 use gooseberry_transport::body::{BodyError, ResponseBody};
 use http::{header, Response};
@@ -32,22 +34,24 @@
     prefill_guard: Option<PrefillGuard>,
 }
 
-/// Counts and pauses of a stream's chunks.
+/// Counts, events and pauses of a stream's chunks.
 #[derive(Clone, Copy, Debug, Default)]
 struct StreamStatistics {
     chunks: u32,
     bytes: usize,
+    events: EventTracker,
     last_chunk_at: Option<Timestamp>,
     longest_pause: Duration,
 }
 
 impl StreamStatistics {
-    fn record(&mut self, bytes: usize, now: Timestamp) {
+    fn record(&mut self, data: &[u8], now: Timestamp) {
         if let Some(last_chunk_at) = self.last_chunk_at {
             self.longest_pause = self.longest_pause.max(now.since(last_chunk_at));
         }
         self.chunks += 1;
-        self.bytes += bytes;
+        self.bytes += data.len();
+        self.events.push(data);
         self.last_chunk_at = Some(now);
     }
 }
@@ -99,6 +103,7 @@
         let SendResponse { response, connection, guard } = answer;
         let idle = engine::idle_limit(response.headers());
         let closes = engine::closes_connection(response.headers());
+        let framing = engine::body_framing(response.headers());
         let mut body = response.into_body();
         let mut statistics = StreamStatistics::default();
         let time_left = self.time_left;
@@ -111,9 +116,18 @@
             %end,
             parts = statistics.chunks,
             bytes = statistics.bytes,
+            %framing,
+            events = statistics.events.complete_events(),
+            open_bytes = statistics.events.open_bytes(),
             longest_pause_ms = statistics.longest_pause.as_millis() as u64,
             "stream ended"
         );
+        let labels = [end.to_string(), framing.to_string()];
+        self.gateway
+            .metrics
+            .streams
+            .with_label_values(&labels.each_ref().map(String::as_str))
+            .inc();
         drop(guard);
         self.prefill_guard = None;
         match end {
@@ -164,7 +178,7 @@
                 // The first data of the body shows that the prefill has finished.
                 prefill_guard.complete();
             }
-            statistics.record(data.len(), self.gateway.now());
+            statistics.record(&data, self.gateway.now());
             if self.chunks.send(Ok(data)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
