--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,3 +4,4 @@
 mod news;
 mod promises;
 mod support;
+mod truncation;
--- /dev/null
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -0,0 +1,62 @@
+//! Responses that an engine breaks off must not look complete to the caller. Where the engine
+//! frames its response by the end of the connection, only the events show that it was broken off.
+
+use crate::support::{self, get_request, status_code, write_text, ScriptedServer, System};
+
+/// Framing header and body of a response that ends with its connection.
+struct ServerBody {
+    framing: &'static str,
+    body: &'static str,
+}
+
+fn send(path: &str, service: &str, response: ServerBody) -> String {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    let server = ScriptedServer::start(move |request, stream| {
+        let id = request.id();
+        let ServerBody { framing, body } = response;
+        write_text(
+            stream,
+            &format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n\
+                 Content-Type: text/event-stream\r\n{framing}\r\n{body}"
+            ),
+        );
+        false
+    });
+    system.register("one", service, &server, "");
+    let prompt = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: aa:100\r\n";
+    system.send(&get_request(path, prompt))
+}
+
+#[test]
+fn a_stream_cut_inside_an_event_does_not_look_complete() {
+    let responses = [
+        ("", "id: 1\ndata: a\n\nid: 2\nda"),
+        ("", "id: 1\ndata: a\n\nid: 2\ndata: b\n"),
+        ("", "id: 1\ndata: a"),
+        ("Transfer-Encoding: chunked\r\n", "14\r\nid: 1\ndata: a\n\nid: 2\r\n0\r\n\r\n"),
+        ("Content-Length: 20\r\n", "id: 1\ndata: a\n\nid: 2"),
+    ];
+    for path in ["/chat/x", "/review/x"] {
+        for (framing, body) in responses {
+            let text = send(path, "model", ServerBody { framing, body });
+            assert_eq!(status_code(&text), "200", "{path} {text}");
+            assert!(text.contains("id: 1"), "{path} {text}");
+            assert!(!support::is_complete_response(&text), "{path} {framing} {text}");
+        }
+    }
+}
+
+#[test]
+fn a_stream_cut_before_its_first_event_does_not_look_complete() {
+    let text = send("/chat/x", "model", ServerBody { framing: "", body: "" });
+    assert!(!support::is_complete_response(&text), "{text}");
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_after_an_event_is_complete() {
+    let text = send("/chat/x", "model", ServerBody { framing: "", body: "id: 1\ndata: a\n\n" });
+    assert!(support::is_complete_response(&text) && text.contains("data: a"), "{text}");
+}
