Treat a stream that ends inside an event as broken off

Cause: an engine's response with neither length nor chunks ends with its connection. When the engine crashed and closed the connection in order, the daemon took the end of the body for the end of the stream and ended its own chunks properly. Why it works: the bytes tell. A complete event ends with a blank line, so a stream that ends elsewhere, or ends with its connection and has no event, ends for the caller as a failed one does: its connection closes without the last chunk. Streams of events are always forwarded in chunks, because a stated length would look complete before the last byte can be judged.

--- a/crates/core/src/serving/event_stream.rs
+++ b/crates/core/src/serving/event_stream.rs
@@ -60,6 +60,15 @@
         self.open_bytes += 1;
     }
 
+    /// Returns whether the stream is complete, given that its body ended without an error.
+    ///
+    /// A complete stream doesn't end inside an event. One that ends with its connection also has at
+    /// least one event.
+    pub fn is_complete(&self, framing: BodyFraming) -> bool {
+        let is_cut_before_first = framing == BodyFraming::Connection && self.complete_events == 0;
+        self.open_bytes() == 0 && !is_cut_before_first
+    }
+
     /// Returns the number of events that are complete.
     pub fn complete_events(&self) -> u32 {
         self.complete_events
--- a/crates/core/tests/serving_event_stream.rs
+++ b/crates/core/tests/serving_event_stream.rs
@@ -1,6 +1,6 @@
 //! Boundaries of server-sent events, found in bytes that arrive in arbitrary pieces.
 
-use gooseberry_core::serving::event_stream::EventTracker;
+use gooseberry_core::serving::event_stream::{BodyFraming, EventTracker};
 
 fn track(bytes: &[u8], piece: usize) -> EventTracker {
     let mut tracker = EventTracker::default();
@@ -44,3 +44,13 @@
     let tracker = EventTracker::default();
     assert_eq!((tracker.complete_events(), tracker.open_bytes()), (0, 0));
 }
+
+#[test]
+fn a_stream_without_framing_is_complete_only_after_an_event() {
+    for framing in [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::Connection] {
+        let is_framed = framing != BodyFraming::Connection;
+        assert_eq!(track(b"", 1).is_complete(framing), is_framed);
+        assert!(track(b"data: a\n\n", 1).is_complete(framing));
+        assert!(!track(b"data: a\n\nid: 2", 1).is_complete(framing));
+    }
+}
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -416,7 +416,8 @@
             if answer.response.status().is_server_error() {
                 send::record_failure(gateway, target, "the engine responded with a server error");
             }
-            PromptAttempt::Responded(stream::forward(call, target, *answer, prefill_guard))
+            let kind = route.row.kind;
+            PromptAttempt::Responded(stream::forward(call, kind, target, *answer, prefill_guard))
         }
         SendOutcome::NotRun(reason) => {
             call.execution.record_not_run();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,9 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use gooseberry_core::{
-    poison::RequestFingerprint, serving::event_stream::EventTracker, time::Timestamp,
+    poison::RequestFingerprint,
+    serving::{configuration::RouteKind, event_stream::EventTracker},
+    time::Timestamp,
 };
 use gooseberry_platform::{engine, front};
 use gooseberry_transport::body::{BodyError, ResponseBody};
@@ -31,6 +33,7 @@
     fingerprint: RequestFingerprint,
     time_left: Duration,
     chunks: async_channel::Sender<Result<bytes::Bytes, BodyError>>,
+    has_events: bool,
     prefill_guard: Option<PrefillGuard>,
 }
 
@@ -66,6 +69,8 @@
     CallerLeft,
     /// The connection to the engine failed before the end of the stream.
     Broken,
+    /// The engine ended the stream inside an event or before the first one.
+    Cut,
     /// The deadline passed.
     TimedOut,
 }
@@ -73,17 +78,25 @@
 /// Returns the caller's response and starts a task that forwards the body to it.
 pub fn forward(
     call: &Call,
+    kind: RouteKind,
     target: &SendTarget,
     answer: SendResponse,
     prefill_guard: Option<PrefillGuard>,
 ) -> Response<ResponseBody> {
     let (sender, receiver) = async_channel::bounded(CHUNK_BUFFER);
+    let has_events = engine::has_events(&answer.response, kind);
+    // Whether a stream of events is complete is known only after its last byte, when a stated
+    // length would already have made it complete for the caller.
     let length = answer.response.headers().get(header::CONTENT_LENGTH);
+    let length = length.filter(|_| !has_events);
     let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
     let mut head = Response::new(ResponseBody::parts(receiver, length));
     *head.status_mut() = answer.response.status();
     *head.headers_mut() = answer.response.headers().clone();
     front::strip_connection_headers(head.headers_mut());
+    if has_events {
+        head.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     let task = StreamTask {
         gateway: Arc::clone(&call.gateway),
         target: target.clone(),
@@ -91,6 +104,7 @@
         fingerprint: call.fingerprint,
         time_left: call.time_left(),
         chunks: sender,
+        has_events,
         prefill_guard,
     };
     task::spawn(task.run(answer));
@@ -109,7 +123,12 @@
         let time_left = self.time_left;
         let forwarded =
             clock.timeout(time_left, self.forward_chunks(&mut body, &mut statistics)).await;
-        let end = forwarded.unwrap_or(StreamEnd::TimedOut);
+        let end = match forwarded.unwrap_or(StreamEnd::TimedOut) {
+            StreamEnd::Whole if self.has_events && !statistics.events.is_complete(framing) => {
+                StreamEnd::Cut
+            }
+            end => end,
+        };
         tracing::info!(
             request = %self.request_id,
             server = %self.target.id,
@@ -139,7 +158,7 @@
                 }
             }
             StreamEnd::CallerLeft => {}
-            StreamEnd::Broken => {
+            StreamEnd::Broken | StreamEnd::Cut => {
                 let now = self.gateway.now();
                 self.gateway.state.lock().record_crash(self.fingerprint.0, now);
                 send::record_failure(&self.gateway, &self.target, "the stream ended early");
