Check the events of streams that plain services send

Change: the same check of event boundaries; the attempt counts as failed and may run at another server. Test: a_stream_of_a_plain_service_cut_inside_an_event_is_not_forwarded failed before (200, complete), passes now; 38 tests of the gateway pass.

--- a/crates/core/src/serving/event_stream.rs
+++ b/crates/core/src/serving/event_stream.rs
@@ -32,6 +32,13 @@
 }
 
 impl EventTracker {
+    /// Tracks the bytes of a stream from its start.
+    pub fn after(bytes: &[u8]) -> Self {
+        let mut tracker = Self::default();
+        tracker.push(bytes);
+        tracker
+    }
+
     /// Adds the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         for byte in bytes {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -14,6 +14,7 @@
     poison::RequestFingerprint,
     serving::{
         configuration::{RouteKind, RouteRow, ServingConfiguration},
+        event_stream::EventTracker,
         placement,
         prompt::PromptShape,
     },
@@ -271,7 +272,9 @@
                 &self.head.request_id,
             );
             match sent.await {
-                SendOutcome::Responded(answer) => self.read_plain(target, *answer).await,
+                SendOutcome::Responded(answer) => {
+                    self.read_plain(route.row.kind, target, *answer).await
+                }
                 SendOutcome::NotRun(reason) => {
                     let id = &self.head.request_id;
                     tracing::info!(request = %id, server = %target.id, %reason, "request not run by server");
@@ -296,7 +299,14 @@
     }
 
     /// Reads the complete response, so that a truncated one isn't forwarded.
-    async fn read_plain(&self, target: &SendTarget, answer: SendResponse) -> PlainAttempt {
+    async fn read_plain(
+        &self,
+        kind: RouteKind,
+        target: &SendTarget,
+        answer: SendResponse,
+    ) -> PlainAttempt {
+        let has_events = engine::has_events(&answer.response, kind);
+        let framing = engine::body_framing(answer.response.headers());
         let (mut parts, body) = answer.response.into_parts();
         let body = match Limited::new(body, PLAIN_RESPONSE_LIMIT_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
@@ -305,6 +315,10 @@
                 return PlainAttempt::Failed(Err(LocalResponse::BackendFailed));
             }
         };
+        if has_events && !EventTracker::after(&body).is_complete(framing) {
+            send::record_failure(&self.gateway, target, "the response ended inside an event");
+            return PlainAttempt::Failed(Err(LocalResponse::BackendFailed));
+        }
         if !engine::closes_connection(&parts.headers) {
             let idle = engine::idle_limit(&parts.headers);
             send::return_connection(&self.gateway, answer.connection, idle).await;
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -60,3 +60,10 @@
     let text = send("/chat/x", "model", ServerBody { framing: "", body: "id: 1\ndata: a\n\n" });
     assert!(support::is_complete_response(&text) && text.contains("data: a"), "{text}");
 }
+
+#[test]
+fn a_stream_of_a_plain_service_cut_inside_an_event_is_not_forwarded() {
+    let response = ServerBody { framing: "", body: "id: 1\ndata: a\n\nid: 2\nda" };
+    let text = send("/plain/x", "plain", response);
+    assert_eq!(status_code(&text), "502", "{text}");
+}
