Reset a broken stream to an HTTP/1.0 caller

Callers would see: a stream that broke off as complete, if they speak HTTP/1.0. Such a response isn't sent in chunks and ends with its connection. Change: if the body of such a response fails, the connection is reset. Test: a_broken_stream_to_a_caller_without_chunks_ends_with_a_reset failed before (152 bytes read and an orderly end), passes now.

--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -1,8 +1,12 @@
 //! Responses that an engine breaks off must not look complete to the caller. Where the engine
 //! frames its response by the end of the connection, only the events show that it was broken off.
 
+use std::io::{ErrorKind, Read};
+
 use crate::support::{self, get_request, status_code, write_text, ScriptedServer, System};
 
+const PROMPT: &str = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: aa:100\r\n";
+
 /// Framing header and body of a response that ends with its connection.
 struct ServerBody {
     framing: &'static str,
@@ -10,6 +14,11 @@
 }
 
 fn send(path: &str, service: &str, response: ServerBody) -> String {
+    let (system, _server) = start(service, response);
+    system.send(&get_request(path, PROMPT))
+}
+
+fn start(service: &str, response: ServerBody) -> (System, ScriptedServer) {
     let system = System::start();
     system.configure(1);
     system.wait_version(1);
@@ -26,8 +35,7 @@
         false
     });
     system.register("one", service, &server, "");
-    let prompt = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: aa:100\r\n";
-    system.send(&get_request(path, prompt))
+    (system, server)
 }
 
 #[test]
@@ -67,3 +75,15 @@
     let text = send("/plain/x", "plain", response);
     assert_eq!(status_code(&text), "502", "{text}");
 }
+
+#[test]
+fn a_broken_stream_to_a_caller_without_chunks_ends_with_a_reset() {
+    let response = ServerBody { framing: "", body: "id: 1\ndata: a\n\nid: 2\nda" };
+    let (system, _server) = start("model", response);
+    let request = get_request("/chat/x", PROMPT).replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = system.connect();
+    write_text(&mut stream, &request);
+    let mut text = Vec::new();
+    let error = stream.read_to_end(&mut text).expect_err("the connection is reset");
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{}", String::from_utf8_lossy(&text));
+}
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -49,6 +49,14 @@
     }
 }
 
+/// Makes the kernel reset the connection when its last handle is dropped, instead of ending it in
+/// order.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = sockopt::set_socket_linger(stream, Some(Duration::ZERO)) {
+        tracing::debug!(%error, "failed to reset a connection");
+    }
+}
+
 impl rt::Read for StreamIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -5,7 +5,7 @@
     future::Future,
     pin::pin,
     sync::{
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
     },
     time::Duration,
@@ -17,10 +17,14 @@
     task,
 };
 use futures_util::future::{self, Either};
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::{body::Incoming, server::conn::http1, service};
 
-use crate::{body::ResponseBody, io::StreamIo, timer::RuntimeTimer};
+use crate::{
+    body::ResponseBody,
+    io::{self, StreamIo},
+    timer::RuntimeTimer,
+};
 
 /// Delay after a failed accept, for instance when the process is out of file
 /// descriptors.
@@ -110,6 +114,7 @@
         S: Fn(Request<Incoming>) -> F + Send + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
+        let socket = stream.clone();
         let io = match StreamIo::new(stream) {
             Ok(io) => io,
             Err(error) => {
@@ -117,7 +122,11 @@
                 return;
             }
         };
-        let answer = service::service_fn(move |request| {
+        // Responses to HTTP/1.0 aren't sent in chunks and may end with the connection.
+        let lacks_chunks = Arc::new(AtomicBool::new(false));
+        let lacks_chunks_now = Arc::clone(&lacks_chunks);
+        let answer = service::service_fn(move |request: Request<Incoming>| {
+            lacks_chunks_now.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             let answer = handler(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
@@ -137,6 +146,10 @@
         };
         if let Err(error) = result {
             tracing::debug!(%error, "caller's connection closed with an error");
+            if error.is_user() && lacks_chunks.load(Ordering::Relaxed) {
+                // The response body failed, and an orderly end would make it look complete.
+                io::reset_on_close(&socket);
+            }
         }
     }
 }
