Test unframed plain and prefill responses that break off

An unframed plain response that is reset isn't forwarded (502), one that ends in order is; a truncated handle isn't valid JSON and isn't used. Open: a plain response that ends early, in order and without framing can't be told from a complete one; docs/INVARIANTS.md says so.

--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -96,6 +96,11 @@
     }
 }
 
+/// Makes the kernel reset a connection when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO)).expect("linger is set");
+}
+
 /// Waits until a condition holds.
 pub fn wait_for(condition: impl Fn() -> bool) {
     let end = Instant::now() + WAIT_TIMEOUT;
--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -87,3 +87,51 @@
     let error = stream.read_to_end(&mut text).expect_err("the connection is reset");
     assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{}", String::from_utf8_lossy(&text));
 }
+
+#[test]
+fn an_unframed_response_that_is_reset_is_not_forwarded() {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    let server = ScriptedServer::start(|request, stream| {
+        let id = request.id();
+        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n\r\n");
+        write_text(stream, &format!("{head}half"));
+        support::reset_on_close(stream);
+        false
+    });
+    system.register("one", "plain", &server, "");
+    let text = system.send(&get_request("/plain/x", ""));
+    assert_eq!(status_code(&text), "502", "{text}");
+}
+
+#[test]
+fn an_unframed_response_that_ends_in_order_is_forwarded() {
+    let text = send("/plain/x", "plain", ServerBody { framing: "", body: "data: whole\n\n" });
+    assert_eq!(status_code(&text), "200", "{text}");
+    assert!(text.ends_with("data: whole\n\n"), "{text}");
+}
+
+#[test]
+fn a_truncated_unframed_prefill_response_is_not_used() {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    let truncated = |text: &'static str| {
+        ScriptedServer::start(move |_, stream| {
+            write_text(stream, &format!("HTTP/1.1 200 OK\r\n\r\n{text}"));
+            false
+        })
+    };
+    let prefill = truncated(r#"{"kv-handle":"h1","token-co"#);
+    let decode = ScriptedServer::start(|request, stream| {
+        let is_whole = request.header("x-kv-source").is_none();
+        is_whole && support::write_response(request, stream, "id: 1\ndata: a\n\n")
+    });
+    system.register("reader", "model", &prefill, "prefill");
+    system.register("writer", "model", &decode, "decode");
+    let prompt = "X-Model: m\r\nX-Token-Usage: 5000,20\r\nX-Prompt-Prefix: aa:4000,bb:1000\r\n";
+    let text = system.send(&get_request("/chat/x", prompt));
+    assert!(!prefill.received().is_empty() && !text.contains("kv-handle"), "{text}");
+    assert!(decode.received().iter().all(|request| request.header("x-kv-source").is_none()));
+}
