Read bodies without framing to the end of their connection

Callers would see: on the daemon's own interface, the response of a plain service that has neither a length nor chunks as a complete one with an empty body. Change: edges::unframed keeps what was read up to the head and reads on to the end of the connection; a reset is an error, and the connection isn't pooled. Test: edges/tests/http.rs, 2 of 4 failed before (Ok with no bytes for a whole body and for a reset one), all pass now; framed bodies that are cut were detected before.

--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, unframed::RecordingStream};
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -157,12 +157,14 @@
         call: &HttpCall,
         limit: Duration,
     ) -> Result<HttpResponse, HttpError> {
-        let exchange = async_h1::connect(stream.clone(), call.to_request());
+        let (recording, head) = RecordingStream::new(stream.clone());
+        let exchange = async_h1::connect(recording, call.to_request());
         let answered = self.clock.timeout(limit, exchange).await;
         let address = SmolStr::new(address);
         match answered {
-            Ok(Ok(response)) => {
-                Ok(HttpResponse { response, stream, address, client: self.clone() })
+            Ok(Ok(mut response)) => {
+                let is_unframed = head.restore_body(call.head.method(), &mut response);
+                Ok(HttpResponse { response, is_unframed, stream, address, client: self.clone() })
             }
             Ok(Err(error)) => Err(HttpError::ResponseLost { address, detail: error.to_string() }),
             Err(_) => Err(self.handle_timeout(&address)),
@@ -201,6 +203,8 @@
 #[derive(Debug)]
 pub struct HttpResponse {
     pub response: Response,
+    /// Whether the body ends with the connection.
+    is_unframed: bool,
     stream: TcpStream,
     address: SmolStr,
     client: HttpClient,
@@ -265,7 +269,7 @@
             .response
             .header("connection")
             .is_some_and(|value| value.as_str().eq_ignore_ascii_case("close"));
-        if !closes {
+        if !closes && !self.is_unframed {
             self.client.return_connection(&self.address, self.stream);
         }
     }
--- a/crates/edges/src/lib.rs
+++ b/crates/edges/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod platform;
 pub mod stop;
+mod unframed;
 
 /// The boxed future that the API traits return; boxed, so that the traits are
 /// object-safe and their implementations can be exchanged.
--- /dev/null
+++ b/crates/edges/tests/http.rs
@@ -0,0 +1,94 @@
+//! Ends of response bodies: a truncated response must not look complete, and one that ends with its
+//! connection must be read to that end.
+
+use std::{
+    io::{Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
+
+use async_std::task;
+use gooseberry_edges::{
+    clock::Clock,
+    http::{ConnectionUse, HttpCall, HttpClient, HttpError},
+};
+use http_types::{Method, Request, Url};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// How the server closes the connection after its response.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CloseKind {
+    InOrder,
+    Reset,
+}
+
+fn read(method: Method, response: &str, close: CloseKind) -> Result<String, HttpError> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let response = response.to_owned();
+    let serving = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 4096];
+        assert!(stream.read(&mut request).expect("a request") > 0);
+        // Two segments: the body reaches the client after the head was decoded.
+        let (head, body) = response.split_once("\r\n\r\n").expect("a head");
+        stream.write_all(format!("{head}\r\n\r\n").as_bytes()).expect("the head is written");
+        thread::sleep(Duration::from_millis(20));
+        let (first, rest) = body.split_at(body.len() / 2);
+        // The client may have closed the connection by now.
+        let _ = stream.write_all(first.as_bytes());
+        thread::sleep(Duration::from_millis(20));
+        let _ = stream.write_all(rest.as_bytes());
+        if close == CloseKind::Reset {
+            rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO))
+                .expect("linger is set");
+        }
+    });
+    let result = task::block_on(async {
+        let url = Url::parse(&format!("http://{address}/x")).expect("a URL");
+        let call = HttpCall::new(Request::new(method, url));
+        let client = HttpClient::new(Clock::system());
+        let answer = client.send(&address, &call, ConnectionUse::New, LIMIT).await?;
+        answer.into_bytes(LIMIT).await
+    });
+    serving.join().expect("the server ends");
+    result.map(|bytes| String::from_utf8(bytes).expect("text"))
+}
+
+fn get(response: &str, close: CloseKind) -> Result<String, HttpError> {
+    read(Method::Get, response, close)
+}
+
+#[test]
+fn a_body_without_framing_is_read_until_the_connection_ends() {
+    let text = get("HTTP/1.1 200 OK\r\nX-Kept: 1\r\n\r\nthe whole body", CloseKind::InOrder);
+    assert_eq!(text.expect("a response"), "the whole body");
+}
+
+#[test]
+fn a_body_without_framing_whose_connection_is_reset_is_an_error() {
+    let result = get("HTTP/1.1 200 OK\r\n\r\nhalf of the body", CloseKind::Reset);
+    assert!(matches!(result, Err(HttpError::ResponseLost { .. })), "{result:?}");
+}
+
+#[test]
+fn truncated_framed_bodies_are_errors() {
+    for response in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ] {
+        let result = get(response, CloseKind::InOrder);
+        assert!(matches!(result, Err(HttpError::ResponseLost { .. })), "{response} {result:?}");
+    }
+}
+
+#[test]
+fn responses_that_have_no_body_are_empty() {
+    let text = get("HTTP/1.1 204 No Content\r\n\r\n", CloseKind::InOrder);
+    assert_eq!(text.expect("a response"), "");
+    let text = read(Method::Head, "HTTP/1.1 200 OK\r\n\r\n", CloseKind::InOrder);
+    assert_eq!(text.expect("a response"), "");
+}
