Check the events of streams on the daemon's own interface

Callers would see: a stream of a plain service that was cut inside an event as a complete response, on the daemon's own interface. Change: HttpResponse::into_bytes checks the end of the last event, as the gateway does. Engine streams were safe there: they end with [DONE], and one without it is truncated. Test: a_stream_of_events_cut_inside_an_event_is_an_error failed before (Ok), passes now.

--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -5,6 +5,7 @@
 
 use async_std::{io::BufReadExt, net::TcpStream};
 use futures_lite::future;
+use gooseberry_core::serving::event_stream::{BodyFraming, EventTracker};
 use http_types::{headers::CONTENT_TYPE, Method, Request, Response, StatusCode};
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -216,6 +217,13 @@
         self.response.status()
     }
 
+    fn has_events(&self) -> bool {
+        let is_event_type = self.response.content_type().is_some_and(|content_type| {
+            content_type.essence().eq_ignore_ascii_case("text/event-stream")
+        });
+        self.status().is_success() && is_event_type
+    }
+
     /// Reads the complete body and returns the connection to the pool.
     ///
     /// # Errors
@@ -237,6 +245,15 @@
             let detail = "the body ended early".to_owned();
             return Err(HttpError::ResponseLost { address, detail });
         }
+        let framing = match expected {
+            _ if self.is_unframed => BodyFraming::Connection,
+            Some(_) => BodyFraming::Length,
+            None => BodyFraming::Chunked,
+        };
+        if self.has_events() && !EventTracker::after(&bytes).is_complete(framing) {
+            let detail = "the stream ended inside an event or before the first one".to_owned();
+            return Err(HttpError::ResponseLost { address, detail });
+        }
         self.finish();
         Ok(bytes)
     }
--- a/crates/edges/tests/http.rs
+++ b/crates/edges/tests/http.rs
@@ -92,3 +92,14 @@
     let text = read(Method::Head, "HTTP/1.1 200 OK\r\n\r\n", CloseKind::InOrder);
     assert_eq!(text.expect("a response"), "");
 }
+
+#[test]
+fn a_stream_of_events_cut_inside_an_event_is_an_error() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    let whole = get(&format!("{head}data: a\n\n"), CloseKind::InOrder);
+    assert_eq!(whole.expect("a response"), "data: a\n\n");
+    for cut in ["data: a\n\ndata: b", ""] {
+        let result = get(&format!("{head}{cut}"), CloseKind::InOrder);
+        assert!(matches!(result, Err(HttpError::ResponseLost { .. })), "{cut:?} {result:?}");
+    }
+}
