Soak: engines that break off unframed streams inside an event

Change: a fault in which an engine sends streams without framing and closes the connection in order inside an event.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,8 @@
 const FAULT_INTERVAL_MS: (u64, u64) = (150, 1200);
 /// Shortest and longest duration of a fault.
 const FAULT_DURATION_MS: (u64, u64) = (200, 2500);
+/// Shortest and longest time between the starts of two faults that cut streams.
+const CUT_INTERVAL_MS: (u64, u64) = (800, 3000);
 /// Number of engines of the model service.
 pub const ENGINE_COUNT: usize = 4;
 /// Number of servers of each of the two plain services.
@@ -53,6 +55,8 @@
     FullServer(usize),
     /// The server executes requests and closes the connection without a response.
     LoseAnswers(usize),
+    /// The server breaks off its streams inside an event, without framing.
+    CutStreams(usize),
     /// The server's entry is set to draining, is removed later and is replaced
     /// by one with another id.
     DrainServer(usize),
@@ -79,6 +83,24 @@
         faults.push(PlannedFault { at, length, fault: random_fault(&mut rng, options.daemons) });
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS.0..FAULT_INTERVAL_MS.1));
     }
+    faults.extend(plan_cut_streams(options));
+    faults.sort_by_key(|planned| planned.at);
+    faults
+}
+
+/// Returns the faults that cut streams. They have a generator of their own, so that the seeds that
+/// failed before them keep their other faults.
+fn plan_cut_streams(options: SoakOptions) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!options.seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(CUT_INTERVAL_MS.0..CUT_INTERVAL_MS.1));
+    while at < options.fault_period {
+        let length =
+            Duration::from_millis(rng.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1));
+        let fault = SoakFault::CutStreams(rng.random_range(0..ENGINE_COUNT));
+        faults.push(PlannedFault { at, length, fault });
+        at += Duration::from_millis(rng.random_range(CUT_INTERVAL_MS.0..CUT_INTERVAL_MS.1));
+    }
     faults
 }
 
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -15,6 +15,9 @@
 /// Number of events of a stream.
 pub const EVENTS_PER_STREAM: usize = 5;
 
+/// Number of events of a stream that is cut, of which the last isn't complete.
+const EVENTS_BEFORE_CUT: usize = 3;
+
 /// How a server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerBehaviour {
@@ -24,6 +27,8 @@
     Rejecting,
     /// Executes requests and closes the connection without a response.
     DroppingResponses,
+    /// Sends streams without a length or chunks and closes the connection in order inside an event.
+    CuttingStreams,
 }
 
 /// A backend server with the proxy before it.
@@ -114,6 +119,9 @@
         if self.behaviour == ServerBehaviour::DroppingResponses {
             return false;
         }
+        if is_stream && self.behaviour == ServerBehaviour::CuttingStreams {
+            return write_cut_stream(request, stream, &body);
+        }
         if is_stream {
             return self.write_stream(request, stream, &body);
         }
@@ -139,6 +147,21 @@
     }
 }
 
+/// Writes an unframed stream up to the middle of an event; returns `false`, which closes the
+/// connection. No write ends between two events, where a cut can't be detected.
+fn write_cut_stream(request: &ReceivedRequest, stream: &mut TcpStream, body: &str) -> bool {
+    let head = gateway_mocks::response_head(request, "Content-Type: text/event-stream");
+    let mut is_open = gateway_mocks::write_text(stream, &head);
+    let mut pending = String::new();
+    for event in body.split_inclusive("\n\n").take(EVENTS_BEFORE_CUT) {
+        let (first, second) = event.split_at(event.len() / 2);
+        is_open = is_open && gateway_mocks::write_text(stream, &(pending + first));
+        pending = second.to_owned();
+        thread::sleep(EVENT_INTERVAL);
+    }
+    false
+}
+
 /// Returns the events of a request's stream from a server.
 fn events(id: &str, server: &str) -> String {
     (1..=EVENTS_PER_STREAM)
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -285,6 +285,10 @@
                 self.record_fault(FaultScope::Servers, length);
                 *self.servers[server].behaviour.lock() = ServerBehaviour::DroppingResponses;
             }
+            SoakFault::CutStreams(server) => {
+                self.record_fault(FaultScope::Servers, length);
+                *self.servers[server].behaviour.lock() = ServerBehaviour::CuttingStreams;
+            }
             SoakFault::DrainServer(server) => {
                 self.register(server, "draining");
                 let id = self.servers[server].id.clone();
@@ -312,7 +316,9 @@
             | SoakFault::DelayServer(server) => {
                 self.servers[server].proxy.set_state(ProxyState::Forwarding)
             }
-            SoakFault::FullServer(server) | SoakFault::LoseAnswers(server) => {
+            SoakFault::FullServer(server)
+            | SoakFault::LoseAnswers(server)
+            | SoakFault::CutStreams(server) => {
                 *self.servers[server].behaviour.lock() = ServerBehaviour::Normal;
             }
             SoakFault::KillDaemon(_)
