--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -38,6 +38,8 @@
     pub domain: SmolStr,
     /// Requests that can run concurrently.
     pub slots: u32,
+    /// Version of the server's software. Versions may differ within a service.
+    pub software: SmolStr,
     pub is_draining: bool,
     pub stage: EngineStage,
     /// Start of the server, in milliseconds since the epoch. A new value under the same id means
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -52,6 +52,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         domain: "a".into(),
         slots: 64,
+        software: "v1".into(),
         is_draining: false,
         stage,
         started_at_ms: Some(1),
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -39,6 +39,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         domain: domain.into(),
         slots: 64,
+        software: "v1".into(),
         is_draining: false,
         stage,
         started_at_ms: Some(1),
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -84,6 +84,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         domain: "a".into(),
         slots: 6,
+        software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
         started_at_ms: Some(born),
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -236,9 +236,10 @@
     match servers::decode(id, text) {
         Ok(entry) => {
             let (stage, is_draining) = (entry.stage, entry.is_draining);
+            let software = entry.software.clone();
             let effect = gateway.state.lock().put_server(entry);
             if effect != EntryEffect::Unchanged {
-                tracing::info!(server = %id, revision, %effect, %stage, is_draining, "server entry updated");
+                tracing::info!(server = %id, revision, %effect, %stage, %software, is_draining, "server entry updated");
             }
         }
         Err(fault) => {
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -28,6 +28,7 @@
         address: "127.0.0.1:1".parse().expect("valid address"),
         domain: "a".into(),
         slots: 64,
+        software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Prefill,
         started_at_ms: None,
