--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,3 +5,4 @@
 mod promises;
 mod support;
 mod truncation;
+mod versions;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -72,6 +72,14 @@
         self.wait(|state| state.fleet.key(id).is_some());
     }
 
+    /// Registers an engine that prefills and decodes, with a version of its software.
+    pub fn register_version(&self, id: &str, server: &ScriptedServer, version: &str) {
+        let mut entry = server_entry("model", server, "decode", "ready");
+        entry["version"] = version.into();
+        self.store.put_server(id, &entry);
+        self.wait(|state| state.fleet.key(id).is_some());
+    }
+
     /// Waits until the state of the gateway fulfils a condition.
     pub fn wait(&self, condition: impl Fn(&gooseberry_gateway::state::GatewayState) -> bool) {
         wait_for(|| condition(&self.gateway.state.lock()));
--- /dev/null
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -0,0 +1,81 @@
+//! Streams that callers take up again while engines of several software versions serve: a stream
+//! must not hold events of two versions.
+
+use crate::support::{get_request, status_code, write_response, ScriptedServer, System};
+
+/// Number of times that a test resumes a stream. Without regard to versions, half of the requests
+/// go to each version.
+const RESUMES: usize = 12;
+
+fn start() -> System {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    system
+}
+
+fn engine() -> ScriptedServer {
+    ScriptedServer::start(|request, stream| write_response(request, stream, "id: 1\ndata: a\n\n"))
+}
+
+/// Returns the headers of a prompt. Prompts of different numbers share no part, since an engine
+/// with a cached part would get all requests.
+fn prompt(number: usize) -> String {
+    let parts = format!("a{number:x}:400,b{number:x}:100");
+    format!("X-Model: m\r\nX-Token-Usage: 500,20\r\nX-Prompt-Prefix: {parts}\r\n")
+}
+
+fn begin(system: &System) -> String {
+    let text = system.send(&get_request("/review/x", &prompt(RESUMES)));
+    assert_eq!(status_code(&text), "200", "{text}");
+    let id = text.lines().find_map(|line| line.strip_prefix("x-attempt-id: "));
+    id.expect("the id of the attempt").to_owned()
+}
+
+fn resume(system: &System, id: &str, number: usize) -> String {
+    let headers = prompt(number) + &format!("Resumes: {id}\r\nLast-Event-Id: 1\r\n");
+    system.send(&get_request("/review/x", &headers))
+}
+
+#[test]
+fn a_resumed_stream_goes_on_at_the_version_that_began_it() {
+    let system = start();
+    let (old, new) = (engine(), engine());
+    system.register_version("old", &old, "v1");
+    let id = begin(&system);
+    system.register_version("new", &new, "v2");
+    for number in 0..RESUMES {
+        assert_eq!(status_code(&resume(&system, &id, number)), "200");
+    }
+    assert_eq!((old.received().len(), new.received().len()), (1 + RESUMES, 0));
+}
+
+#[test]
+fn a_resumed_stream_of_unknown_version_is_refused_while_several_serve() {
+    let system = start();
+    let (old, new) = (engine(), engine());
+    system.register_version("old", &old, "v1");
+    system.register_version("new", &new, "v2");
+    for number in 0..RESUMES {
+        let text = resume(&system, "begun-elsewhere", number);
+        assert_eq!(status_code(&text), "503", "{text}");
+        assert!(text.contains("retry-after: "), "{text}");
+    }
+    assert_eq!((old.received().len(), new.received().len()), (0, 0));
+}
+
+#[test]
+fn a_resumed_stream_is_refused_if_no_engine_of_its_version_serves() {
+    let system = start();
+    let (old, new) = (engine(), engine());
+    system.register_version("old", &old, "v1");
+    let id = begin(&system);
+    system.register_version("new", &new, "v2");
+    system.store.remove("servers/old");
+    let now = system.gateway.now();
+    system.wait(|state| {
+        state.fleet.key("old").is_some_and(|key| !state.fleet.server(key).is_usable(now))
+    });
+    assert_eq!(status_code(&resume(&system, &id, 0)), "503");
+    assert_eq!(new.received().len(), 0);
+}
