Resume streams only at the software version that began them

Cause: server entries were decoded without their version, Resumes wasn't read, and no daemon knew which version a stream had begun at elsewhere; a resuming request was placed like a new one. The class: a decision that needs what another daemon has seen, made from what this one sees. A resuming request is decoded by that version only.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -24,5 +24,6 @@
 pub mod rate;
 pub mod relays;
 pub mod shutdown;
+pub mod software;
 pub mod stages;
 pub mod watch_plan;
--- a/crates/core/src/serving/candidates.rs
+++ b/crates/core/src/serving/candidates.rs
@@ -48,7 +48,11 @@
         .usable(request.service, now)
         .filter(|(key, state)| {
             let is_prefill = state.entry.stage == EngineStage::Prefill;
-            let is_unavailable = is_prefill && !placement::is_prefill_available(state, now);
+            let is_unavailable = if is_prefill {
+                !placement::is_prefill_available(state, now)
+            } else {
+                !request.can_decode(state)
+            };
             !request.excluded.contains(key) && !is_unavailable
         })
         .map(|(key, state)| (engine_rank(domains, request, state), key, state))
--- a/crates/core/src/serving/decode_engines.rs
+++ b/crates/core/src/serving/decode_engines.rs
@@ -29,9 +29,7 @@
 ) -> Option<EngineKey> {
     let mut ranked: Vec<_> = fleet
         .usable(request.service, now)
-        .filter(|(key, state)| {
-            state.entry.stage != EngineStage::Prefill && !request.excluded.contains(key)
-        })
+        .filter(|(key, state)| request.can_decode(state) && !request.excluded.contains(key))
         .map(|(key, state)| {
             let distance = domains.distance(prefill_domain, &state.entry.domain);
             let seed = server_hash(&state.entry.id);
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -19,6 +19,7 @@
         distance::{self, DomainDistance, DomainMap},
         fleet::{ServerFleet, ServerState},
         prompt::PromptShape,
+        software::SoftwareKey,
     },
     time::Timestamp,
 };
@@ -55,6 +56,9 @@
     pub spec: EngineSpec,
     /// Failure domain of this daemon.
     pub home_domain: &'a SmolStr,
+    /// Version that has to decode the request, if it resumes a stream. Any version may run the
+    /// prefill, which writes no events.
+    pub software: Option<SoftwareKey>,
     /// Engines that have rejected or failed this request.
     pub excluded: &'a [EngineKey],
     /// Hash of the request's id.
@@ -67,6 +71,14 @@
     pub first_event_limit_ms: f64,
 }
 
+impl PlacementRequest<'_> {
+    /// Returns whether an engine may decode the request.
+    pub fn can_decode(&self, state: &ServerState) -> bool {
+        state.entry.stage != EngineStage::Prefill
+            && self.software.is_none_or(|software| software == SoftwareKey::of(&state.entry))
+    }
+}
+
 /// The engines that serve a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementPath {
--- /dev/null
+++ b/crates/core/src/serving/software.rs
@@ -0,0 +1,138 @@
+//! Software versions of engines, and which of them began a stream.
+//!
+//! What two versions write doesn't fit together, and engines don't check who began a stream that
+//! they continue. So a stream whose version isn't known must not go on.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3;
+
+use crate::{
+    serving::{
+        directory::ServerEntry,
+        fleet::{ServerFleet, ServerState},
+    },
+    time::Timestamp,
+};
+
+/// Longest time between the first event of a stream and its resumption: callers give up at their
+/// deadlines, which are up to 15 s.
+const RESUME_WINDOW: Duration = Duration::from_secs(20);
+/// Most streams that are remembered; the oldest are forgotten first.
+const STREAM_LIMIT: usize = 32_768;
+
+/// Identifies a version of a service's software, equally at all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SoftwareKey(pub u32);
+
+impl SoftwareKey {
+    /// Returns the key of the software that a server runs.
+    pub fn of(entry: &ServerEntry) -> Self {
+        let seed = xxh3::xxh3_64(entry.service.as_bytes());
+        Self(xxh3::xxh3_64_with_seed(entry.software.as_bytes(), seed) as u32)
+    }
+}
+
+/// Identifies a stream by the attempt of a request that began it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream that an attempt begins.
+    pub fn of(request_id: &str) -> Self {
+        Self(xxh3::xxh3_64(request_id.as_bytes()))
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct StreamOrigin {
+    software: SoftwareKey,
+    recorded_at: Timestamp,
+}
+
+/// The versions that began recent streams, at this daemon and others.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    origins: HashMap<StreamKey, StreamOrigin>,
+    /// Records in the order of time, for their removal.
+    records: VecDeque<(Timestamp, StreamKey)>,
+}
+
+impl StreamOrigins {
+    /// Records the version that a stream was sent to. A later record replaces an earlier one, since
+    /// a request may be sent to another engine before its first event.
+    pub fn record(&mut self, stream: StreamKey, software: SoftwareKey, now: Timestamp) {
+        self.origins.insert(stream, StreamOrigin { software, recorded_at: now });
+        self.records.push_back((now, stream));
+        while let Some((recorded_at, stream)) = self.records.front().copied() {
+            if self.records.len() <= STREAM_LIMIT && now.since(recorded_at) < RESUME_WINDOW {
+                break;
+            }
+            self.records.pop_front();
+            if self.origins.get(&stream).is_some_and(|origin| origin.recorded_at == recorded_at) {
+                self.origins.remove(&stream);
+            }
+        }
+    }
+
+    /// Returns the version that began a stream, if it is known.
+    pub fn software(&self, stream: StreamKey) -> Option<SoftwareKey> {
+        self.origins.get(&stream).map(|origin| origin.software)
+    }
+}
+
+/// The versions that a service has had recently, as far as this daemon has seen all of them.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    /// Time since which this daemon has received each change of the servers' entries.
+    complete_since: Option<Timestamp>,
+    /// Versions of servers that are gone or have changed, with the time at which they went.
+    departed: Vec<(SmolStr, SoftwareKey, Timestamp)>,
+}
+
+impl VersionHistory {
+    /// Records that all changes of the entries up to now have been received.
+    pub fn record_complete(&mut self, now: Timestamp) {
+        self.complete_since.get_or_insert(now);
+    }
+
+    /// Records that changes of the entries may have been missed.
+    pub fn record_gap(&mut self) {
+        self.complete_since = None;
+    }
+
+    /// Records that a server is gone or that another entry replaces this one.
+    pub fn record_departure(&mut self, entry: &ServerEntry, now: Timestamp) {
+        let software = SoftwareKey::of(entry);
+        self.departed
+            .retain(|(_, departed, at)| *departed != software && now.since(*at) < RESUME_WINDOW);
+        self.departed.push((entry.service.clone(), software, now));
+    }
+
+    /// Returns the version that began each stream of a service that may still be resumed, if only
+    /// one version can have done so.
+    pub fn sole_version(
+        &self,
+        service: &str,
+        fleet: &ServerFleet,
+        now: Timestamp,
+    ) -> Option<SoftwareKey> {
+        if now.since(self.complete_since?) < RESUME_WINDOW {
+            return None;
+        }
+        let is_present =
+            |state: &ServerState| state.entry.service == service && state.presence.is_usable(now);
+        let present = fleet.iter().filter(|(_, state)| is_present(state));
+        let present = present.map(|(_, state)| SoftwareKey::of(&state.entry));
+        let departed = self.departed.iter().filter(|(departed_service, _, at)| {
+            departed_service == service && now.since(*at) < RESUME_WINDOW
+        });
+        let mut versions = present.chain(departed.map(|(_, software, _)| *software));
+        let first = versions.next()?;
+        versions.all(|software| software == first).then_some(first)
+    }
+}
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -120,6 +120,7 @@
             prompt: &prompt,
             spec: spec(),
             home_domain: &home_domain,
+            software: None,
             excluded: &[],
             request_hash: xxh3::xxh3_64(name.as_bytes()),
             body_bytes: 1_000,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gateway;
 pub mod leader;
 pub mod metrics;
+pub mod origin;
 pub mod peers;
 pub mod prefill_guard;
 pub mod program;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub latency: HistogramVec,
     /// Sends to backend servers by outcome.
     pub sends: IntCounterVec,
+    /// Resumed streams by how the version that began them was found.
+    pub resumes: IntCounterVec,
     /// Ended streams by end and by framing of the engine's response.
     pub streams: IntCounterVec,
     /// Retries that the retry budget granted or refused.
@@ -77,6 +79,7 @@
             requests: counters("requests_total", "Ended requests", &["route", "outcome"])?,
             latency,
             sends: counters("sends_total", "Sends to backend servers", &["outcome"])?,
+            resumes: counters("resumes_total", "Resumed streams", &["origin"])?,
             streams: counters("streams_total", "Ended streams", &["end", "framing"])?,
             retries: counters("retries_total", "Further sends", &["verdict"])?,
             store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -185,6 +185,11 @@
         plan
     }
 
+    /// Returns the address of a daemon.
+    fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.rows.lock().get(name).map(|row| row.record.address)
+    }
+
     fn record_datagram(&self, name: &str, now: Timestamp) -> Option<SmolStr> {
         let mut rows = self.rows.lock();
         let row = rows.get_mut(name)?;
@@ -368,6 +373,7 @@
             match postcard::from_bytes::<UpdateDatagram>(&buffer[..length]) {
                 Ok(datagram) => {
                     self.gateway.metrics.datagrams.with_label_values(&["heard"]).inc();
+                    self.respond(&datagram).await;
                     self.apply(datagram);
                 }
                 Err(error) => {
@@ -378,7 +384,22 @@
         }
     }
 
-    fn apply(&self, datagram: UpdateDatagram) {
+    /// Responds to the questions of a datagram's sender.
+    async fn respond(&self, datagram: &UpdateDatagram) {
+        let responses: Vec<_> = {
+            let state = self.gateway.state.lock();
+            let updates = datagram.bundles.iter().map(|bundle| bundle.updates.as_slice());
+            updates.flat_map(|updates| state.origin_responses(updates)).collect()
+        };
+        if responses.is_empty() {
+            return;
+        }
+        if let Some(address) = self.peers.address(&datagram.sender) {
+            self.send(vec![self.bundle(responses)], &[address]).await;
+        }
+    }
+
+    fn apply(&self, mut datagram: UpdateDatagram) {
         let now = self.gateway.now();
         let sender_domain = self.peers.record_datagram(&datagram.sender, now);
         let is_home = sender_domain.as_ref() == Some(&self.gateway.options.domain);
@@ -394,6 +415,10 @@
         // of the domain.
         let is_direct = datagram.bundles.iter().all(|bundle| bundle.name == datagram.sender);
         if is_relay && (!is_home || is_direct) {
+            for bundle in &mut datagram.bundles {
+                bundle.updates.retain(|update| !matches!(update, SendUpdate::OriginAsked { .. }));
+            }
+            datagram.bundles.retain(|bundle| !bundle.updates.is_empty());
             let bundles = datagram.bundles.into_iter();
             let queued = bundles.map(|bundle| QueuedBundle { bundle, is_home });
             self.peers.forward_queue.lock().extend(queued);
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -8,10 +8,11 @@
     serving::{
         admission::{self, AdmissionDecision, AdmissionRequest},
         backlog::PendingPrefill,
-        configuration::EngineSpec,
+        configuration::{EngineSpec, RouteKind},
         decode_engines,
         directory::EngineStage,
         placement::{self, Placement, PlacementPath, PlacementRequest},
+        software::{SoftwareKey, StreamKey},
     },
 };
 use gooseberry_platform::{
@@ -24,6 +25,7 @@
 
 use crate::{
     call::{self, Call, CallRoute},
+    origin,
     prefill_guard::{ExportGuard, PrefillGuard},
     send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
     stream,
@@ -45,6 +47,14 @@
     route: &CallRoute,
     spec: EngineSpec,
 ) -> Result<Response<ResponseBody>, LocalResponse> {
+    let software = if call.head.resumes_stream() {
+        let Some(software) = origin::find(call, route).await else {
+            return Err(call::unavailable());
+        };
+        Some(software)
+    } else {
+        None
+    };
     let mut excluded: Vec<EngineKey> = Vec::new();
     // Attempts that have run or may have run.
     let mut runs = 0;
@@ -52,13 +62,13 @@
         if sends > 0 && !call.try_retry(route) {
             break;
         }
-        let (placement, prefill_guard) = match admit(call, route, spec, &excluded) {
+        let (placement, prefill_guard) = match admit(call, route, spec, software, &excluded) {
             // An earlier attempt may have run, so a refusal, which guarantees that nothing ran,
             // would be wrong.
             Err(_) if runs > 0 => break,
             admitted => admitted?,
         };
-        match send_placed(call, route, spec, &placement, prefill_guard).await {
+        match send_placed(call, route, spec, software, &placement, prefill_guard).await {
             PromptAttempt::Responded(response) => return Ok(response),
             PromptAttempt::Failed(answer) => return Err(answer),
             PromptAttempt::NotRun(key) => excluded.push(key),
@@ -79,6 +89,7 @@
     call: &Call,
     route: &CallRoute,
     spec: EngineSpec,
+    software: Option<SoftwareKey>,
     excluded: &[EngineKey],
 ) -> Result<(Placement, PrefillGuard), LocalResponse> {
     let gateway = &call.gateway;
@@ -94,6 +105,7 @@
         prompt: &call.head.prompt,
         spec,
         home_domain: &gateway.options.domain,
+        software,
         excluded,
         request_hash: call.id_hash(),
         body_bytes: call.body.len(),
@@ -177,6 +189,7 @@
     call: &Call,
     route: &CallRoute,
     spec: EngineSpec,
+    software: Option<SoftwareKey>,
     placement: &Placement,
     prefill_guard: PrefillGuard,
 ) -> PromptAttempt {
@@ -204,7 +217,7 @@
                 target: prefill.clone(),
                 handle: Some(handle.clone()),
             };
-            let outcome = run_decode(call, route, spec, &prefill, decode, &handle).await;
+            let outcome = run_decode(call, route, spec, software, &prefill, decode, &handle).await;
             if !matches!(outcome, PromptAttempt::NotRun(_)) {
                 export_guard.disarm();
             }
@@ -246,6 +259,7 @@
     call: &Call,
     route: &CallRoute,
     spec: EngineSpec,
+    software: Option<SoftwareKey>,
     prefill_engine: &SendTarget,
     planned: EngineKey,
     handle: &CacheHandle,
@@ -253,16 +267,23 @@
     let phase = SendPhase::Decode { source: handle.clone() };
     let first = target(
         call,
-        still_usable(call, route, planned).unwrap_or_else(|| {
+        still_usable(call, route, software, planned).unwrap_or_else(|| {
             // The engine may have become unusable during the prefill.
-            choose_decode_engine(call, route, spec, prefill_engine, &[]).unwrap_or(planned)
+            choose_decode_engine(call, route, spec, software, prefill_engine, &[])
+                .unwrap_or(planned)
         }),
     );
+    if software.is_some_and(|software| software != first.software) {
+        // The engine has started again with another version during the prefill.
+        return PromptAttempt::NotRun(first.key);
+    }
     let outcome = send_request(call, route, &first, phase.clone(), None, None).await;
     if !matches!(outcome, PromptAttempt::NotRun(_)) {
         return outcome;
     }
-    let Some(second) = choose_decode_engine(call, route, spec, prefill_engine, &[first.key]) else {
+    let Some(second) =
+        choose_decode_engine(call, route, spec, software, prefill_engine, &[first.key])
+    else {
         return PromptAttempt::NotRun(prefill_engine.key);
     };
     if !call.try_retry(route) {
@@ -286,13 +307,19 @@
 }
 
 /// Returns the engine if it is still usable for decode.
-fn still_usable(call: &Call, route: &CallRoute, key: EngineKey) -> Option<EngineKey> {
+fn still_usable(
+    call: &Call,
+    route: &CallRoute,
+    software: Option<SoftwareKey>,
+    key: EngineKey,
+) -> Option<EngineKey> {
     let gateway = &call.gateway;
     let state = gateway.state.lock();
     let server = state.fleet.server(key);
     let is_usable = server.is_usable(gateway.now())
         && server.entry.service == route.service
-        && server.entry.stage != EngineStage::Prefill;
+        && server.entry.stage != EngineStage::Prefill
+        && software.is_none_or(|software| software == SoftwareKey::of(&server.entry));
     is_usable.then_some(key)
 }
 
@@ -304,6 +331,7 @@
     call: &Call,
     route: &CallRoute,
     spec: EngineSpec,
+    software: Option<SoftwareKey>,
     prefill_engine: &SendTarget,
     excluded: &[EngineKey],
 ) -> Option<EngineKey> {
@@ -314,6 +342,7 @@
         prompt: &call.head.prompt,
         spec,
         home_domain: &options.domain,
+        software,
         excluded,
         request_hash: call.id_hash(),
         body_bytes: call.body.len(),
@@ -412,6 +441,11 @@
     let id = &call.head.request_id;
     let choice = Call::connection_choice(route.row.kind);
     call.execution.record_send();
+    if route.row.kind == RouteKind::ResumableStream && !call.head.resumes_stream() {
+        let stream = StreamKey::of(&call.head.request_id);
+        gateway.state.lock().record_stream(stream, target.software, gateway.now());
+        gateway.wake_publisher();
+    }
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
     match sent {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use gooseberry_core::{arena::EngineKey, serving::directory::EngineStage};
+use gooseberry_core::{
+    arena::EngineKey,
+    serving::{directory::EngineStage, software::SoftwareKey},
+};
 use gooseberry_platform::engine::{self, ResponseClass, SendOptions};
 use gooseberry_transport::client::{ClientConnection, SendError};
 use http::{request, Request, Response};
@@ -24,6 +27,7 @@
     pub address: std::net::SocketAddr,
     pub domain: SmolStr,
     pub stage: EngineStage,
+    pub software: SoftwareKey,
 }
 
 impl SendTarget {
@@ -35,6 +39,7 @@
             address: state.entry.address,
             domain: state.entry.domain.clone(),
             stage: state.entry.stage,
+            software: SoftwareKey::of(&state.entry),
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
         fleet::{self, EntryEffect, ServerFleet},
         rate::EventRate,
         relays,
+        software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
     },
     time::Timestamp,
 };
@@ -41,6 +42,8 @@
     pub configuration: Option<Arc<ServingConfiguration>>,
     pub fleet: ServerFleet,
     pub crashes: CrashTable,
+    pub versions: VersionHistory,
+    origins: StreamOrigins,
     retries: HashMap<SmolStr, RetryCounter>,
     /// Other daemons by the hash of their name and incarnation.
     peers: HashMap<u64, PeerState>,
@@ -74,13 +77,53 @@
     }
 
     /// Adds or updates a server from its entry.
-    pub fn put_server(&mut self, entry: ServerEntry) -> EntryEffect {
+    pub fn put_server(&mut self, entry: ServerEntry, now: Timestamp) -> EntryEffect {
+        if let Some(key) = self.fleet.key(&entry.id) {
+            let old = &self.fleet.server(key).entry;
+            if SoftwareKey::of(old) != SoftwareKey::of(&entry) {
+                self.versions.record_departure(old, now);
+            }
+        }
         self.fleet.put(entry)
     }
 
     /// Records that a server's entry is missing. Returns the server's new presence if it changed.
     pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
-        self.fleet.remove(id, now)
+        let presence = self.fleet.remove(id, now)?;
+        if let Some(key) = self.fleet.key(id) {
+            self.versions.record_departure(&self.fleet.server(key).entry, now);
+        }
+        Some(presence)
+    }
+
+    /// Records that this daemon sends a stream that may be resumed to an engine, and queues the
+    /// update for the other daemons.
+    pub fn record_stream(&mut self, stream: StreamKey, software: SoftwareKey, now: Timestamp) {
+        self.origins.record(stream, software, now);
+        let update = SendUpdate::StreamSent { stream: stream.0, software: software.0 };
+        self.outgoing.push_back(update);
+    }
+
+    /// Returns the version that began a stream, if this daemon has a record of it.
+    pub fn stream_software(&self, stream: StreamKey) -> Option<SoftwareKey> {
+        self.origins.software(stream)
+    }
+
+    /// Queues the question to the other daemons which version began a stream.
+    pub fn ask_origin(&mut self, stream: StreamKey) {
+        self.outgoing.push_back(SendUpdate::OriginAsked { stream: stream.0 });
+    }
+
+    /// Returns the responses to the questions among another daemon's updates.
+    pub fn origin_responses(&self, updates: &[SendUpdate]) -> Vec<SendUpdate> {
+        let respond = |update: &SendUpdate| {
+            let SendUpdate::OriginAsked { stream } = *update else {
+                return None;
+            };
+            let software = self.origins.software(StreamKey(stream))?.0;
+            Some(SendUpdate::StreamSent { stream, software })
+        };
+        updates.iter().filter_map(respond).collect()
     }
 
     /// Counts a caller's request to a service.
@@ -211,6 +254,11 @@
                     let fingerprint = gooseberry_core::poison::RequestFingerprint(*fingerprint);
                     self.crashes.record_crash(fingerprint, now);
                 }
+                SendUpdate::StreamSent { stream, software } => {
+                    self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
+                }
+                // `origin_responses` handles the questions.
+                SendUpdate::OriginAsked { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -111,6 +111,7 @@
             Ok(update) => return self.apply_update(update, WatchSource::Relay),
             Err(fault) => fault,
         };
+        self.gateway.state.lock().versions.record_gap();
         match self.plan.relay_failed(fault.failure(), self.gateway.now()) {
             Some(delay) => self.gateway.clock.sleep(delay).await,
             None => {
@@ -123,6 +124,7 @@
         record_response(&self.gateway);
         let now = self.gateway.now();
         if self.revision.is_none() {
+            self.gateway.state.lock().versions.record_gap();
             remove_missing_servers(&self.gateway, &update);
             remove_missing_keys(&self.keys, &update);
             self.keys.changes.reset(update.revision, now);
@@ -136,6 +138,7 @@
         for change in update.changes {
             apply(&self.gateway, &self.keys, change);
         }
+        self.gateway.state.lock().versions.record_complete(now);
         update_readiness(&self.gateway);
     }
 }
@@ -158,7 +161,9 @@
         return;
     }
     let now = gateway.now();
-    if gateway.state.lock().fleet.connectivity.record_failure(now) {
+    let mut state = gateway.state.lock();
+    state.versions.record_gap();
+    if state.fleet.connectivity.record_failure(now) {
         tracing::warn!(%fault, "key-value service is not responding");
     }
 }
@@ -237,7 +242,8 @@
         Ok(entry) => {
             let (stage, is_draining) = (entry.stage, entry.is_draining);
             let software = entry.software.clone();
-            let effect = gateway.state.lock().put_server(entry);
+            let now = gateway.now();
+            let effect = gateway.state.lock().put_server(entry, now);
             if effect != EntryEffect::Unchanged {
                 tracing::info!(server = %id, revision, %effect, %stage, %software, is_draining, "server entry updated");
             }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -2,7 +2,8 @@
 //!
 //! Datagrams may be lost or duplicated. There are no acknowledgements: a periodic summary removes
 //! prefills whose end was lost, and corrects the counts of running requests. A lost start of a
-//! prefill and a lost crash aren't corrected.
+//! prefill and a lost crash aren't corrected. A daemon that lacks the version of a stream asks for
+//! it.
 
 use gooseberry_core::serving::prompt::{PrefixKey, PromptPart, PromptShape};
 use serde::{Deserialize, Serialize};
@@ -72,6 +73,16 @@
     Crash {
         fingerprint: u64,
     },
+    /// A stream that may be resumed was sent to an engine of this software version, or this is the
+    /// response to [`Self::OriginAsked`].
+    StreamSent {
+        stream: u64,
+        software: u32,
+    },
+    /// The daemon is asked for the version that began a stream. Relays don't forward this.
+    OriginAsked {
+        stream: u64,
+    },
 }
 
 /// The updates of one daemon.
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -7,6 +7,7 @@
         backlog::{PendingPrefill, SendId},
         directory::{EngineStage, ServerEntry},
         prompt::PromptShape,
+        software::{SoftwareKey, StreamKey},
     },
     time::Timestamp,
 };
@@ -22,7 +23,7 @@
 
 fn state(daemon: u64) -> GatewayState {
     let mut state = GatewayState::new(daemon);
-    state.put_server(ServerEntry {
+    let entry = ServerEntry {
         id: "one".into(),
         service: "model".into(),
         address: "127.0.0.1:1".parse().expect("valid address"),
@@ -32,7 +33,8 @@
         is_draining: false,
         stage: EngineStage::Prefill,
         started_at_ms: None,
-    });
+    };
+    state.put_server(entry, START);
     state
 }
 
@@ -161,3 +163,31 @@
     assert_eq!(log.changes_after(5, START), Err(StatusCode::GONE));
     assert_eq!(log.changes_after(999, START).expect("changes").changes, vec![change(1000)]);
 }
+
+#[test]
+fn a_daemon_knows_the_versions_of_streams_that_others_began() {
+    let (mut first, mut second) = (state(1), state(2));
+    let stream = StreamKey::of("begun-at-the-first");
+    first.record_stream(stream, SoftwareKey(7), START);
+    let updates = first.take_updates();
+    assert_eq!(second.stream_software(stream), None);
+    second.apply_updates(1, &updates, START);
+    assert_eq!(second.stream_software(stream), Some(SoftwareKey(7)));
+}
+
+#[test]
+fn a_daemon_that_missed_the_version_of_a_stream_gets_it_by_a_question() {
+    let (mut first, mut second) = (state(1), state(2));
+    let stream = StreamKey::of("begun-at-the-first");
+    first.record_stream(stream, SoftwareKey(7), START);
+    first.take_updates();
+    second.ask_origin(stream);
+    second.ask_origin(StreamKey::of("unknown-to-both"));
+    let questions = second.take_updates();
+    let responses = first.origin_responses(&questions);
+    assert_eq!(responses.len(), 1);
+    second.apply_updates(1, &responses, START);
+    assert_eq!(second.stream_software(stream), Some(SoftwareKey(7)));
+    first.apply_updates(2, &questions, START);
+    assert!(first.take_updates().is_empty(), "a question is no update to pass on");
+}
