--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -33,8 +33,10 @@
 /// known. Asks other daemons if this one has no record.
 pub async fn find(call: &Call, route: &CallRoute) -> Option<SoftwareKey> {
     let gateway = &call.gateway;
-    let stream = call.head.resumed_request.as_deref().map(StreamKey::of);
-    let (software, source) = search(gateway, &route.service, stream).await;
+    // A caller that doesn't name the first attempt gets a version only if it can't be another one.
+    // The key of its own attempt then identifies the question.
+    let began = call.head.resumed_request.as_ref().unwrap_or(&call.head.request_id);
+    let (software, source) = search(gateway, &route.service, StreamKey::of(began)).await;
     gateway.metrics.resumes.with_label_values(&[&source.to_string()]).inc();
     tracing::info!(
         request = %call.head.request_id,
@@ -50,28 +52,22 @@
 async fn search(
     gateway: &Gateway,
     service: &str,
-    stream: Option<StreamKey>,
+    stream: StreamKey,
 ) -> (Option<SoftwareKey>, OriginSource) {
-    let recorded = |stream| gateway.state.lock().stream_software(stream);
-    if let Some(software) = stream.and_then(recorded) {
+    let recorded = || gateway.state.lock().stream_software(stream);
+    if let Some(software) = recorded() {
         return (Some(software), OriginSource::Record);
     }
-    let sole_version = {
-        let state = gateway.state.lock();
-        state.versions.sole_version(service, &state.fleet, gateway.now())
-    };
+    let asked_at = gateway.now();
+    let sole_version = gateway.state.lock().sole_software(service, asked_at);
     if sole_version.is_some() {
         return (sole_version, OriginSource::SoleVersion);
     }
-    let Some(stream) = stream else {
-        return (None, OriginSource::Unknown);
-    };
-    gateway.state.lock().ask_origin(stream);
+    gateway.state.lock().ask_origin(stream, service);
     gateway.wake_publisher();
-    let asked_at = gateway.now();
     while gateway.now().since(asked_at) < RESPONSE_TIMEOUT {
         gateway.clock.sleep(CHECK_INTERVAL).await;
-        if let Some(software) = recorded(stream) {
+        if let Some(software) = recorded() {
             return (Some(software), OriginSource::Asked);
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -386,10 +386,11 @@
 
     /// Responds to the questions of a datagram's sender.
     async fn respond(&self, datagram: &UpdateDatagram) {
+        let now = self.gateway.now();
         let responses: Vec<_> = {
             let state = self.gateway.state.lock();
             let updates = datagram.bundles.iter().map(|bundle| bundle.updates.as_slice());
-            updates.flat_map(|updates| state.origin_responses(updates)).collect()
+            updates.flat_map(|updates| state.origin_responses(updates, now)).collect()
         };
         if responses.is_empty() {
             return;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -109,19 +109,26 @@
         self.origins.software(stream)
     }
 
+    /// Returns the version that began all recent streams of a service, if it was a single one.
+    pub fn sole_software(&self, service: &str, now: Timestamp) -> Option<SoftwareKey> {
+        self.versions.sole_version(service, &self.fleet, now)
+    }
+
     /// Queues the question to the other daemons which version began a stream.
-    pub fn ask_origin(&mut self, stream: StreamKey) {
-        self.outgoing.push_back(SendUpdate::OriginAsked { stream: stream.0 });
+    pub fn ask_origin(&mut self, stream: StreamKey, service: &str) {
+        let service = service.to_owned();
+        self.outgoing.push_back(SendUpdate::OriginAsked { stream: stream.0, service });
     }
 
     /// Returns the responses to the questions among another daemon's updates.
-    pub fn origin_responses(&self, updates: &[SendUpdate]) -> Vec<SendUpdate> {
+    pub fn origin_responses(&self, updates: &[SendUpdate], now: Timestamp) -> Vec<SendUpdate> {
         let respond = |update: &SendUpdate| {
-            let SendUpdate::OriginAsked { stream } = *update else {
+            let SendUpdate::OriginAsked { stream, service } = update else {
                 return None;
             };
-            let software = self.origins.software(StreamKey(stream))?.0;
-            Some(SendUpdate::StreamSent { stream, software })
+            let recorded = self.origins.software(StreamKey(*stream));
+            let software = recorded.or_else(|| self.sole_software(service, now))?.0;
+            Some(SendUpdate::StreamSent { stream: *stream, software })
         };
         updates.iter().filter_map(respond).collect()
     }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -79,9 +79,11 @@
         stream: u64,
         software: u32,
     },
-    /// The daemon is asked for the version that began a stream. Relays don't forward this.
+    /// The daemon is asked for the version that began a stream of a service. Relays don't forward
+    /// this.
     OriginAsked {
         stream: u64,
+        service: String,
     },
 }
 
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -181,13 +181,29 @@
     let stream = StreamKey::of("begun-at-the-first");
     first.record_stream(stream, SoftwareKey(7), START);
     first.take_updates();
-    second.ask_origin(stream);
-    second.ask_origin(StreamKey::of("unknown-to-both"));
+    second.ask_origin(stream, "model");
+    second.ask_origin(StreamKey::of("unknown-to-both"), "model");
     let questions = second.take_updates();
-    let responses = first.origin_responses(&questions);
+    let responses = first.origin_responses(&questions, START);
     assert_eq!(responses.len(), 1);
     second.apply_updates(1, &responses, START);
     assert_eq!(second.stream_software(stream), Some(SoftwareKey(7)));
     first.apply_updates(2, &questions, START);
     assert!(first.take_updates().is_empty(), "a question is no update to pass on");
 }
+
+#[test]
+fn a_new_daemon_asks_for_the_only_version_that_a_service_has_had() {
+    let (mut old, mut new) = (state(1), state(2));
+    old.versions.record_complete(START);
+    let now = START + Duration::from_secs(30);
+    new.versions.record_complete(now);
+    assert_eq!(new.sole_software("model", now), None);
+    let stream = StreamKey::of("begun-by-a-third");
+    new.ask_origin(stream, "model");
+    let responses = old.origin_responses(&new.take_updates(), now);
+    new.apply_updates(1, &responses, now);
+    let key = old.fleet.key("one").expect("known server");
+    let software = SoftwareKey::of(&old.fleet.server(key).entry);
+    assert_eq!(new.stream_software(stream), Some(software));
+}
