Keep a decode engine of each software version where stages change

Change: among the engines that may change their stage, those whose change leaves their version a decode engine come first. Numbers of engines for each stage don't change. Test: stage_changes_leave_each_version_a_decode_engine failed before (v2, v2), passes now; the other tests of core pass.

--- a/crates/core/src/serving/stages.rs
+++ b/crates/core/src/serving/stages.rs
@@ -14,6 +14,7 @@
     serving::{
         directory::{EngineStage, ServerPresence},
         fleet::{ServerFleet, ServerState},
+        software::SoftwareKey,
     },
 };
 
@@ -38,10 +39,19 @@
     Refused,
 }
 
+/// Numbers of a service's engines of one software version.
+#[derive(Clone, Copy, Debug, Default)]
+struct VersionCount {
+    engines: usize,
+    /// Engines that decode after their pending orders.
+    decoders: usize,
+}
+
 /// Returns the stage changes that a service needs, given the recent orders.
 ///
 /// In each failure domain the engines with the fewest requests change first, so the chosen engines
-/// may differ between calls. Whether a domain needs a change doesn't depend on the load. A domain
+/// may differ between calls. Among them, changes that leave each software version a decode engine
+/// come first: a stream that is resumed is decoded by the version that began it. Whether a domain needs a change doesn't depend on the load. A domain
 /// with a single engine, or with an engine without a stage, needs none.
 pub fn plan(
     fleet: &ServerFleet,
@@ -49,32 +59,45 @@
     orders: &HashMap<EngineKey, OrderState>,
 ) -> Vec<StageChange> {
     let mut domains: BTreeMap<&SmolStr, Vec<(EngineKey, &ServerState)>> = BTreeMap::new();
+    let mut versions: HashMap<SoftwareKey, VersionCount> = HashMap::new();
     for (key, state) in fleet.iter() {
         let is_present = state.presence == ServerPresence::Present && !state.entry.is_draining;
         if state.entry.service == *service && is_present {
             domains.entry(&state.entry.domain).or_default().push((key, state));
+            let version = versions.entry(SoftwareKey::of(&state.entry)).or_default();
+            version.engines += 1;
+            version.decoders += usize::from(next_stage(orders, key, state) == EngineStage::Decode);
         }
     }
-    domains.values().flat_map(|engines| changes(engines, orders)).collect()
+    domains.values().flat_map(|engines| changes(engines, orders, &mut versions)).collect()
+}
+
+/// Returns the stage of an engine after its pending order.
+fn next_stage(
+    orders: &HashMap<EngineKey, OrderState>,
+    key: EngineKey,
+    state: &ServerState,
+) -> EngineStage {
+    match orders.get(&key) {
+        Some(OrderState::Pending(stage)) => *stage,
+        Some(OrderState::Refused) | None => state.entry.stage,
+    }
 }
 
 fn changes(
     engines: &[(EngineKey, &ServerState)],
     orders: &HashMap<EngineKey, OrderState>,
+    versions: &mut HashMap<SoftwareKey, VersionCount>,
 ) -> Vec<StageChange> {
-    // The stage of an engine after its pending order.
-    let next_stage = |key: &EngineKey, state: &ServerState| match orders.get(key) {
-        Some(OrderState::Pending(stage)) => *stage,
-        Some(OrderState::Refused) | None => state.entry.stage,
-    };
     // Engines without a stage run both phases and accept no orders.
     let has_stages = engines.iter().all(|(_, state)| state.entry.stage != EngineStage::Mixed);
     if engines.len() < 2 || !has_stages {
         return Vec::new();
     }
     let share_of = |share: f64| ((engines.len() as f64 * share).round() as usize).max(1);
-    let is_decode =
-        |(key, state): &&(EngineKey, &ServerState)| next_stage(key, state) == EngineStage::Decode;
+    let is_decode = |(key, state): &&(EngineKey, &ServerState)| {
+        next_stage(orders, *key, state) == EngineStage::Decode
+    };
     let (decode_count, target_count) =
         (engines.iter().filter(is_decode).count(), share_of(DECODE_SHARE));
     let (from, to) = if decode_count > target_count {
@@ -90,7 +113,27 @@
         .iter()
         .filter(|(key, state)| state.entry.stage == from && !orders.contains_key(key))
         .collect();
-    candidates.sort_by_key(|(key, state)| (state.requests(), *key));
-    let chosen = candidates.into_iter().take(count);
-    chosen.map(|(key, _)| StageChange { engine: *key, stage: to }).collect()
+    let mut changes = Vec::new();
+    while changes.len() < count {
+        let rank = |(key, state): &&(EngineKey, &ServerState)| {
+            let version = versions.get(&SoftwareKey::of(&state.entry)).copied().unwrap_or_default();
+            let is_deferred = match to {
+                EngineStage::Decode => version.decoders > 0 || version.engines < 2,
+                EngineStage::Prefill | EngineStage::Mixed => version.decoders < 2,
+            };
+            (is_deferred, state.requests(), *key)
+        };
+        let Some(index) = (0..candidates.len()).min_by_key(|index| rank(&candidates[*index]))
+        else {
+            break;
+        };
+        let (engine, state) = candidates.swap_remove(index);
+        let version = versions.entry(SoftwareKey::of(&state.entry)).or_default();
+        version.decoders = match to {
+            EngineStage::Decode => version.decoders + 1,
+            EngineStage::Prefill | EngineStage::Mixed => version.decoders.saturating_sub(1),
+        };
+        changes.push(StageChange { engine: *engine, stage: to });
+    }
+    changes
 }
--- a/crates/core/tests/serving_software.rs
+++ b/crates/core/tests/serving_software.rs
@@ -1,13 +1,14 @@
 //! Which software version began a stream: records of streams, and the versions that a service has
 //! had. A wrong answer joins what two versions wrote, so in doubt there must be none.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use gooseberry_core::{
     serving::{
         directory::{EngineStage, ServerEntry},
         fleet::ServerFleet,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
+        stages,
     },
     time::Timestamp,
 };
@@ -112,3 +113,28 @@
     assert_eq!(history.sole_version("model", &fleet, gone_at + Duration::from_secs(10)), None);
     assert_eq!(history.sole_version("model", &fleet, gone_at + LONG), Some(key("v2")));
 }
+
+/// Guards against streams that can't be resumed because all engines of their version prefill.
+#[test]
+fn stage_changes_leave_each_version_a_decode_engine() {
+    // Each domain has one decode engine too many; the idle ones would change first.
+    let mut fleet = ServerFleet::default();
+    for (id, domain, software) in
+        [("old-a", "a", "v1"), ("new-a", "a", "v2"), ("old-b", "b", "v1"), ("new-b", "b", "v2")]
+    {
+        fleet.put(ServerEntry { domain: domain.into(), ..entry(id, "model", software) });
+        let prefill = entry(&format!("{id}-prefill"), "model", software);
+        fleet.put(ServerEntry { domain: domain.into(), stage: EngineStage::Prefill, ..prefill });
+    }
+    for id in ["old-a", "old-b"] {
+        let server = fleet.key(id).expect("known server");
+        fleet.server_mut(server).running = 5;
+    }
+    let changes = stages::plan(&fleet, &"model".into(), &HashMap::new());
+    let mut changed = Vec::new();
+    for change in &changes {
+        assert_eq!(change.stage, EngineStage::Prefill);
+        changed.push(fleet.server(change.engine).entry.software.as_str());
+    }
+    assert_eq!(changed, ["v2", "v1"], "one decode engine of each version must remain");
+}
