Soak: resume broken streams while two software versions serve

Change: the two decode engines start with different versions, replaced servers may change theirs, and callers resume a broken stream twice at most, at any daemon. A check requires that all events of a stream, over all attempts, come from one version.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -16,7 +16,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    history::{CallKind, CallRecord, SoakHistory},
+    history::{CallKind, CallRecord, ResumedStream, SoakHistory},
+    servers::EVENTS_PER_STREAM,
     system::SoakSystem,
     SoakOptions,
 };
@@ -25,6 +26,8 @@
 const CALLER_COUNT: usize = 12;
 /// Longest wait for a response: the requests' deadline of 3 s and one more second.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Number of times that a caller resumes a stream.
+const RESUME_LIMIT: usize = 2;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest delay of a caller between two requests.
@@ -129,15 +132,11 @@
 }
 
 impl SoakCaller {
+    /// Sends a request. A stream that breaks is resumed, at any daemon.
     fn call(&mut self) {
         thread::sleep(Duration::from_millis(self.rng.random_range(0..MAX_DELAY_MS)));
-        let Some((daemon, stream)) = self.connection() else {
-            return;
-        };
         let kinds = [CallKind::Plain, CallKind::Order, CallKind::Chat, CallKind::Review];
         let kind = kinds[self.rng.random_range(0..kinds.len())];
-        self.sent += 1;
-        let id = format!("c{}-{}", self.number, self.sent);
         let shared_prefix = format!("{:x}", self.rng.random_range(0..6));
         let headers = match kind {
             CallKind::Plain | CallKind::Order => String::new(),
@@ -146,6 +145,30 @@
                 &format!("{:x}{:x}", self.number, self.sent),
             ),
         };
+        let mut resumed = None;
+        for _ in 0..=RESUME_LIMIT {
+            resumed = self.send(kind, &headers, resumed);
+            if resumed.is_none() {
+                break;
+            }
+        }
+    }
+
+    /// Sends a request and records its response. Returns what to resume, if it is a stream that
+    /// broke after its first event.
+    fn send(
+        &mut self,
+        kind: CallKind,
+        headers: &str,
+        resumed: Option<ResumedStream>,
+    ) -> Option<ResumedStream> {
+        let (daemon, stream) = self.connection()?;
+        self.sent += 1;
+        let id = format!("c{}-{}", self.number, self.sent);
+        let mut headers = headers.to_owned();
+        if let Some(ResumedStream { origin, events }) = &resumed {
+            headers += &format!("Resumes: {origin}\r\nLast-Event-Id: {events}\r\n");
+        }
         let text = gateway_mocks::get_request(&id, &format!("/{kind}/x"), &headers);
         let sent_at = Instant::now();
         let (answer, stream) = exchange(stream, &text);
@@ -156,13 +179,21 @@
             sent_at,
             ended_at: Instant::now(),
             is_connected: stream.is_some(),
+            resumed: resumed.clone(),
             answer,
         };
         let closes = record.answer.to_ascii_lowercase().contains("\r\nconnection: close");
         if gateway_mocks::is_complete_response(&record.answer) && !closes {
             self.idle_connection = stream.map(|stream| (daemon, stream));
         }
+        let events = record.events().len();
+        let is_broken = kind == CallKind::Review && !record.is_served() && events > 0;
+        let next = is_broken.then(|| {
+            let stream = resumed.unwrap_or(ResumedStream { origin: record.id.clone(), events: 0 });
+            ResumedStream { events: stream.events + events, ..stream }
+        });
         self.history.lock().calls.push(record);
+        next.filter(|stream| stream.events < EVENTS_PER_STREAM)
     }
 
     fn connection(&mut self) -> Option<(usize, Option<TcpStream>)> {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,13 +1,16 @@
 //! The invariants that are checked after a soak.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
 
 use gooseberry_standins::gateway_mocks;
 
 use crate::{
     callers::RESPONSE_TIMEOUT,
-    history::{CallKind, CallRecord, ExecutionRecord, FaultScope, SoakHistory},
-    servers::EVENTS_PER_STREAM,
+    history::{self, CallKind, CallRecord, ExecutionRecord, FaultScope, SoakHistory},
+    servers::{self, EVENTS_PER_STREAM},
 };
 
 /// Time after which a draining server gets no new requests and a new
@@ -30,6 +33,8 @@
     FalseRefusal(String),
     /// A successful response isn't the complete response of one server to this request.
     MixedAnswer(String),
+    /// A stream holds events of servers of two software versions.
+    MixedVersions(String),
     /// A connection ended without a complete response and without a fault that explains it.
     LostAnswer(String),
     /// A server got a request too long after its entry was set to draining.
@@ -50,6 +55,7 @@
         let runs = history.executions.get(&call.id).map_or(&[][..], Vec::as_slice);
         violations.extend(check_call(history, call, runs));
     }
+    violations.extend(check_versions(history));
     violations.extend(check_draining(history));
     violations.extend(check_recovery(history));
     violations
@@ -87,6 +93,26 @@
     violations
 }
 
+/// Checks that all events of each stream, over all requests that resumed it, come from servers of
+/// one software version.
+fn check_versions(history: &SoakHistory) -> Vec<InvariantViolation> {
+    let mut streams: HashMap<&str, BTreeMap<&str, Vec<&CallRecord>>> = HashMap::new();
+    let reviews = history.calls.iter().filter(|call| call.kind == CallKind::Review);
+    for call in reviews {
+        let origin = call.resumed.as_ref().map_or(&call.id, |resumed| &resumed.origin);
+        let versions = streams.entry(origin).or_default();
+        for event in call.events() {
+            if let Some((_, server)) = event.trim_end().rsplit_once(" of ") {
+                versions.entry(servers::software(server)).or_default().push(call);
+            }
+        }
+    }
+    let mixed = streams.into_iter().filter(|(_, versions)| versions.len() > 1);
+    mixed
+        .map(|(id, versions)| InvariantViolation::MixedVersions(format!("{id}: {versions:?}")))
+        .collect()
+}
+
 /// Returns whether a response is the signed, complete response of one execution of the request.
 fn is_response_of_one_run(call: &CallRecord, runs: &[ExecutionRecord]) -> bool {
     let Some((_, body)) = call.answer.split_once("\r\n\r\n") else {
@@ -95,27 +121,14 @@
     let is_of_run = |run: &ExecutionRecord| match call.kind {
         CallKind::Plain | CallKind::Order => body == run.body,
         CallKind::Chat | CallKind::Review => {
-            let text = decode_chunked(body);
-            text == run.body && text.matches("\n\n").count() == EVENTS_PER_STREAM
+            let text = history::decode_chunked(body);
+            let received = call.resumed.as_ref().map_or(0, |resumed| resumed.events);
+            text == run.body && text.matches("\n\n").count() == EVENTS_PER_STREAM - received
         }
     };
     gateway_mocks::is_signed(&call.answer) && runs.iter().any(is_of_run)
 }
 
-/// Decodes a body with the transfer encoding `chunked`.
-fn decode_chunked(mut body: &str) -> String {
-    let mut text = String::new();
-    while let Some((length, rest)) = body.split_once("\r\n") {
-        let length = usize::from_str_radix(length, 16).unwrap_or(0);
-        if length == 0 || rest.len() < length + 2 {
-            break;
-        }
-        text.push_str(&rest[..length]);
-        body = &rest[length + 2..];
-    }
-    text
-}
-
 /// Returns whether a fault explains that the caller got no complete response.
 fn is_explained_by_fault(history: &SoakHistory, call: &CallRecord) -> bool {
     let slack = Duration::from_secs(1);
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -21,6 +21,15 @@
     }
 }
 
+/// The stream that a request resumes.
+#[derive(Clone, Debug)]
+pub struct ResumedStream {
+    /// Id of the request that began it.
+    pub origin: String,
+    /// Number of events that the caller has received.
+    pub events: usize,
+}
+
 /// A request and its response as the caller observed them.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
@@ -29,6 +38,7 @@
     pub daemon: usize,
     pub sent_at: Instant,
     pub ended_at: Instant,
+    pub resumed: Option<ResumedStream>,
     /// All bytes of the response; empty if none arrived.
     pub answer: String,
     /// Whether the daemon accepted the connection.
@@ -42,6 +52,16 @@
             && gateway_mocks::is_complete_response(&self.answer)
     }
 
+    /// Returns the complete events of a streamed response.
+    pub fn events(&self) -> Vec<String> {
+        let Some((_, body)) = self.answer.split_once("\r\n\r\n") else {
+            return Vec::new();
+        };
+        let text = decode_chunked(body);
+        let complete = text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n"));
+        complete.map(str::to_owned).collect()
+    }
+
     /// Returns whether the response reports that the request was not executed.
     pub fn reports_not_executed(&self) -> bool {
         let is_refusal =
@@ -109,3 +129,17 @@
         })
     }
 }
+
+/// Decodes a body with the transfer encoding `chunked`.
+pub fn decode_chunked(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((length, rest)) = body.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).unwrap_or(0);
+        if length == 0 || rest.len() < length + 2 {
+            break;
+        }
+        text.push_str(&rest[..length]);
+        body = &rest[length + 2..];
+    }
+    text
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,7 +14,7 @@
 
 use std::{path::Path, time::Duration};
 
-use crate::{checks::InvariantViolation, system::SoakSystem};
+use crate::{checks::InvariantViolation, history::CallRecord, system::SoakSystem};
 
 /// Options of a soak.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +30,9 @@
 pub struct SoakReport {
     pub requests: usize,
     pub served: usize,
+    /// Requests that resume a stream, and those of them that got an event.
+    pub resumes: usize,
+    pub continued: usize,
     pub faults: Vec<plan::PlannedFault>,
     pub violations: Vec<InvariantViolation>,
 }
@@ -50,5 +53,10 @@
     let history = system.history.lock();
     let violations = checks::check(&history, &exits);
     let served = history.calls.iter().filter(|call| call.is_served()).count();
-    SoakReport { requests: history.calls.len(), served, faults, violations }
+    let is_resume = |call: &&CallRecord| call.resumed.is_some();
+    let resumes = history.calls.iter().filter(is_resume).count();
+    let continued =
+        history.calls.iter().filter(is_resume).filter(|call| !call.events().is_empty()).count();
+    let requests = history.calls.len();
+    SoakReport { requests, served, resumes, continued, faults, violations }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -35,9 +35,11 @@
         let folder = tempfile::tempdir()?;
         let report = gooseberry_soak::run(options, folder.path());
         println!(
-            "seed {seed}: {} requests, {} served, {} faults, {} violations",
+            "seed {seed}: {} requests, {} served, {} of {} resumes continued, {} faults, {} violations",
             report.requests,
             report.served,
+            report.continued,
+            report.resumes,
             report.faults.len(),
             report.violations.len()
         );
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -106,8 +106,12 @@
             return gateway_mocks::write_prefill_response(request, stream);
         }
         let is_stream = self.service == "model";
-        let body =
-            if is_stream { events(request.id(), &self.name) } else { self.plain_body(request) };
+        let last_event = request.header("last-event-id").and_then(|id| id.parse().ok());
+        let body = if is_stream {
+            events(request.id(), &self.name, last_event.unwrap_or(0))
+        } else {
+            self.plain_body(request)
+        };
         let record = ExecutionRecord {
             server: self.name.clone(),
             service: self.service,
@@ -162,9 +166,20 @@
     false
 }
 
-/// Returns the events of a request's stream from a server.
-fn events(id: &str, server: &str) -> String {
-    (1..=EVENTS_PER_STREAM)
+/// Returns the version of the software that a server with this id runs. The two decode engines start
+/// with different ones, and a server that is replaced may change its own.
+pub fn software(id: &str) -> &'static str {
+    let number: usize = id.bytes().filter(u8::is_ascii_digit).map(usize::from).sum();
+    if (number / 2).is_multiple_of(2) {
+        "v1"
+    } else {
+        "v2"
+    }
+}
+
+/// Returns the events of a request's stream from a server, after those that the caller has.
+fn events(id: &str, server: &str, last_event: usize) -> String {
+    (last_event + 1..=EVENTS_PER_STREAM)
         .map(|number| format!("id: {number}\ndata: {id} of {server}\n\n"))
         .collect()
 }
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -20,7 +20,7 @@
     callers::{self, DaemonAddresses},
     history::{FaultInterval, FaultScope, SoakHistory},
     plan::{PlannedFault, SoakFault, ENGINE_COUNT, SERVERS_PER_PLAIN_SERVICE},
-    servers::{ServerBehaviour, SoakServer},
+    servers::{self, ServerBehaviour, SoakServer},
     SoakOptions,
 };
 
@@ -372,8 +372,9 @@
 
     fn register(&self, server: usize, state: &str) {
         let server = &self.servers[server];
-        let entry =
+        let mut entry =
             gateway_mocks::server_entry(server.service, &server.proxy.address, server.stage, state);
+        entry["version"] = servers::software(&server.id).into();
         self.store.put_server(&server.id, &entry);
     }
 
