Send a resumed stream of a split route to the service that began it

Callers would see: about half of the resumed streams of a route that is split over two services refused, because the service was chosen by the id of the resuming attempt and the other service can't continue what the first began. Change: the id of the attempt that began the stream chooses the service. Test: a_resumed_stream_of_a_split_route_goes_to_the_service_that_began_it failed before (503), passes now; 49 tests of the gateway pass.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -135,7 +135,8 @@
         };
         let row = configuration.route(&self.head.host, &self.head.path);
         let row = row.ok_or(LocalResponse::UnknownRoute)?.clone();
-        let service = row.target(&self.head.request_id).ok_or(LocalResponse::UnknownRoute)?.clone();
+        // A resumed stream stays at the service that began it.
+        let service = row.target(self.head.stream_id()).ok_or(LocalResponse::UnknownRoute)?.clone();
         Ok(CallRoute { configuration, row, service })
     }
 
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -35,8 +35,8 @@
     let gateway = &call.gateway;
     // A caller that doesn't name the first attempt gets a version only if it can't be another one.
     // The key of its own attempt then identifies the question.
-    let began = call.head.resumed_request.as_ref().unwrap_or(&call.head.request_id);
-    let (software, source) = search(gateway, &route.service, StreamKey::of(began)).await;
+    let stream = StreamKey::of(call.head.stream_id());
+    let (software, source) = search(gateway, &route.service, stream).await;
     gateway.metrics.resumes.with_label_values(&[&source.to_string()]).inc();
     tracing::info!(
         request = %call.head.request_id,
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -1,6 +1,9 @@
 //! Streams that callers take up again while engines of several software versions serve: a stream
 //! must not hold events of two versions.
 
+use gooseberry_standins::gateway_mocks;
+use serde_json::json;
+
 use crate::support::{get_request, status_code, write_response, ScriptedServer, System};
 
 /// Number of times that a test resumes a stream. Without regard to versions, half of the requests
@@ -79,3 +82,27 @@
     assert_eq!(status_code(&resume(&system, &id, 0)), "503");
     assert_eq!(new.received().len(), 0);
 }
+
+#[test]
+fn a_resumed_stream_of_a_split_route_goes_to_the_service_that_began_it() {
+    let system = System::start();
+    let mut configuration = gateway_mocks::configuration(1, "plain");
+    let route = &mut configuration["routes"][3];
+    assert_eq!(route["name"], "review");
+    route["service"].take();
+    route["split"] =
+        json!([{"service": "model", "weight": 50}, {"service": "second", "weight": 50}]);
+    let mut service = configuration["services"][2].clone();
+    service["name"] = "second".into();
+    configuration["services"].as_array_mut().expect("a list of services").push(service);
+    system.store.put_configuration(&configuration);
+    system.wait_version(1);
+    let (first, second) = (engine(), engine());
+    system.register("first", "model", &first, "decode");
+    system.register("second", "second", &second, "decode");
+    for number in 0..RESUMES {
+        let id = begin(&system);
+        assert_eq!(status_code(&resume(&system, &id, number)), "200");
+    }
+    assert!(first.received().len() % 2 == 0 && second.received().len() % 2 == 0);
+}
