Count a repeated Last-Event-Id as a resumption

Cause: a request whose Last-Event-Id or Resumes occurs twice or isn't text was taken for a new stream and placed at any version, while an engine may still resume it. Change: the presence of either header makes a request a resumption; one that doesn't say clearly which stream is served only if a single version can have begun it. Test: a_repeated_last_event_id_counts_as_a_resumption failed before (200), passes now.

--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -47,7 +47,7 @@
     route: &CallRoute,
     spec: EngineSpec,
 ) -> Result<Response<ResponseBody>, LocalResponse> {
-    let software = if call.head.resumes_stream() {
+    let software = if call.head.is_resumption {
         let Some(software) = origin::find(call, route).await else {
             return Err(call::unavailable());
         };
@@ -441,7 +441,7 @@
     let id = &call.head.request_id;
     let choice = Call::connection_choice(route.row.kind);
     call.execution.record_send();
-    if route.row.kind == RouteKind::ResumableStream && !call.head.resumes_stream() {
+    if route.row.kind == RouteKind::ResumableStream && !call.head.is_resumption {
         let stream = StreamKey::of(&call.head.request_id);
         gateway.state.lock().record_stream(stream, target.software, gateway.now());
         gateway.wake_publisher();
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -106,3 +106,14 @@
     }
     assert!(first.received().len() % 2 == 0 && second.received().len() % 2 == 0);
 }
+
+#[test]
+fn a_repeated_last_event_id_counts_as_a_resumption() {
+    let system = start();
+    let (old, new) = (engine(), engine());
+    system.register_version("old", &old, "v1");
+    system.register_version("new", &new, "v2");
+    let headers = prompt(0) + "Last-Event-Id: 1\r\nLast-Event-Id: 2\r\n";
+    assert_eq!(status_code(&system.send(&get_request("/review/x", &headers))), "503");
+    assert_eq!((old.received().len(), new.received().len()), (0, 0));
+}
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -124,9 +124,9 @@
         };
         // Responses to HTTP/1.0 aren't sent in chunks and may end with the connection.
         let lacks_chunks = Arc::new(AtomicBool::new(false));
-        let lacks_chunks_now = Arc::clone(&lacks_chunks);
+        let is_unchunked = Arc::clone(&lacks_chunks);
         let answer = service::service_fn(move |request: Request<Incoming>| {
-            lacks_chunks_now.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+            is_unchunked.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             let answer = handler(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
