Say why a resumed stream of unknown version is refused

Cause: the refusal was logged as 'no server available', which sends on-call engineers to the engines.

--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -49,7 +49,8 @@
 ) -> Result<Response<ResponseBody>, LocalResponse> {
     let software = if call.head.is_resumption {
         let Some(software) = origin::find(call, route).await else {
-            return Err(call::unavailable());
+            let reason = "the software version that began the stream is unknown";
+            return Ok(call.refuse(call::unavailable(), reason));
         };
         Some(software)
     } else {
