--- a/crates/gateway/tests/gateway/truncation.rs
+++ b/crates/gateway/tests/gateway/truncation.rs
@@ -7,7 +7,7 @@
 
 const PROMPT: &str = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: aa:100\r\n";
 
-/// Framing header and body of a response that ends with its connection.
+/// Framing header, or none, and body of a response after which the server closes the connection.
 struct ServerBody {
     framing: &'static str,
     body: &'static str,
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -6,8 +6,8 @@
 
 use crate::support::{get_request, status_code, write_response, ScriptedServer, System};
 
-/// Number of times that a test resumes a stream. Without regard to versions, half of the requests
-/// go to each version.
+/// Number of times that a test resumes a stream, so that some of the requests would go to the other
+/// version if placement ignored it.
 const RESUMES: usize = 12;
 
 fn start() -> System {
