--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -264,6 +264,10 @@
             server = %server.entry.id,
             requests = server.requests(),
             tries = excluded.len(),
+            fingerprint = %self.fingerprint,
+            method = %self.parts.method,
+            path = self.parts.uri.path(),
+            body_bytes = self.body.len(),
             "request sent to server"
         );
         Some(SendTarget::new(key, server))
