Test that a plain request that crashes servers stops reaching them

Three daemons, three servers that come back under new ids 300 ms after a crash, the request each 160 ms from two callers at once, and sound requests: of their own, popular, and alike but for a query.

The crashing engine of poison_parts moves to a file of its own and serves plain services too.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,10 +1,12 @@
 //! The gateway with stand-ins of the platform, on loopback.
 
+mod crashing_engine;
 mod endless;
 mod framing;
 mod leaving;
 mod limit_world;
 mod news;
+mod plain_crashes;
 mod poison_parts;
 mod poison_world;
 mod promises;
--- /dev/null
+++ b/crates/gateway/tests/gateway/plain_crashes.rs
@@ -0,0 +1,164 @@
+//! A request to a plain service that crashes its server comes again and again, beside sound requests
+//! and ordinary crashes.
+
+use std::{
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use gooseberry_core::serving::event_stream::BodyFraming;
+
+use crate::{
+    crashing_engine::{CrashingEngine, EngineRecord, CONVICTION_LIMIT},
+    support::{self, get_request, status_code, System},
+};
+
+/// Number of crashes after which the request must stop.
+const CRASH_COUNT: usize = 3;
+/// Number of times that the request may reach servers after that.
+const LATE_SEND_LIMIT: usize = 3;
+/// Time between two sends of the request, each from two callers at once.
+const POISON_INTERVAL: Duration = Duration::from_millis(160);
+/// Time between two sound requests.
+const SOUND_INTERVAL: Duration = Duration::from_millis(15);
+/// Duration of a test's load.
+const LOAD_DURATION: Duration = Duration::from_secs(9);
+
+/// Daemons on one store, and servers of a plain service.
+struct CrashTest {
+    daemons: Vec<System>,
+    servers: Vec<Arc<CrashingEngine>>,
+    record: Arc<EngineRecord>,
+}
+
+impl CrashTest {
+    fn start(daemons: usize, servers: usize) -> Self {
+        let first = System::start();
+        first.configure(1);
+        first.wait_version(1);
+        let record = Arc::default();
+        let start =
+            |_| CrashingEngine::start(&first.store, "plain", "", BodyFraming::Chunked, &record);
+        let servers: Vec<_> = (0..servers).map(start).collect();
+        let others = (1..daemons).map(|number| first.join(&format!("daemon-{}", number + 1)));
+        let others: Vec<_> = others.collect();
+        let daemons: Vec<_> = std::iter::once(first).chain(others).collect();
+        for daemon in &daemons {
+            daemon.wait(|state| state.fleet.iter().count() == servers.len());
+        }
+        Self { daemons, servers, record }
+    }
+
+    /// Sends a request for some time, from two callers at once at two daemons. Returns the status
+    /// codes.
+    fn repeat(&self, request: impl Fn() -> String + Sync, duration: Duration) -> Vec<String> {
+        let end = Instant::now() + duration;
+        let mut codes = Vec::new();
+        for number in 0.. {
+            if Instant::now() >= end {
+                break;
+            }
+            let daemon = |offset: usize| &self.daemons[(number + offset) % self.daemons.len()];
+            let (one, other) = thread::scope(|scope| {
+                let other = scope.spawn(|| daemon(1).send(&request()));
+                (daemon(0).send(&request()), other.join().expect("no panic"))
+            });
+            codes.extend([one, other].map(|text| status_code(&text).to_owned()));
+            thread::sleep(POISON_INTERVAL);
+        }
+        codes
+    }
+
+    /// Sends sound requests for some time, each of its own or one that all callers send. Returns
+    /// the times at which they were sent, and whether they were served.
+    fn send_sound(&self, duration: Duration) -> Vec<(Instant, bool)> {
+        static NEXT: AtomicUsize = AtomicUsize::new(0);
+        let end = Instant::now() + duration;
+        let mut outcomes = Vec::new();
+        for daemon in self.daemons.iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            let number = NEXT.fetch_add(1, Ordering::Relaxed);
+            let path = match number % 3 {
+                0 => "/plain/popular".to_owned(),
+                1 => format!("/plain/list?page={number}"),
+                _ => format!("/plain/{number}"),
+            };
+            let sent_at = Instant::now();
+            let text = daemon.send(&get_request(&path, ""));
+            outcomes.push((sent_at, status_code(&text) == "200"));
+            thread::sleep(SOUND_INTERVAL);
+        }
+        outcomes
+    }
+
+    /// Repeats a request that crashes its server beside sound ones, and checks what servers and
+    /// sound callers get.
+    fn check_load(&self, request: impl Fn() -> String + Sync) {
+        let began = Instant::now();
+        let outcomes = thread::scope(|scope| {
+            let sound = scope.spawn(|| self.send_sound(LOAD_DURATION));
+            self.repeat(request, LOAD_DURATION);
+            sound.join().expect("no panic")
+        });
+        let crashes = self.record.crashes.lock().len();
+        let late = self.record.late_sends(CRASH_COUNT);
+        assert!(late <= LATE_SEND_LIMIT, "{late} late sends, {crashes} servers crashed");
+        let share = served_share(&outcomes, began + 2 * CONVICTION_LIMIT);
+        assert!(share > 0.95, "{share} of the sound requests were served");
+    }
+}
+
+/// Returns the share of requests sent after a time that were served.
+fn served_share(outcomes: &[(Instant, bool)], since: Instant) -> f64 {
+    let later: Vec<_> = outcomes.iter().filter(|(sent_at, _)| *sent_at >= since).collect();
+    assert!(later.len() >= 20, "only {} sound requests were sent", later.len());
+    later.iter().filter(|(_, is_served)| *is_served).count() as f64 / later.len() as f64
+}
+
+/// Makes a request with a body under a new id.
+fn post_request(path: &str, body: &str) -> String {
+    let request = get_request(path, &format!("Content-Length: {}\r\n", body.len()));
+    request.replacen("GET", "POST", 1) + body
+}
+
+#[test]
+fn a_plain_request_that_crashes_servers_stops_reaching_them() {
+    CrashTest::start(3, 3).check_load(|| get_request("/plain/bad0?page=4", ""));
+}
+
+#[test]
+fn an_order_that_crashes_servers_stops_reaching_them() {
+    CrashTest::start(3, 3).check_load(|| post_request("/order/bad0", "crew 7"));
+}
+
+#[test]
+fn sound_plain_requests_are_served_soon_after_all_servers_crashed() {
+    let test = CrashTest::start(3, 3);
+    let (outcomes, last_crash) = thread::scope(|scope| {
+        let sound = scope.spawn(|| test.send_sound(Duration::from_secs(6)));
+        let repeated = scope
+            .spawn(|| test.repeat(|| get_request("/plain/repeated", ""), Duration::from_secs(6)));
+        for _ in 0..4 {
+            thread::sleep(Duration::from_millis(700));
+            test.servers.iter().for_each(CrashingEngine::crash);
+        }
+        let last_crash = Instant::now();
+        let codes = repeated.join().expect("no panic");
+        let served = codes.iter().rev().take(10).filter(|code| *code == "200").count();
+        assert!(served >= 9, "{served} of the last 10 repeats were served");
+        (sound.join().expect("no panic"), last_crash)
+    });
+    let share = served_share(&outcomes, last_crash + Duration::from_millis(1500));
+    assert!(share > 0.9, "{share} of the sound requests were served");
+    support::wait_for(|| {
+        test.daemons
+            .iter()
+            .all(|daemon| status_code(&daemon.send(&get_request("/plain/repeated", ""))) == "200")
+    });
+}
--- a/crates/gateway/tests/gateway/poison_parts.rs
+++ b/crates/gateway/tests/gateway/poison_parts.rs
@@ -2,7 +2,6 @@
 //! requests share their other parts.
 
 use std::{
-    net::TcpStream,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
@@ -14,137 +13,21 @@
 use gooseberry_core::serving::{
     event_stream::BodyFraming, part_evidence::EngineIncarnation, prompt::PromptShape,
 };
-use gooseberry_harness::proxy::{ProxyState, TestProxy};
-use gooseberry_standins::gateway_mocks::{self, ReceivedRequest, StandinStore, StoreBehaviour};
-use parking_lot::Mutex;
+use gooseberry_standins::gateway_mocks::StoreBehaviour;
 
-use crate::support::{self, get_request, status_code, write_text, ScriptedServer, System};
+use crate::{
+    crashing_engine::{CrashingEngine, EngineRecord, CONVICTION_LIMIT, POISON_PART},
+    support::{self, get_request, status_code, ScriptedServer, System},
+};
 
-/// Name of the part that crashes engines.
-const POISON_PART: &str = "bad0";
-/// Time after the fifth crash from which poison requests are counted.
-const CONVICTION_LIMIT: Duration = Duration::from_secs(3);
+/// Number of crashes after which requests with the part must stop.
+const CRASH_COUNT: usize = 5;
 /// Number of poison requests that may reach engines after that time.
 const LATE_SEND_LIMIT: usize = 3;
-/// Time for which a crashed engine is down.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time between two poison requests, and between two sound ones.
 const POISON_INTERVAL: Duration = Duration::from_millis(290);
 const SOUND_INTERVAL: Duration = Duration::from_millis(25);
 
-/// What all engines of a test have seen.
-#[derive(Default)]
-struct EngineRecord {
-    crashes: Mutex<Vec<Instant>>,
-    poison_arrivals: Mutex<Vec<Instant>>,
-    /// Number of ids that engines have had.
-    starts: AtomicUsize,
-}
-
-impl EngineRecord {
-    /// Returns the number of poison requests that reached an engine too late.
-    fn late_sends(&self) -> usize {
-        let Some(fifth_crash) = self.crashes.lock().get(4).copied() else {
-            return 0;
-        };
-        let arrivals = self.poison_arrivals.lock();
-        arrivals.iter().filter(|at| **at > fifth_crash + CONVICTION_LIMIT).count()
-    }
-}
-
-/// An engine that crashes when it begins to decode a poison request, and starts again at its
-/// address under another id.
-struct CrashingEngine {
-    proxy: TestProxy,
-    store: StandinStore,
-    stage: &'static str,
-    framing: BodyFraming,
-    id: Mutex<String>,
-    is_down: AtomicBool,
-    record: Arc<EngineRecord>,
-}
-
-impl CrashingEngine {
-    fn start(
-        store: &StandinStore,
-        stage: &'static str,
-        framing: BodyFraming,
-        record: &Arc<EngineRecord>,
-    ) -> Arc<Self> {
-        let slot: Arc<Mutex<Option<Arc<Self>>>> = Arc::default();
-        let server = {
-            let slot = Arc::clone(&slot);
-            ScriptedServer::start(move |request, stream| {
-                let engine = slot.lock().clone();
-                engine.is_some_and(|engine| engine.respond(request, stream))
-            })
-        };
-        let engine = Arc::new(Self {
-            proxy: TestProxy::start(&server.address.to_string()),
-            store: store.clone(),
-            stage,
-            framing,
-            id: Mutex::default(),
-            is_down: AtomicBool::new(false),
-            record: Arc::clone(record),
-        });
-        *slot.lock() = Some(Arc::clone(&engine));
-        engine.register();
-        engine
-    }
-
-    fn register(&self) {
-        let id = format!("e{}", self.record.starts.fetch_add(1, Ordering::SeqCst));
-        let entry = gateway_mocks::server_entry("model", &self.proxy.address, self.stage, "ready");
-        self.store.put_server(&id, &entry);
-        *self.id.lock() = id;
-    }
-
-    fn respond(self: &Arc<Self>, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
-        let parts = request.header("x-prompt-prefix").unwrap_or_default();
-        let is_poison = parts.contains(POISON_PART);
-        if is_poison {
-            self.record.poison_arrivals.lock().push(Instant::now());
-        }
-        if request.is_prefill() {
-            return gateway_mocks::write_prefill_response(request, stream);
-        }
-        let is_chunked = self.framing == BodyFraming::Chunked;
-        let framing = if is_chunked { "Transfer-Encoding: chunked" } else { "X-Framing: none" };
-        if !write_text(stream, &gateway_mocks::response_head(request, framing)) {
-            return false;
-        }
-        for number in 1..=3 {
-            let event = format!("id: {number}\ndata: x\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            write_text(stream, if is_chunked { &chunk } else { &event });
-            thread::sleep(Duration::from_millis(10));
-            if is_poison {
-                self.crash();
-                return false;
-            }
-        }
-        is_chunked && write_text(stream, "0\r\n\r\n")
-    }
-
-    /// Closes all connections, and starts the engine again after a while.
-    fn crash(self: &Arc<Self>) {
-        if self.is_down.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        self.record.crashes.lock().push(Instant::now());
-        self.proxy.set_state(ProxyState::Closed);
-        let engine = Arc::clone(self);
-        thread::spawn(move || {
-            thread::sleep(RESTART_DELAY);
-            engine.store.remove_server(&engine.id.lock().clone());
-            engine.proxy.set_state(ProxyState::Forwarding);
-            engine.is_down.store(false, Ordering::SeqCst);
-            engine.register();
-        });
-    }
-}
-
 /// Daemons on one store, and engines of these stages.
 struct PoisonTest {
     daemons: Vec<System>,
@@ -164,7 +47,7 @@
         let record = Arc::default();
         let engines: Vec<_> = stages
             .iter()
-            .map(|stage| CrashingEngine::start(&first.store, stage, framing, &record))
+            .map(|stage| CrashingEngine::start(&first.store, "model", stage, framing, &record))
             .collect();
         let others = (1..daemons).map(|number| first.join(&format!("daemon-{}", number + 1)));
         let others: Vec<_> = others.collect();
@@ -256,7 +139,7 @@
         sound.join().expect("no panic")
     });
     let crashes = test.record.crashes.lock().len();
-    assert!(test.record.late_sends() <= LATE_SEND_LIMIT, "{crashes} engines crashed");
+    assert!(test.record.late_sends(CRASH_COUNT) <= LATE_SEND_LIMIT, "{crashes} engines crashed");
     let share = served_share(&outcomes, began + 2 * CONVICTION_LIMIT);
     assert!(share > 0.5, "{share} of the sound requests were served");
 }
