Blame whole requests for the ends of their servers, also at plain services

Cause: only requests with a prompt counted their crashes; the path of plain requests never did. The count that prompts had was weak besides: it took any lost response for a crash, and nothing of it was repeated to daemons that start.

Fix: the request as a whole is now the last part of its prompt in the evidence that convicts prompt parts, and the only part of a plain request. So all sends ask before they leave, a crash counts only if the server has provably ended, a completed request acquits, suspects run one at a time without repeats, and daemons that start read the verdicts. A request is identified by method, host, path and body, and once more with its query: the evidence decides which of the two is at fault, so that neither a crashing request with another query nor a sound one that shares its path is missed. A crash in the trial of a whole request is an episode of its own: the request was alone with it. A probe that gets no answer no longer proves an end; a refused connection does. The separate count of crashes is gone, and with it the answer 422: a convicted request is refused with 503 and Retry-After, as for a part.

Two tests asserted that count. a_request_is_refused_after_its_third_crash_and_not_before is replaced by a_whole_request_is_on_trial_after_its_third_crash_and_not_before and two_crashes_in_trials_of_a_whole_request_convict_it_however_close_they_are. prompts_without_a_body_are_not_quarantined_for_each_other took three lost responses of a live engine for crashes, which refuses sound requests: its engines now crash, and the new requests_whose_responses_are_lost_at_a_live_server_go_on_being_sent checks the other side.

--- a/crates/core/src/poison.rs
+++ b/crates/core/src/poison.rs
@@ -7,7 +7,7 @@
 //! share the engine with a trial, because reserving a whole engine for each suspect would
 //! cost more than the rare crash.
 
-use std::{collections::HashMap, fmt, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use smol_str::SmolStr;
 
@@ -24,12 +24,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestFingerprint(pub u64);
 
-impl fmt::Display for RequestFingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 /// States how a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PoisonStatus {
--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -11,7 +11,6 @@
 pub mod cache_fetches;
 pub mod candidates;
 pub mod configuration;
-pub mod crash_counts;
 pub mod decode_engines;
 pub mod directory;
 pub mod distance;
--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -9,6 +9,9 @@
 //!
 //! Requests nest: those with a crashing part also have the parts before it. So a crash that a
 //! convicted part explains doesn't count against parts that occur earlier in prompts.
+//!
+//! The request as a whole counts as its last part, so that a request that is sent again is found by
+//! the same evidence. Requests of plain services have no other part.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -88,6 +91,8 @@
 struct PartCrash {
     engine: EngineIncarnation,
     at: Timestamp,
+    /// Whether the engine ended under the trial of this part.
+    is_trial: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -167,14 +172,14 @@
     }
 }
 
-/// Returns the number of episodes of these crashes.
+/// Returns the number of episodes of these crashes. A crash under a trial is an episode of its own.
 fn episodes(crashes: &[PartCrash]) -> usize {
-    let mut times: Vec<_> = crashes.iter().map(|crash| crash.at).collect();
-    times.sort_unstable();
+    let mut crashes: Vec<_> = crashes.iter().map(|crash| (crash.at, crash.is_trial)).collect();
+    crashes.sort_unstable();
     let mut count = 0;
     let mut began_at: Option<Timestamp> = None;
-    for at in times {
-        if began_at.is_none_or(|began_at| at.since(began_at) >= EPISODE_DURATION) {
+    for (at, is_trial) in crashes {
+        if is_trial || began_at.is_none_or(|began_at| at.since(began_at) >= EPISODE_DURATION) {
             began_at = Some(at);
             count += 1;
         }
@@ -272,6 +277,27 @@
         engine: EngineIncarnation,
         parts: &[PartFingerprint],
         at: Timestamp,
+    ) -> VerdictChanges {
+        self.record_crashes(engine, parts, at, false)
+    }
+
+    /// Records the crash of an engine that served the trial of some of these parts. Unlike engines
+    /// that crash together, a whole request that is on trial is alone with each of its crashes.
+    pub fn record_trial_crash(
+        &mut self,
+        engine: EngineIncarnation,
+        parts: &[PartFingerprint],
+        at: Timestamp,
+    ) -> VerdictChanges {
+        self.record_crashes(engine, parts, at, true)
+    }
+
+    fn record_crashes(
+        &mut self,
+        engine: EngineIncarnation,
+        parts: &[PartFingerprint],
+        at: Timestamp,
+        is_trial: bool,
     ) -> VerdictChanges {
         for (depth, part) in parts.iter().enumerate() {
             self.make_room(part, at);
@@ -284,7 +310,8 @@
             if record.crashes.len() >= CRASH_LIMIT {
                 record.crashes.remove(0);
             }
-            record.crashes.push(PartCrash { engine, at });
+            let is_trial = is_trial && part.is_request();
+            record.crashes.push(PartCrash { engine, at, is_trial });
         }
         self.convict(at)
     }
@@ -321,6 +348,11 @@
         parts.iter().copied().filter(is_blamed).collect()
     }
 
+    /// Returns whether there is a record of a part.
+    pub fn is_known(&self, part: PartFingerprint) -> bool {
+        self.records.contains_key(&part)
+    }
+
     /// Returns which of these parts this daemon has seen completed requests with.
     pub fn completed_here(
         &self,
@@ -372,7 +404,7 @@
         let record = self.records.entry(conviction.part).or_default();
         for engine in &conviction.engines {
             if record.crashes.iter().all(|crash| crash.engine != *engine) {
-                record.crashes.push(PartCrash { engine: *engine, at: now });
+                record.crashes.push(PartCrash { engine: *engine, at: now, is_trial: false });
             }
         }
         record.crashes.truncate(CRASH_LIMIT);
@@ -439,8 +471,8 @@
         self.explained = engines.collect();
     }
 
-    /// Keeps the number of records below its limit before a part is recorded. Parts with crashes
-    /// are kept longest.
+    /// Keeps the number of records below its limit before a part is recorded. Convicted parts are
+    /// kept longest, and whole requests, of which there are many, shortest.
     fn make_room(&mut self, part: &PartFingerprint, now: Timestamp) {
         if self.records.len() < PART_LIMIT || self.records.contains_key(part) {
             return;
@@ -453,7 +485,8 @@
             .records
             .iter()
             .map(|(part, record)| {
-                (record.is_convicted, record.last_crash_at(), record.proven_until, *part)
+                let is_kept = (record.is_convicted, !part.is_request());
+                (is_kept, record.last_crash_at(), record.proven_until, *part)
             })
             .collect();
         ages.sort_unstable();
--- a/crates/core/src/serving/prompt.rs
+++ b/crates/core/src/serving/prompt.rs
@@ -16,11 +16,31 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PrefixKey(pub u64);
 
-/// Hash of a part's name alone. Unlike a [`PrefixKey`] it is the same in every prompt that has the
-/// part.
+/// Hash of a part's name alone, or of a request as a whole. Unlike a [`PrefixKey`] it is the same in
+/// every prompt that has the part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PartFingerprint(pub u64);
 
+/// Bit that is set in the fingerprints of whole requests and clear in those of parts.
+const REQUEST_BIT: u64 = 1 << 63;
+
+impl PartFingerprint {
+    /// Returns the fingerprint of a part with this name.
+    pub fn of_name(name: &str) -> Self {
+        Self(xxh3::xxh3_64(name.as_bytes()) & !REQUEST_BIT)
+    }
+
+    /// Returns the fingerprint of a request whose content has this hash.
+    pub fn of_request(hash: u64) -> Self {
+        Self(hash | REQUEST_BIT)
+    }
+
+    /// Returns whether this is the fingerprint of a whole request.
+    pub fn is_request(self) -> bool {
+        self.0 & REQUEST_BIT != 0
+    }
+}
+
 impl fmt::Display for PartFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
@@ -64,7 +84,7 @@
             .into_iter()
             .map(|(name, tokens)| {
                 chain = xxh3::xxh3_64_with_seed(name.as_bytes(), chain);
-                shared_parts.push(PartFingerprint(xxh3::xxh3_64(name.as_bytes())));
+                shared_parts.push(PartFingerprint::of_name(name));
                 PromptPart { key: PrefixKey(chain), tokens }
             })
             .collect();
--- a/crates/core/tests/serving_part_evidence.rs
+++ b/crates/core/tests/serving_part_evidence.rs
@@ -196,3 +196,35 @@
     let verdict = other.admit(&[POISON], 1, at(2000));
     assert_eq!(refusal(verdict), Some(RefusalReason::Convicted));
 }
+
+#[test]
+fn a_whole_request_is_on_trial_after_its_third_crash_and_not_before() {
+    let request = PartFingerprint::of_request(7);
+    let mut evidence = PartEvidence::default();
+    for number in 0..3 {
+        assert_eq!(evidence.admit(&[request], number, at(0)), PartVerdict::Clear);
+        evidence.record_crash(EngineIncarnation(number), &[request], at(0));
+    }
+    assert_eq!(evidence.admit(&[request], 4, at(10)), PartVerdict::Trial);
+    let verdict = evidence.admit(&[request], 5, at(10));
+    assert_eq!(refusal(verdict), Some(RefusalReason::OnTrial));
+    evidence.record_completion(&[request], at(20));
+    assert_eq!(evidence.admit(&[request], 5, at(20)), PartVerdict::Clear);
+}
+
+#[test]
+fn two_crashes_in_trials_of_a_whole_request_convict_it_however_close_they_are() {
+    let (request, plain) = (PartFingerprint::of_request(7), PartFingerprint::of_request(8));
+    let mut evidence = PartEvidence::default();
+    crash(&mut evidence, 3, 50, &[FIRST, request]);
+    crash(&mut evidence, 3, 50, &[FIRST, plain]);
+    for number in 3..5 {
+        assert!(!evidence.is_convicted(request));
+        let engine = EngineIncarnation(number);
+        evidence.record_trial_crash(engine, &[FIRST, request], at(number * 50));
+        evidence.record_crash(engine, &[plain], at(number * 50));
+    }
+    assert!(evidence.is_convicted(request));
+    assert!(!evidence.is_convicted(plain), "its engines crashed together, and not in its trials");
+    assert!(!evidence.is_convicted(FIRST), "the request explains the crashes");
+}
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -3,13 +3,11 @@
 use std::time::Duration;
 
 use gooseberry_core::{
-    poison::RequestFingerprint,
     serving::{
         backlog::{PendingPrefill, PrefillBacklog, SendId},
         backoff::RetryBackoff,
         budget::{RetryAllowance, RetryCounter},
         configuration::{CallerLimits, RouteKind, RouteRow, RouteTarget, ServingConfiguration},
-        crash_counts::CrashTable,
         directory::{EngineStage, ServerEntry, ServerPresence},
         fleet::{EntryEffect, ServerFleet},
         health::EngineHealth,
@@ -310,19 +308,6 @@
     assert!(!health.is_available(after(2000)), "the second cooldown is longer");
 }
 
-#[test]
-fn a_request_is_refused_after_its_third_crash_and_not_before() {
-    let mut crashes = CrashTable::default();
-    let request = RequestFingerprint(7);
-    for crash in 1..=3 {
-        assert!(!crashes.is_quarantined(request, START));
-        assert_eq!(crashes.record_crash(request, START), crash);
-    }
-    assert!(crashes.is_quarantined(request, START));
-    crashes.clear(request);
-    assert!(!crashes.is_quarantined(request, START));
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,12 +11,11 @@
 use bytes::Bytes;
 use gooseberry_core::{
     arena::EngineKey,
-    poison::RequestFingerprint,
     serving::{
         configuration::{RouteKind, RouteRow, ServingConfiguration},
         event_stream::EventTracker,
         placement,
-        prompt::PromptShape,
+        prompt::{self, PartFingerprint},
     },
     time::Timestamp,
 };
@@ -31,7 +30,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
-    crashes::TrialGuard,
+    crashes::{self, TrialGuard},
     gateway::Gateway,
     prompt_call,
     send::{self, ConnectionChoice, SendOutcome, SendResponse, SendTarget},
@@ -58,9 +57,9 @@
     pub execution: ExecutionState,
     /// Set while the request is the trial of prompt parts that are suspected to crash engines.
     pub trial: Mutex<Option<Arc<TrialGuard>>>,
-    /// Hash of the content of the request. Equal requests of different callers have the same
-    /// fingerprint.
-    pub fingerprint: RequestFingerprint,
+    /// What the end of a server counts against while it serves the request: the shared parts of its
+    /// prompt, and then the request as a whole.
+    pub blamable_parts: Vec<PartFingerprint>,
 }
 
 /// Whether a server may have run a request.
@@ -102,17 +101,28 @@
 }
 
 impl Call {
-    /// Computes the fingerprint of a request from its path and body, or from its path and prompt if
-    /// it has no body.
-    pub fn fingerprint(
+    /// Returns the parts of a request that may be what crashes a server.
+    ///
+    /// The request as a whole has two fingerprints if its path has a query, without it and with it.
+    /// Requests that differ in the query may be alike in what matters, and the evidence tells whether
+    /// they are.
+    pub fn blamable_parts(
         parts: &request::Parts,
         body: &Bytes,
-        prompt: &PromptShape,
-    ) -> RequestFingerprint {
-        let path = xxh3::xxh3_64(parts.uri.path().as_bytes());
-        let last_part = prompt.parts.last().filter(|_| body.is_empty());
-        let seed = last_part.map_or(path, |part| path ^ part.key.0);
-        RequestFingerprint(xxh3::xxh3_64_with_seed(body, seed))
+        head: &RequestHead,
+    ) -> Vec<PartFingerprint> {
+        let prompt = &head.prompt;
+        let hash_after = |hash: u64, text: &str| xxh3::xxh3_64_with_seed(text.as_bytes(), hash);
+        let mut hash = hash_after(xxh3::xxh3_64(body), parts.method.as_str());
+        hash = hash_after(hash_after(hash, &head.host), &head.path);
+        // A prompt without a body is identified by its parts.
+        if let Some(part) = prompt.parts.last().filter(|_| body.is_empty()) {
+            hash = xxh3::xxh3_64_with_seed(&part.key.0.to_le_bytes(), hash);
+        }
+        let query = parts.uri.query().map(|query| hash_after(hash, query));
+        let hashes = std::iter::once(hash).chain(query);
+        let shared_parts = prompt.shared_parts.iter().copied();
+        shared_parts.chain(hashes.map(PartFingerprint::of_request)).collect()
     }
 
     /// Returns a hash of the request's id.
@@ -147,14 +157,7 @@
     pub async fn run(&self, route: &CallRoute) -> Response<ResponseBody> {
         let now = self.gateway.now();
         let window = self.gateway.limits.lock().retry_allowance.window;
-        {
-            let mut state = self.gateway.state.lock();
-            state.record_request(&route.service, window, now);
-            if state.crashes.is_quarantined(self.fingerprint, now) {
-                return self
-                    .refuse(LocalResponse::Convicted, "the request crashed several engines");
-            }
-        }
+        self.gateway.state.lock().record_request(&route.service, window, now);
         let service = route.configuration.service(&route.service);
         let answer = match service.and_then(|service| service.engine) {
             Some(spec) => prompt_call::run(self, route, spec).await,
@@ -198,7 +201,16 @@
         // Attempts that have run or may have run.
         let mut runs = 0;
         let mut last = None;
-        while let Some(target) = self.choose_plain(route, &excluded) {
+        loop {
+            match crashes::admit(self) {
+                Ok(()) => {}
+                // A refusal guarantees that nothing ran, and an earlier attempt may have run.
+                Err(_) if runs > 0 => break,
+                Err(answer) => return Err(answer),
+            }
+            let Some(target) = self.choose_plain(route, &excluded) else {
+                break;
+            };
             let is_first = excluded.is_empty();
             if !is_first && !self.try_retry(route) {
                 break;
@@ -211,7 +223,8 @@
                 PlainAttempt::Failed(answer) => {
                     runs += 1;
                     last = Some(answer);
-                    if !can_repeat {
+                    let is_trial = self.trial.lock().is_some();
+                    if is_trial || !can_repeat {
                         break;
                     }
                 }
@@ -264,7 +277,7 @@
             server = %server.entry.id,
             requests = server.requests(),
             tries = excluded.len(),
-            fingerprint = %self.fingerprint,
+            blamable_parts = prompt::describe_parts(&self.blamable_parts),
             method = %self.parts.method,
             path = self.parts.uri.path(),
             body_bytes = self.body.len(),
@@ -309,7 +322,10 @@
                     tracing::info!(request = %id, server = %target.id, %reason, "request not run by server");
                     PlainAttempt::NotRun
                 }
-                SendOutcome::Unknown(_) => PlainAttempt::Failed(Err(LocalResponse::BackendFailed)),
+                SendOutcome::Unknown(_) => {
+                    crashes::record_interruption(self, target);
+                    PlainAttempt::Failed(Err(LocalResponse::BackendFailed))
+                }
             }
         };
         let limit = if can_repeat { time_left.mul_f64(ATTEMPT_SHARE) } else { time_left };
@@ -317,6 +333,7 @@
             Ok(outcome) => outcome,
             Err(_) => {
                 send::record_failure(&self.gateway, target, "no response in time");
+                crashes::record_interruption(self, target);
                 PlainAttempt::Failed(Err(LocalResponse::TimedOut))
             }
         };
@@ -341,11 +358,13 @@
             Ok(body) => body,
             Err(error) => {
                 send::record_failure(&self.gateway, target, &error.to_string());
+                crashes::record_interruption(self, target);
                 return PlainAttempt::Failed(Err(LocalResponse::BackendFailed));
             }
         };
         if has_events && !EventTracker::after(&body).is_complete(framing) {
             send::record_failure(&self.gateway, target, "the response ended inside an event");
+            crashes::record_interruption(self, target);
             return PlainAttempt::Failed(Err(LocalResponse::BackendFailed));
         }
         if !engine::closes_connection(&parts.headers) {
@@ -357,6 +376,11 @@
         if !is_failure {
             send::record_success(&self.gateway, target.key);
         }
+        if parts.status.is_success() {
+            let trial = self.trial.lock().clone();
+            let gateway = &self.gateway;
+            crashes::record_completion(gateway, target, &self.blamable_parts, framing, trial);
+        }
         let response = Response::from_parts(parts, ResponseBody::whole(body));
         if is_failure {
             return PlainAttempt::Failed(Ok(response));
@@ -385,7 +409,6 @@
         LocalResponse::Unavailable { .. } => "no server available, or none with capacity in time",
         LocalResponse::BackendFailed => "a backend server failed",
         LocalResponse::TimedOut => "a backend server didn't respond in time",
-        LocalResponse::Convicted => "the request crashed several engines",
         LocalResponse::BadRequest
         | LocalResponse::UnknownRoute
         | LocalResponse::BodyTooLarge
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -1,18 +1,19 @@
-//! Finds out which requests ended because their server did, and refuses requests with prompt parts
-//! that crash engines.
+//! Finds out which requests ended because their server did, and refuses requests that crash servers,
+//! or whose prompt parts do.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use async_std::task;
 use gooseberry_core::serving::{
+    event_stream::BodyFraming,
     part_evidence::{EngineIncarnation, PartConviction, PartRefusal, PartVerdict, VerdictChanges},
-    prompt::PartFingerprint,
+    prompt::{self, PartFingerprint},
 };
 use gooseberry_platform::{
     front::LocalResponse,
     store::{StoreClient, StoreError, StorePut},
 };
-use gooseberry_transport::client::ClientConnection;
+use gooseberry_transport::client::{ClientConnection, SendError};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -55,7 +56,7 @@
     }
 }
 
-/// Decides whether a call may be sent to an engine now. Each send of a prompt asks, also a repeat.
+/// Decides whether a call may be sent to a server now. Each send asks, also a repeat.
 ///
 /// # Errors
 ///
@@ -63,7 +64,7 @@
 /// another request.
 pub fn admit(call: &Call) -> Result<(), LocalResponse> {
     let gateway = &call.gateway;
-    let parts = &call.head.prompt.shared_parts;
+    let parts = &call.blamable_parts;
     let holder = call.id_hash();
     let verdict = gateway.state.lock().admit_parts(parts, holder, gateway.now());
     match verdict {
@@ -73,8 +74,8 @@
             if trial.is_none() {
                 tracing::info!(
                     request = %call.head.request_id,
-                    shared_parts = call.head.prompt.describe_shared_parts(),
-                    "request is the trial of its prompt parts"
+                    blamable_parts = prompt::describe_parts(parts),
+                    "request is the trial of its parts"
                 );
                 *trial = Some(Arc::new(TrialGuard { gateway: Arc::clone(gateway), holder }));
                 gateway.wake_publisher();
@@ -93,11 +94,19 @@
         %part,
         %reason,
         crashes,
-        "prompt part may crash engines; request not sent"
+        is_request = part.is_request(),
+        "request or its prompt part may crash servers; not sent"
     );
     LocalResponse::Unavailable { retry_after }
 }
 
+/// Records that a call was interrupted at a server, which may have ended.
+pub fn record_interruption(call: &Call, target: &SendTarget) {
+    let trial = call.trial.lock().clone();
+    let parts = &call.blamable_parts;
+    record_doubt(&call.gateway, target, parts, DoubtfulEnd::Interrupted, trial);
+}
+
 /// Records the end of a request whose server may have ended with it, and finds out whether it has. A
 /// server that still accepts connections has not; if it has started again, its new entry shows that.
 pub fn record_doubt(
@@ -107,34 +116,75 @@
     end: DoubtfulEnd,
     trial: Option<Arc<TrialGuard>>,
 ) {
-    if parts.is_empty() {
-        return;
-    }
     let now = gateway.now();
-    let is_due = gateway.state.lock().record_doubt(target.incarnation, parts, end, now);
+    let incarnation = target.incarnation;
+    let is_trial = trial.is_some();
+    let is_due = gateway.state.lock().record_doubt(incarnation, parts, end, is_trial, now);
     if is_due || trial.is_some() {
         task::spawn(probe(Arc::clone(gateway), target.clone(), trial));
     }
 }
 
-/// Connects to a server. A refused or missing connection shows that it has ended.
+/// Records that a request with these parts was completed. A response that ends with its connection
+/// also looks complete if its server crashed, so such a one counts once the server is known to live.
+pub fn record_completion(
+    gateway: &Arc<Gateway>,
+    target: &SendTarget,
+    parts: &[PartFingerprint],
+    framing: BodyFraming,
+    trial: Option<Arc<TrialGuard>>,
+) {
+    let is_news = {
+        let mut state = gateway.state.lock();
+        let is_doubtful = framing == BodyFraming::Connection && state.needs_confirmation(parts);
+        if is_doubtful {
+            drop(state);
+            return record_doubt(gateway, target, parts, DoubtfulEnd::Unframed, trial);
+        }
+        state.complete_parts(parts, gateway.now())
+    };
+    if is_news {
+        gateway.wake_publisher();
+    }
+}
+
+/// What a probe of a server shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum ProbeOutcome {
+    Alive,
+    /// Its address refuses connections.
+    Ended,
+    /// Nothing responds, which may also be the fault of the link.
+    Unknown,
+}
+
+/// Connects to a server. A refused connection shows that it has ended.
 async fn probe(gateway: Arc<Gateway>, target: SendTarget, trial: Option<Arc<TrialGuard>>) {
     gateway.clock.sleep(PROBE_DELAY).await;
     let began_at = gateway.now();
     gateway.state.lock().begin_probe(target.incarnation);
     gateway.metrics.connections.inc();
     let connected = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await;
-    let has_ended = connected.is_err();
-    tracing::info!(server = %target.id, has_ended, "server probed after a doubtful end of a request");
+    let outcome = match &connected {
+        Ok(_) => ProbeOutcome::Alive,
+        Err(SendError::NotConnected { reason, .. })
+            if reason.kind() == io::ErrorKind::ConnectionRefused =>
+        {
+            ProbeOutcome::Ended
+        }
+        Err(_) => ProbeOutcome::Unknown,
+    };
+    tracing::info!(server = %target.id, %outcome, "server probed after a doubtful end of a request");
     let now = gateway.now();
-    let mut state = gateway.state.lock();
-    let has_news = if has_ended {
-        state.confirm_crash(target.incarnation, now);
-        true
-    } else {
-        state.confirm_alive(target.incarnation, began_at)
+    let has_news = match outcome {
+        ProbeOutcome::Alive => gateway.state.lock().confirm_alive(target.incarnation, began_at),
+        ProbeOutcome::Ended => {
+            gateway.state.lock().confirm_crash(target.incarnation, now);
+            true
+        }
+        ProbeOutcome::Unknown => false,
     };
-    drop(state);
     if has_news {
         gateway.wake_publisher();
     }
@@ -173,7 +223,7 @@
     let written = write_verdict(client, part, VerdictRecord { engines }).await;
     if let Err(fault) = &written {
         gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
-        tracing::warn!(%part, %fault, "verdict on a prompt part not stored; retrying");
+        tracing::warn!(%part, %fault, "verdict not stored; retrying");
     }
     written.is_ok()
 }
@@ -207,7 +257,7 @@
     } else {
         let engines = record.engines.into_iter().map(EngineIncarnation).collect();
         if state.apply_conviction(&PartConviction { part, engines }, now) {
-            tracing::info!(%part, "prompt part is convicted in the key-value service");
+            tracing::info!(%part, "request or prompt part is convicted in the key-value service");
         }
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -80,7 +80,7 @@
     let time_left = head.time_left.unwrap_or(DEFAULT_TIMEOUT);
     let mut call = Call {
         gateway: Arc::clone(gateway),
-        fingerprint: Call::fingerprint(&parts, &body, &head.prompt),
+        blamable_parts: Call::blamable_parts(&parts, &body, &head),
         parts,
         head,
         body,
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -25,7 +25,6 @@
     crashes, origin,
     prefill_guard::{ExportGuard, PrefillGuard},
     send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
-    state::DoubtfulEnd,
     stream,
 };
 
@@ -306,7 +305,7 @@
         }
         // The prefill may have run, but it may also be repeated.
         SendOutcome::Unknown(_) => {
-            record_interruption(call, target);
+            crashes::record_interruption(call, target);
             return Err(PromptAttempt::NotRun(target.key));
         }
     };
@@ -323,7 +322,7 @@
         }
         Err(error) => {
             send::record_failure(gateway, target, &error.to_string());
-            record_interruption(call, target);
+            crashes::record_interruption(call, target);
             return Err(PromptAttempt::NotRun(target.key));
         }
     };
@@ -381,21 +380,12 @@
         }
         SendOutcome::Unknown(_) => {
             call.execution.record_run();
-            let now = gateway.now();
-            gateway.state.lock().record_crash(call.fingerprint.0, now);
-            gateway.wake_publisher();
-            record_interruption(call, target);
+            crashes::record_interruption(call, target);
             PromptAttempt::Unknown(target.key)
         }
     }
 }
 
-fn record_interruption(call: &Call, target: &SendTarget) {
-    let trial = call.trial.lock().clone();
-    let parts = &call.head.prompt.shared_parts;
-    crashes::record_doubt(&call.gateway, target, parts, DoubtfulEnd::Interrupted, trial);
-}
-
 fn log_not_run(call: &Call, target: &SendTarget, reason: NotRunReason) {
     tracing::info!(request = %call.head.request_id, server = %target.id, %reason, "request not run by server");
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,6 @@
         budget::{RetryAllowance, RetryCounter},
         candidates,
         configuration::ServingConfiguration,
-        crash_counts::CrashTable,
         directory::{ServerEntry, ServerPresence},
         fleet::{self, EntryEffect, ServerFleet},
         part_evidence::{EngineIncarnation, PartConviction, PartEvidence, VerdictChanges},
@@ -51,7 +50,6 @@
 pub struct GatewayState {
     pub configuration: Option<Arc<ServingConfiguration>>,
     pub fleet: ServerFleet,
-    pub crashes: CrashTable,
     pub parts: PartEvidence,
     pub versions: VersionHistory,
     /// Requests of this daemon whose servers may have ended with them, oldest first.
@@ -297,15 +295,11 @@
                 SendUpdate::Summary { pending, running } => {
                     self.apply_summary(daemon, pending, running);
                 }
-                SendUpdate::Crash { fingerprint } => {
-                    let fingerprint = gooseberry_core::poison::RequestFingerprint(*fingerprint);
-                    self.crashes.record_crash(fingerprint, now);
-                }
-                SendUpdate::PartCrash { engine, parts, age_ms } => {
+                SendUpdate::PartCrash { engine, parts, age_ms, is_trial } => {
                     let parts = evidence::part_fingerprints(parts);
                     let at = now - Duration::from_millis(u64::from(*age_ms));
                     self.prove_parts(&parts, now);
-                    self.parts.record_crash(EngineIncarnation(*engine), &parts, at);
+                    self.record_part_crash(EngineIncarnation(*engine), &parts, at, *is_trial);
                 }
                 SendUpdate::PartsCompleted { parts } => {
                     self.parts.record_completion(&evidence::part_fingerprints(parts), now);
@@ -352,13 +346,6 @@
         }
     }
 
-    /// Records that a request was running at a crash, and queues the update for the other daemons.
-    /// Returns the number of crashes of the request.
-    pub fn record_crash(&mut self, fingerprint: u64, now: Timestamp) -> u32 {
-        self.outgoing.push_back(SendUpdate::Crash { fingerprint });
-        self.crashes.record_crash(gooseberry_core::poison::RequestFingerprint(fingerprint), now)
-    }
-
     /// Removes the state of daemons that have sent no updates for [`PEER_TIMEOUT`].
     pub fn remove_expired_peers(&mut self, now: Timestamp) {
         let expired: Vec<u64> = self
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -4,7 +4,6 @@
 use std::{collections::VecDeque, time::Duration};
 
 use gooseberry_core::{
-    poison::RequestFingerprint,
     serving::{
         part_evidence::{EngineIncarnation, PartConviction, PartVerdict, VerdictChanges},
         prompt::PartFingerprint,
@@ -29,7 +28,7 @@
     Interrupted,
     /// The response looks complete and ended with its connection, as it also does if the server
     /// crashes between two events.
-    Unframed(RequestFingerprint),
+    Unframed,
 }
 
 /// A request whose server may have ended with it.
@@ -38,11 +37,13 @@
     server: EngineIncarnation,
     parts: Vec<PartFingerprint>,
     end: DoubtfulEnd,
+    /// Whether the request was the trial of some of its parts.
+    is_trial: bool,
     at: Timestamp,
 }
 
 impl GatewayState {
-    /// Decides whether a request with these shared parts may run, and tells the other daemons if it
+    /// Decides whether a request with these parts may run, and tells the other daemons if it
     /// is a trial. `holder` identifies the request.
     pub fn admit_parts(
         &mut self,
@@ -65,20 +66,22 @@
         self.outgoing.push_back(SendUpdate::TrialEnded { holder });
     }
 
-    /// Records the end of a request with these shared parts whose server may have ended with it.
+    /// Records the end of a request with these parts whose server may have ended with it.
     /// Returns whether a probe of the server is to be started.
     pub fn record_doubt(
         &mut self,
         server: EngineIncarnation,
         parts: &[PartFingerprint],
         end: DoubtfulEnd,
+        is_trial: bool,
         now: Timestamp,
     ) -> bool {
         self.doubts.retain(|doubt| now.since(doubt.at) < DOUBT_DURATION);
         if self.doubts.len() >= DOUBT_LIMIT {
             self.doubts.pop_front();
         }
-        self.doubts.push_back(CrashDoubt { server, parts: parts.to_vec(), end, at: now });
+        let parts = parts.to_vec();
+        self.doubts.push_back(CrashDoubt { server, parts, end, is_trial, at: now });
         self.pending_probes.insert(server)
     }
 
@@ -99,9 +102,6 @@
         self.doubts = doubts;
         let mut is_news = false;
         for doubt in settled {
-            if let DoubtfulEnd::Unframed(fingerprint) = doubt.end {
-                self.crashes.clear(fingerprint);
-            }
             is_news |= self.complete_parts(&doubt.parts, doubt.at);
         }
         is_news
@@ -123,19 +123,34 @@
                 engine: server.0,
                 parts: part_numbers(&doubt.parts),
                 age_ms: age.as_millis() as u32,
+                is_trial: doubt.is_trial,
             });
-            let changes = self.parts.record_crash(server, &doubt.parts, doubt.at);
+            let changes = self.record_part_crash(server, &doubt.parts, doubt.at, doubt.is_trial);
             self.record_verdicts(changes);
         }
     }
 
+    pub(super) fn record_part_crash(
+        &mut self,
+        server: EngineIncarnation,
+        parts: &[PartFingerprint],
+        at: Timestamp,
+        is_trial: bool,
+    ) -> VerdictChanges {
+        if is_trial {
+            self.parts.record_trial_crash(server, parts, at)
+        } else {
+            self.parts.record_crash(server, parts, at)
+        }
+    }
+
     fn record_verdicts(&mut self, changes: VerdictChanges) {
         for conviction in &changes.convicted {
             let crashes = conviction.engines.len();
-            tracing::warn!(part = %conviction.part, crashes, "prompt part crashes engines; refusing its requests");
+            tracing::warn!(part = %conviction.part, crashes, "request or prompt part crashes servers; refusing it");
         }
         for part in &changes.acquitted {
-            tracing::info!(%part, "prompt part is no longer refused");
+            tracing::info!(%part, "request or prompt part is no longer refused");
         }
         self.return_verdict_changes(changes);
     }
@@ -176,8 +191,14 @@
         is_convicted
     }
 
-    /// Records a completed request with these shared parts. Returns whether there is an update for
-    /// the other daemons, who need it only if engines have crashed under the parts.
+    /// Returns whether a response that ends with its connection has to be confirmed before it counts
+    /// as completed for these parts.
+    pub fn needs_confirmation(&self, parts: &[PartFingerprint]) -> bool {
+        parts.iter().any(|part| !part.is_request()) || !self.parts.blamed(parts).is_empty()
+    }
+
+    /// Records a completed request with these parts. Returns whether there is an update for the
+    /// other daemons, who need it only if engines have crashed under the parts.
     pub fn complete_parts(&mut self, parts: &[PartFingerprint], now: Timestamp) -> bool {
         let blamed = self.parts.blamed(parts);
         let is_news = !blamed.is_empty();
@@ -185,7 +206,11 @@
             let parts = part_numbers(&blamed);
             self.outgoing.push_back(SendUpdate::PartsCompleted { parts });
         }
-        let changes = self.parts.record_completion(parts, now);
+        // Most requests are never sent again, so there are no records of them until a crash.
+        let is_recorded =
+            |part: &&PartFingerprint| !part.is_request() || self.parts.is_known(**part);
+        let parts: Vec<_> = parts.iter().filter(is_recorded).copied().collect();
+        let changes = self.parts.record_completion(&parts, now);
         self.record_verdicts(changes);
         is_news
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,6 @@
 use async_std::task;
 use futures_lite::FutureExt;
 use gooseberry_core::{
-    poison::RequestFingerprint,
     serving::{
         configuration::RouteKind,
         event_stream::{BodyFraming, EventTracker},
@@ -40,8 +39,7 @@
     gateway: Arc<Gateway>,
     target: SendTarget,
     request_id: SmolStr,
-    fingerprint: RequestFingerprint,
-    shared_parts: Vec<PartFingerprint>,
+    blamable_parts: Vec<PartFingerprint>,
     trial: Option<Arc<TrialGuard>>,
     time_left: Duration,
     chunks: async_channel::Sender<Result<bytes::Bytes, BodyError>>,
@@ -114,8 +112,7 @@
         gateway: Arc::clone(&call.gateway),
         target: target.clone(),
         request_id: call.head.request_id.clone(),
-        fingerprint: call.fingerprint,
-        shared_parts: call.head.prompt.shared_parts.clone(),
+        blamable_parts: call.blamable_parts.clone(),
         trial: call.trial.lock().clone(),
         time_left: call.time_left(),
         chunks: sender,
@@ -148,7 +145,7 @@
         tracing::info!(
             request = %self.request_id,
             server = %self.target.id,
-            shared_parts = prompt::describe_parts(&self.shared_parts),
+            blamable_parts = prompt::describe_parts(&self.blamable_parts),
             %end,
             parts = statistics.chunks,
             bytes = statistics.bytes,
@@ -176,9 +173,6 @@
             }
             StreamEnd::CallerLeft => {}
             StreamEnd::Broken | StreamEnd::Cut => {
-                let now = self.gateway.now();
-                self.gateway.state.lock().record_crash(self.fingerprint.0, now);
-                self.gateway.wake_publisher();
                 self.record_doubt(DoubtfulEnd::Interrupted);
                 send::record_failure(&self.gateway, &self.target, "the stream ended early");
                 // Sending fails only if the caller has disconnected.
@@ -192,21 +186,20 @@
 
     fn record_doubt(&mut self, end: DoubtfulEnd) {
         let trial = self.trial.take();
-        crashes::record_doubt(&self.gateway, &self.target, &self.shared_parts, end, trial);
+        crashes::record_doubt(&self.gateway, &self.target, &self.blamable_parts, end, trial);
     }
 
-    /// Clears the request and its prompt parts, unless the engine failed it.
+    /// Records that the request was completed, unless the engine failed it.
     fn record_completion(&mut self, status: StatusCode, framing: BodyFraming) {
-        let is_doubtful = framing == BodyFraming::Connection && !self.shared_parts.is_empty();
-        if is_doubtful && status.is_success() {
-            return self.record_doubt(DoubtfulEnd::Unframed(self.fingerprint));
-        }
-        let now = self.gateway.now();
-        let mut state = self.gateway.state.lock();
-        state.crashes.clear(self.fingerprint);
-        if status.is_success() && state.complete_parts(&self.shared_parts, now) {
-            drop(state);
-            self.gateway.wake_publisher();
+        if status.is_success() {
+            let trial = self.trial.take();
+            crashes::record_completion(
+                &self.gateway,
+                &self.target,
+                &self.blamable_parts,
+                framing,
+                trial,
+            );
         }
     }
 
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -74,25 +74,24 @@
         pending: Vec<u64>,
         running: Vec<(u64, u32)>,
     },
-    /// A request was running when its engine crashed.
-    Crash {
-        fingerprint: u64,
-    },
-    /// An engine ended while it served a request with these shared parts.
+    /// An engine ended while it served a request with these parts. Here and below, the last parts are
+    /// those of the request as a whole.
     PartCrash {
         engine: u64,
         parts: Vec<u64>,
         age_ms: u32,
+        /// Whether the request was the trial of some of the parts.
+        is_trial: bool,
     },
-    /// A request with these shared parts was completed, although engines had crashed under them.
+    /// A request with these parts was completed, although engines had crashed under them.
     PartsCompleted {
         parts: Vec<u64>,
     },
-    /// The daemon has seen completed requests with these shared parts before.
+    /// The daemon has seen completed requests with these parts before.
     PartsProven {
         parts: Vec<u64>,
     },
-    /// The trial of these shared parts began. The holder identifies its request.
+    /// The trial of these parts began. The holder identifies its request.
     TrialBegan {
         parts: Vec<u64>,
         holder: u64,
@@ -111,7 +110,7 @@
     LimitedSend {
         server: u64,
     },
-    /// These shared parts are convicted. A daemon that is heard for the first time is told so.
+    /// This part is convicted. A daemon that is heard for the first time is told so.
     PartConvicted {
         part: u64,
         engines: Vec<u64>,
--- a/crates/gateway/tests/gateway/poison_world.rs
+++ b/crates/gateway/tests/gateway/poison_world.rs
@@ -2,7 +2,6 @@
 //! rates, ordinary crashes of many engines at once, and news that takes time.
 
 use gooseberry_core::{
-    poison::RequestFingerprint,
     serving::{
         part_evidence::{EngineIncarnation, PartVerdict},
         prompt::PartFingerprint,
@@ -200,7 +199,13 @@
     fn interrupt(&mut self, request: &RunningRequest, now_ms: u64) {
         let incarnation = self.engines[request.engine].0;
         let state = &mut self.states[request.daemon];
-        state.record_doubt(incarnation, &request.parts, DoubtfulEnd::Interrupted, at(now_ms));
+        state.record_doubt(
+            incarnation,
+            &request.parts,
+            DoubtfulEnd::Interrupted,
+            false,
+            at(now_ms),
+        );
         let trial = request.is_trial.then_some(request.number);
         self.probes.push((now_ms + PROBE_MS, request.daemon, incarnation, trial));
     }
@@ -291,9 +296,9 @@
 fn an_unframed_response_counts_only_once_its_engine_is_seen_alive() {
     let mut state = GatewayState::new(1);
     let (engine, parts) = (EngineIncarnation(7), [PartFingerprint(1), POISON]);
-    let end = DoubtfulEnd::Unframed(RequestFingerprint(1));
-    assert!(state.record_doubt(engine, &parts, end, at(0)));
-    assert!(!state.record_doubt(engine, &parts, end, at(10)), "one probe for both");
+    let end = DoubtfulEnd::Unframed;
+    assert!(state.record_doubt(engine, &parts, end, false, at(0)));
+    assert!(!state.record_doubt(engine, &parts, end, false, at(10)), "one probe for both");
     state.begin_probe(engine);
     state.confirm_alive(engine, at(5));
     assert!(state.parts.is_proven(POISON, at(20)));
--- a/crates/gateway/tests/gateway/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -3,15 +3,20 @@
 use std::{
     io::Read,
     sync::{
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         mpsc, Arc,
     },
     time::Duration,
 };
 
-use crate::support::{
-    self, get_request, read_response, server_entry, status_code, write_response, write_text,
-    ScriptedServer, System,
+use gooseberry_core::serving::event_stream::BodyFraming;
+
+use crate::{
+    crashing_engine::{CrashingEngine, EngineRecord, POISON_PART},
+    support::{
+        self, get_request, read_response, server_entry, status_code, write_response, write_text,
+        ScriptedServer, System,
+    },
 };
 
 fn normal_server() -> ScriptedServer {
@@ -289,26 +294,53 @@
 #[test]
 fn prompts_without_a_body_are_not_quarantined_for_each_other() {
     let system = system();
-    let engine = ScriptedServer::start(|request, stream| {
-        let is_consistent = request.header("x-prompt-prefix") == Some("bb:100");
-        is_consistent && write_response(request, stream, "data: 1\n\n")
-    });
-    system.register("one", "model", &engine, "");
+    let record: Arc<EngineRecord> = Arc::default();
+    let framing = BodyFraming::Chunked;
+    let start = |_| CrashingEngine::start(&system.store, "model", "decode", framing, &record);
+    let _engines: Vec<_> = (0..3).map(start).collect();
     let prompt =
         |part| format!("X-Model: m\r\nX-Token-Usage: 100,5\r\nX-Prompt-Prefix: {part}:100\r\n");
-    let mut statuses = Vec::new();
-    for part in ["aa", "aa", "aa", "aa", "bb"] {
-        support::wait_for(|| {
-            let state = system.gateway.state.lock();
-            let key = state.fleet.key("one").expect("known engine");
-            state.fleet.server(key).is_usable(system.gateway.now())
-        });
-        statuses.push(status_code(&system.send(&get_request("/chat/x", &prompt(part)))).to_owned());
+    let send = |part| status_code(&system.send(&get_request("/chat/x", &prompt(part)))).to_owned();
+    support::wait_for(|| {
+        send(POISON_PART);
+        !system.gateway.state.lock().parts.convictions().is_empty()
+    });
+    support::wait_for(|| send("aa") == "200");
+    let arrivals = record.poison_arrivals.lock().len();
+    for _ in 0..4 {
+        assert_eq!((send(POISON_PART).as_str(), send("bb").as_str()), ("503", "200"));
+    }
+    assert_eq!(record.poison_arrivals.lock().len(), arrivals);
+}
+
+/// Guards against refusals of sound requests: three lost responses counted as crashes of the engine.
+#[test]
+fn requests_whose_responses_are_lost_at_a_live_server_go_on_being_sent() {
+    let prompt = "X-Model: m\r\nX-Token-Usage: 100,5\r\nX-Prompt-Prefix: aa:100\r\n";
+    for (path, service, headers) in [("/chat/x", "model", prompt), ("/plain/x", "plain", "")] {
+        let system = system();
+        let loses = Arc::new(AtomicBool::new(true));
+        let server = {
+            let loses = Arc::clone(&loses);
+            ScriptedServer::start(move |request, stream| {
+                !loses.load(Ordering::SeqCst) && write_response(request, stream, "data: 1\n\n")
+            })
+        };
+        system.register("one", service, &server, "");
+        let send = || {
+            support::wait_for(|| {
+                let state = system.gateway.state.lock();
+                let key = state.fleet.key("one").expect("known server");
+                state.fleet.server(key).is_usable(system.gateway.now())
+            });
+            status_code(&system.send(&get_request(path, headers))).to_owned()
+        };
+        for _ in 0..5 {
+            assert_eq!(send(), "502");
+        }
+        loses.store(false, Ordering::SeqCst);
+        assert_eq!(send(), "200");
     }
-    assert_eq!(statuses[..3], ["502", "502", "502"]);
-    assert_ne!(statuses[3], "502", "the fourth request should be refused");
-    assert_eq!(statuses[4], "200");
-    assert_eq!(engine.received().len(), 4);
 }
 
 #[test]
