Let one of several trials that begin at once run

A trial now waits for the delay of updates plus 15 ms before its send, and asks again. Of trials that began in between, all daemons keep the one with the lowest holder, so the others refuse theirs with Retry-After. Only requests under suspicion wait.

--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -245,10 +245,16 @@
         PartVerdict::Trial
     }
 
-    /// Records that a request became the trial of these parts.
+    /// Records that a request became the trial of these parts. Of trials that began at once at
+    /// several daemons, all daemons keep the one with the lowest holder.
     pub fn begin_trial(&mut self, parts: &[PartFingerprint], holder: u64, now: Timestamp) {
         for part in parts {
-            if let Some(record) = self.records.get_mut(part) {
+            let Some(record) = self.records.get_mut(part) else {
+                continue;
+            };
+            let is_taken =
+                record.trial.is_some_and(|trial| trial.holder < holder && now < trial.until);
+            if !is_taken {
                 record.trial = Some(PartTrial { holder, until: now + TRIAL_TIMEOUT });
             }
         }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -202,7 +202,7 @@
         let mut runs = 0;
         let mut last = None;
         loop {
-            match crashes::admit(self) {
+            match crashes::admit(self).await {
                 Ok(()) => {}
                 // A refusal guarantees that nothing ran, and an earlier attempt may have run.
                 Err(_) if runs > 0 => break,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -8,6 +8,7 @@
     event_stream::BodyFraming,
     part_evidence::{EngineIncarnation, PartConviction, PartRefusal, PartVerdict, VerdictChanges},
     prompt::{self, PartFingerprint},
+    relays,
 };
 use gooseberry_platform::{
     front::LocalResponse,
@@ -32,6 +33,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(100);
 /// Delay before verdicts that could not be stored are written again.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time in the delay of a trial in addition to that of updates, for queues at the daemons.
+const TRIAL_MARGIN: Duration = Duration::from_millis(15);
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -62,30 +65,52 @@
 ///
 /// Returns the response to the caller if one of the call's parts is convicted, or on trial in
 /// another request.
-pub fn admit(call: &Call) -> Result<(), LocalResponse> {
+pub async fn admit(call: &Call) -> Result<(), LocalResponse> {
+    let verdict = decide(call);
+    let is_new_trial = verdict == PartVerdict::Trial && call.trial.lock().is_none();
+    if !is_new_trial {
+        return admitted(call, verdict);
+    }
     let gateway = &call.gateway;
-    let parts = &call.blamable_parts;
-    let holder = call.id_hash();
-    let verdict = gateway.state.lock().admit_parts(parts, holder, gateway.now());
+    let guard = TrialGuard { gateway: Arc::clone(gateway), holder: call.id_hash() };
+    *call.trial.lock() = Some(Arc::new(guard));
+    gateway.wake_publisher();
+    // Other daemons may begin a trial at the same time, and all but one of them give way.
+    gateway.clock.sleep(trial_delay(gateway)).await;
+    let outcome = admitted(call, decide(call));
+    if outcome.is_err() {
+        call.trial.lock().take();
+    } else {
+        tracing::info!(
+            request = %call.head.request_id,
+            blamable_parts = prompt::describe_parts(&call.blamable_parts),
+            "request is the trial of its parts"
+        );
+    }
+    outcome
+}
+
+fn decide(call: &Call) -> PartVerdict {
+    let gateway = &call.gateway;
+    gateway.state.lock().admit_parts(&call.blamable_parts, call.id_hash(), gateway.now())
+}
+
+fn admitted(call: &Call, verdict: PartVerdict) -> Result<(), LocalResponse> {
     match verdict {
-        PartVerdict::Clear => Ok(()),
-        PartVerdict::Trial => {
-            let mut trial = call.trial.lock();
-            if trial.is_none() {
-                tracing::info!(
-                    request = %call.head.request_id,
-                    blamable_parts = prompt::describe_parts(parts),
-                    "request is the trial of its parts"
-                );
-                *trial = Some(Arc::new(TrialGuard { gateway: Arc::clone(gateway), holder }));
-                gateway.wake_publisher();
-            }
-            Ok(())
-        }
+        PartVerdict::Clear | PartVerdict::Trial => Ok(()),
         PartVerdict::Refused(refusal) => Err(refuse(call, refusal)),
     }
 }
 
+/// Returns the time in which all daemons hear that a trial began.
+fn trial_delay(gateway: &Gateway) -> Duration {
+    let daemons = 1 + gateway.state.lock().live_peers(gateway.now());
+    if daemons == 1 {
+        return Duration::ZERO;
+    }
+    relays::update_delay(daemons as usize) + TRIAL_MARGIN
+}
+
 fn refuse(call: &Call, refusal: PartRefusal) -> LocalResponse {
     let PartRefusal { part, reason, crashes, retry_after } = refusal;
     call.gateway.metrics.part_refusals.with_label_values(&[<&str>::from(reason)]).inc();
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -46,7 +46,7 @@
     route: &CallRoute,
     spec: EngineSpec,
 ) -> Result<Response<ResponseBody>, LocalResponse> {
-    crashes::admit(call)?;
+    crashes::admit(call).await?;
     let software = if call.head.is_resumption {
         let Some(software) = origin::find(call, route).await else {
             let reason = "the software version that began the stream is unknown";
@@ -63,7 +63,11 @@
         if sends > 0 && !call.try_retry(route) {
             break;
         }
-        let (placement, prefill_guard) = match admit(call, route, spec, software, &excluded) {
+        let admitted = match crashes::admit(call).await {
+            Ok(()) => admit(call, route, spec, software, &excluded),
+            Err(answer) => Err(answer),
+        };
+        let (placement, prefill_guard) = match admitted {
             // An earlier attempt may have run, so a refusal, which guarantees that nothing ran,
             // would be wrong.
             Err(_) if runs > 0 => break,
@@ -95,7 +99,6 @@
     software: Option<SoftwareKey>,
     excluded: &[EngineKey],
 ) -> Result<(Placement, PrefillGuard), LocalResponse> {
-    crashes::admit(call)?;
     let gateway = &call.gateway;
     let now = gateway.now();
     let mut state = gateway.state.lock();
@@ -350,7 +353,7 @@
     prefill_guard: Option<PrefillGuard>,
 ) -> PromptAttempt {
     // The prompt's parts may have been convicted during its prefill.
-    if let Err(answer) = crashes::admit(call) {
+    if let Err(answer) = crashes::admit(call).await {
         return PromptAttempt::Failed(answer);
     }
     let gateway = &call.gateway;
--- a/crates/gateway/tests/gateway/plain_crashes.rs
+++ b/crates/gateway/tests/gateway/plain_crashes.rs
@@ -10,11 +10,15 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_core::serving::event_stream::BodyFraming;
+use bytes::Bytes;
+use gooseberry_core::serving::{event_stream::BodyFraming, part_evidence::EngineIncarnation};
+use gooseberry_gateway::call::Call;
+use gooseberry_platform::front;
+use http::Request;
 
 use crate::{
     crashing_engine::{CrashingEngine, EngineRecord, CONVICTION_LIMIT},
-    support::{self, get_request, status_code, System},
+    support::{self, get_request, status_code, ScriptedServer, System},
 };
 
 /// Number of crashes after which the request must stop.
@@ -162,3 +166,46 @@
             .all(|daemon| status_code(&daemon.send(&get_request("/plain/repeated", ""))) == "200")
     });
 }
+
+#[test]
+fn callers_at_several_daemons_at_once_get_one_trial_of_a_request() {
+    let test = CrashTest::start(4, 0);
+    let servers: Vec<_> = (0..3)
+        .map(|_| {
+            ScriptedServer::start(|_, _| {
+                thread::sleep(Duration::from_millis(300));
+                false
+            })
+        })
+        .collect();
+    for (number, server) in servers.iter().enumerate() {
+        test.daemons[0].register(&format!("s{number}"), "plain", server, "");
+    }
+    for daemon in &test.daemons {
+        daemon.wait(|state| state.fleet.iter().count() == servers.len());
+        support::wait_for(|| daemon.gateway.state.lock().live_peers(daemon.gateway.now()) == 3);
+    }
+    let (head, ()) = Request::get("/plain/bad0")
+        .header("Host", "host.example")
+        .header("X-Attempt-Id", "one")
+        .body(())
+        .expect("a valid request")
+        .into_parts();
+    let decoded = front::decode(&head).expect("a request of a caller");
+    let parts = Call::blamable_parts(&head, &Bytes::new(), &decoded);
+    for daemon in &test.daemons {
+        for number in 0..3 {
+            let now = daemon.gateway.now();
+            let engine = EngineIncarnation(number);
+            daemon.gateway.state.lock().parts.record_crash(engine, &parts, now);
+        }
+    }
+    let sends = || servers.iter().map(|server| server.received().len()).sum::<usize>();
+    let codes: Vec<_> = thread::scope(|scope| {
+        let send = |daemon: &System| daemon.send(&get_request("/plain/bad0", ""));
+        let threads: Vec<_> =
+            test.daemons.iter().map(|daemon| scope.spawn(move || send(daemon))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+    });
+    assert_eq!(sends(), 1, "{codes:?}");
+}
