Repeat crashes to daemons that missed their news, and tell suspicions to new ones

A crash was told to the other daemons once, in a datagram.

Confirmed crashes are repeated with each summary for 5 s, at most 64, and a daemon that is heard for the first time is told the crashes of all parts under suspicion, at most 48, with the convictions. Evidence counts once for each server, so a repeat changes nothing at daemons that know it.

--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -194,6 +194,16 @@
     pub engines: Vec<EngineIncarnation>,
 }
 
+/// A crash of an engine that counts against a part under suspicion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectCrash {
+    pub part: PartFingerprint,
+    pub engine: EngineIncarnation,
+    pub at: Timestamp,
+    /// Whether the engine ended under the trial of the part.
+    pub is_trial: bool,
+}
+
 /// Parts whose conviction began or ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VerdictChanges {
@@ -423,6 +433,25 @@
         !is_outweighed
     }
 
+    /// Returns the crashes of the parts under suspicion, the latest first.
+    pub fn crashes_of_suspects(&self, now: Timestamp) -> Vec<SuspectCrash> {
+        let is_suspect = |record: &&PartRecord| {
+            matches!(record.status(now, &self.explained), PartStatus::Suspect)
+        };
+        let suspects = self.records.iter().filter(|(_, record)| is_suspect(record));
+        let mut crashes: Vec<_> = suspects
+            .flat_map(|(part, record)| record.crashes.iter().map(|crash| (*part, *crash)))
+            .map(|(part, PartCrash { engine, at, is_trial })| SuspectCrash {
+                part,
+                engine,
+                at,
+                is_trial,
+            })
+            .collect();
+        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at));
+        crashes
+    }
+
     /// Returns the convictions, those with the latest crashes first.
     pub fn convictions(&self) -> Vec<PartConviction> {
         let convicted = self.records.iter().filter(|(_, record)| record.is_convicted);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -298,12 +298,14 @@
             self.gateway.clock.sleep(SUMMARY_INTERVAL).await;
             let now = self.gateway.now();
             let registered = self.peers.count();
-            let (pending, running, limits) = {
+            let (pending, running, repeated) = {
                 let mut state = self.gateway.state.lock();
                 state.remove_expired_peers(now);
                 state.update_daemon_share(registered, now);
                 let (pending, running) = state.own_summary();
-                (pending, running, state.limits_to_repeat(now))
+                let mut repeated = state.limits_to_repeat(now);
+                repeated.extend(state.crashes_to_repeat(now));
+                (pending, running, repeated)
             };
             self.publish_verdicts();
             // Changes of the store may have caused updates.
@@ -311,8 +313,10 @@
             self.gateway.connections.prune(self.gateway.instant());
             let plan = self.peers.plan(&self.gateway.options, now);
             let mut updates = vec![SendUpdate::Summary { pending, running }];
-            updates.extend(limits);
-            self.send(vec![self.bundle(updates)], &plan.own_update_targets).await;
+            updates.extend(repeated);
+            for updates in updates.chunks(BATCH_LIMIT) {
+                self.send(vec![self.bundle(updates.to_vec())], &plan.own_update_targets).await;
+            }
         }
     }
 
@@ -423,7 +427,7 @@
         }
     }
 
-    /// Tells the convictions to the sender of a datagram if it is heard for the first time. Its
+    /// Tells the evidence against requests and prompt parts to the sender of a datagram if it is heard for the first time. Its
     /// address may not be registered yet.
     async fn welcome(&self, datagram: &UpdateDatagram, source: SocketAddr) {
         let updates = {
@@ -432,13 +436,13 @@
             let is_new = bundles
                 .any(|bundle| bundle.name == datagram.sender && state.is_new_peer(bundle.daemon));
             if is_new {
-                state.conviction_updates()
+                state.evidence_updates(self.gateway.now())
             } else {
                 Vec::new()
             }
         };
-        if !updates.is_empty() {
-            self.send(vec![self.bundle(updates)], &[source]).await;
+        for updates in updates.chunks(BATCH_LIMIT) {
+            self.send(vec![self.bundle(updates.to_vec())], &[source]).await;
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,7 +29,7 @@
 
 pub use crate::state::evidence::DoubtfulEnd;
 use crate::{
-    state::evidence::CrashDoubt,
+    state::evidence::{ConfirmedCrash, CrashDoubt},
     updates::{PrefillEnd, SendRecord, SendUpdate},
 };
 
@@ -54,6 +54,8 @@
     pub versions: VersionHistory,
     /// Requests of this daemon whose servers may have ended with them, oldest first.
     doubts: VecDeque<CrashDoubt>,
+    /// Crashes that this daemon has confirmed lately, oldest first.
+    recent_crashes: VecDeque<ConfirmedCrash>,
     /// Servers that are to be probed.
     pending_probes: HashSet<EngineIncarnation>,
     /// Verdicts from evidence of this daemon that aren't in the key-value service yet.
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -5,7 +5,9 @@
 
 use gooseberry_core::{
     serving::{
-        part_evidence::{EngineIncarnation, PartConviction, PartVerdict, VerdictChanges},
+        part_evidence::{
+            EngineIncarnation, PartConviction, PartVerdict, SuspectCrash, VerdictChanges,
+        },
         prompt::PartFingerprint,
     },
     time::Timestamp,
@@ -18,6 +20,12 @@
 const DOUBT_DURATION: Duration = Duration::from_secs(10);
 /// Largest number of convictions that a daemon is told at once.
 const CONVICTION_UPDATE_LIMIT: usize = 16;
+/// Largest number of crashes of suspects that a daemon is told at once.
+const SUSPECT_UPDATE_LIMIT: usize = 48;
+/// Time for which a confirmed crash is repeated to the other daemons with each summary.
+const CRASH_REPEAT_DURATION: Duration = Duration::from_secs(5);
+/// Largest number of confirmed crashes that are repeated.
+const RECENT_CRASH_LIMIT: usize = 64;
 /// Largest number of interrupted requests that are kept.
 const DOUBT_LIMIT: usize = 1024;
 
@@ -42,6 +50,26 @@
     at: Timestamp,
 }
 
+/// A request whose server has ended.
+#[derive(Clone, Debug)]
+pub(super) struct ConfirmedCrash {
+    server: EngineIncarnation,
+    parts: Vec<PartFingerprint>,
+    is_trial: bool,
+    at: Timestamp,
+}
+
+impl ConfirmedCrash {
+    fn update(&self, now: Timestamp) -> SendUpdate {
+        SendUpdate::PartCrash {
+            engine: self.server.0,
+            parts: part_numbers(&self.parts),
+            age_ms: now.since(self.at).as_millis() as u32,
+            is_trial: self.is_trial,
+        }
+    }
+}
+
 impl GatewayState {
     /// Decides whether a request with these parts may run, and tells the other daemons if it
     /// is a trial. `holder` identifies the request.
@@ -119,17 +147,24 @@
                 continue;
             }
             self.prove_parts(&doubt.parts, now);
-            self.outgoing.push_back(SendUpdate::PartCrash {
-                engine: server.0,
-                parts: part_numbers(&doubt.parts),
-                age_ms: age.as_millis() as u32,
-                is_trial: doubt.is_trial,
-            });
-            let changes = self.record_part_crash(server, &doubt.parts, doubt.at, doubt.is_trial);
+            let CrashDoubt { server, parts, is_trial, at, .. } = doubt;
+            let changes = self.record_part_crash(server, &parts, at, is_trial);
             self.record_verdicts(changes);
+            let crash = ConfirmedCrash { server, parts, is_trial, at };
+            self.outgoing.push_back(crash.update(now));
+            if self.recent_crashes.len() >= RECENT_CRASH_LIMIT {
+                self.recent_crashes.pop_front();
+            }
+            self.recent_crashes.push_back(crash);
         }
     }
 
+    /// Returns the crashes that this daemon has confirmed lately, for daemons that missed the update.
+    pub fn crashes_to_repeat(&mut self, now: Timestamp) -> Vec<SendUpdate> {
+        self.recent_crashes.retain(|crash| now.since(crash.at) < CRASH_REPEAT_DURATION);
+        self.recent_crashes.iter().map(|crash| crash.update(now)).collect()
+    }
+
     pub(super) fn record_part_crash(
         &mut self,
         server: EngineIncarnation,
@@ -166,14 +201,20 @@
         self.verdict_changes.acquitted.extend(changes.acquitted);
     }
 
-    /// Returns the convictions for a daemon that is heard for the first time.
-    pub fn conviction_updates(&self) -> Vec<SendUpdate> {
+    /// Returns the convictions and the crashes of suspects for a daemon that is heard for the first
+    /// time.
+    pub fn evidence_updates(&self, now: Timestamp) -> Vec<SendUpdate> {
         let convictions = self.parts.convictions().into_iter().take(CONVICTION_UPDATE_LIMIT);
         let update = |PartConviction { part, engines }| SendUpdate::PartConvicted {
             part: part.0,
             engines: engines.into_iter().map(|engine| engine.0).collect(),
         };
-        convictions.map(update).collect()
+        let crashes = self.parts.crashes_of_suspects(now).into_iter().take(SUSPECT_UPDATE_LIMIT);
+        let crash_update = |crash: SuspectCrash| {
+            let SuspectCrash { part, engine, at, is_trial } = crash;
+            ConfirmedCrash { server: engine, parts: vec![part], is_trial, at }.update(now)
+        };
+        convictions.map(update).chain(crashes.map(crash_update)).collect()
     }
 
     /// Applies a conviction that another daemon or the key-value service knows. If completed requests
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -1,9 +1,9 @@
 //! Updates that daemons exchange on their prefills, running requests and crashes.
 //!
 //! Datagrams may be lost or duplicated. There are no acknowledgements: a periodic summary removes
-//! prefills whose end was lost, and corrects the counts of running requests. A lost start of a
-//! prefill and a lost crash aren't corrected; convicted parts are also in the key-value service. A daemon that lacks the version of a stream asks for
-//! it.
+//! prefills whose end was lost, and corrects the counts of running requests. Crashes are repeated
+//! for some seconds, and convicted parts are also in the key-value service. A lost start of a prefill
+//! isn't corrected. A daemon that lacks the version of a stream asks for it.
 
 use gooseberry_core::serving::prompt::{PrefixKey, PromptPart, PromptShape};
 use serde::{Deserialize, Serialize};
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -297,7 +297,7 @@
     assert!(one.parts.is_convicted(part));
     let now = START + Duration::from_secs(3);
     other.complete_parts(&[part], now);
-    other.apply_updates(1, &one.conviction_updates(), now);
+    other.apply_updates(1, &one.evidence_updates(now), now);
     assert!(!other.parts.is_convicted(part));
     one.apply_updates(2, &other.take_updates(), now);
     assert!(!one.parts.is_convicted(part));
--- a/crates/gateway/tests/gateway/plain_crashes.rs
+++ b/crates/gateway/tests/gateway/plain_crashes.rs
@@ -2,6 +2,7 @@
 //! and ordinary crashes.
 
 use std::{
+    ops::Range,
     sync::{
         atomic::{AtomicUsize, Ordering},
         Arc,
@@ -11,8 +12,12 @@
 };
 
 use bytes::Bytes;
-use gooseberry_core::serving::{event_stream::BodyFraming, part_evidence::EngineIncarnation};
-use gooseberry_gateway::call::Call;
+use gooseberry_core::serving::{
+    event_stream::BodyFraming,
+    part_evidence::{EngineIncarnation, PartVerdict},
+    prompt::PartFingerprint,
+};
+use gooseberry_gateway::{call::Call, state::DoubtfulEnd};
 use gooseberry_platform::front;
 use http::Request;
 
@@ -209,3 +214,39 @@
     });
     assert_eq!(sends(), 1, "{codes:?}");
 }
+
+/// Lets servers end under a request, as this daemon sees it.
+fn crash_under(daemon: &System, servers: Range<u64>, parts: &[PartFingerprint]) {
+    for number in servers {
+        let (mut state, now) = (daemon.gateway.state.lock(), daemon.gateway.now());
+        let server = EngineIncarnation(number);
+        state.record_doubt(server, parts, DoubtfulEnd::Interrupted, false, now);
+        state.confirm_crash(server, now);
+    }
+}
+
+fn is_on_trial(daemon: &System, parts: &[PartFingerprint]) -> bool {
+    let mut parts_of_daemon = daemon.gateway.state.lock().parts.clone();
+    parts_of_daemon.admit(parts, 1, daemon.gateway.now()) == PartVerdict::Trial
+}
+
+#[test]
+fn crashes_whose_news_was_lost_are_heard_with_the_next_summary() {
+    let test = CrashTest::start(2, 0);
+    let parts = [PartFingerprint::of_request(7)];
+    crash_under(&test.daemons[0], 0..3, &parts);
+    test.daemons[0].gateway.state.lock().take_updates();
+    support::wait_for(|| is_on_trial(&test.daemons[1], &parts));
+}
+
+#[test]
+fn a_daemon_that_starts_hears_of_requests_under_suspicion() {
+    let test = CrashTest::start(2, 0);
+    let parts = [PartFingerprint::of_request(7)];
+    crash_under(&test.daemons[0], 0..3, &parts);
+    support::wait_for(|| is_on_trial(&test.daemons[1], &parts));
+    // Crashes are repeated for 5 s.
+    thread::sleep(Duration::from_millis(5600));
+    let new_daemon = test.daemons[0].join("daemon-9");
+    support::wait_for(|| is_on_trial(&new_daemon, &parts));
+}
