Soak: plain requests that crash their servers

Three of four seeds now send one plain request again and again that crashes its server, with the other kind of crashing requests and all faults; at daemons in touch it may reach servers three times later than 3 s after its third crash.

Seed 11001 stays as a regression test.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -17,8 +17,8 @@
 
 use crate::{
     history::{CallKind, CallRecord, ResumedStream, SoakHistory},
-    plan,
-    servers::{EVENTS_PER_STREAM, POISON_PART},
+    plan::{self, PoisonKind},
+    servers::{EVENTS_PER_STREAM, POISON_PART, POISON_PATH},
     system::SoakSystem,
     SoakOptions,
 };
@@ -29,6 +29,8 @@
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Number of times that a caller resumes a stream.
 const RESUME_LIMIT: usize = 2;
+/// Last segment of the paths of sound requests.
+const CALL_PATH: &str = "x";
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of different first parts of prompts.
@@ -89,12 +91,12 @@
         idle_connection: None,
         sent: 0,
     };
-    if let Some(poison) = plan::plan_poison(options) {
-        let (mut caller, stop) = (caller(CALLER_COUNT), Arc::clone(&stop));
+    for (number, poison) in plan::plan_poison(options).enumerate() {
+        let (mut caller, stop) = (caller(CALLER_COUNT + number), Arc::clone(&stop));
         threads.push(thread::spawn(move || {
             thread::sleep(poison.from);
             while !stop.load(Ordering::Relaxed) {
-                caller.call_poison();
+                caller.call_poison(poison.kind);
                 thread::sleep(poison.interval);
             }
         }));
@@ -146,12 +148,16 @@
 }
 
 impl SoakCaller {
-    /// Sends a request that crashes its engine, unlike all others but for one part.
-    fn call_poison(&mut self) {
+    /// Sends a request that crashes its server.
+    fn call_poison(&mut self, poison: PoisonKind) {
+        if poison == PoisonKind::SameRequest {
+            self.send(CallKind::Plain, POISON_PATH, "", None);
+            return;
+        }
         let kind = if self.rng.random_bool(0.5) { CallKind::Chat } else { CallKind::Review };
         let shared_prefix = format!("{:x}", self.rng.random_range(0..PREFIX_COUNT));
         let own = format!("{POISON_PART}:60,{:x}{:x}", self.number, self.sent);
-        self.send(kind, &gateway_mocks::prompt_headers(&shared_prefix, &own), None);
+        self.send(kind, CALL_PATH, &gateway_mocks::prompt_headers(&shared_prefix, &own), None);
     }
 
     /// Sends a request. A stream that breaks is resumed, at any daemon.
@@ -169,7 +175,7 @@
         };
         let mut resumed = None;
         for _ in 0..=RESUME_LIMIT {
-            resumed = self.send(kind, &headers, resumed);
+            resumed = self.send(kind, CALL_PATH, &headers, resumed);
             if resumed.is_none() {
                 break;
             }
@@ -181,6 +187,7 @@
     fn send(
         &mut self,
         kind: CallKind,
+        path: &str,
         headers: &str,
         resumed: Option<ResumedStream>,
     ) -> Option<ResumedStream> {
@@ -191,7 +198,7 @@
         if let Some(ResumedStream { origin, events }) = &resumed {
             headers += &format!("Resumes: {origin}\r\nLast-Event-Id: {events}\r\n");
         }
-        let text = gateway_mocks::get_request(&id, &format!("/{kind}/x"), &headers);
+        let text = gateway_mocks::get_request(&id, &format!("/{kind}/{path}"), &headers);
         let sent_at = Instant::now();
         let (answer, stream) = exchange(stream, &text);
         let record = CallRecord {
@@ -201,7 +208,7 @@
             sent_at,
             ended_at: Instant::now(),
             is_connected: stream.is_some(),
-            is_poison: headers.contains(POISON_PART),
+            is_poison: path == POISON_PATH || headers.contains(POISON_PART),
             resumed: resumed.clone(),
             answer,
         };
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,8 +10,10 @@
 use crate::{
     callers::RESPONSE_TIMEOUT,
     history::{
-        self, ArrivalRecord, CallKind, CallRecord, ExecutionRecord, FaultScope, SoakHistory,
+        self, ArrivalRecord, CallKind, CallRecord, ExecutionRecord, FaultScope, PoisonArrival,
+        SoakHistory,
     },
+    plan::PoisonKind,
     servers::{self, EVENTS_PER_STREAM},
 };
 
@@ -26,8 +28,10 @@
 /// Share of requests that must be served after the recovery limit.
 const RECOVERED_SHARE: f64 = 0.9;
 
-/// Number of crashes, and time after them, from which poison requests must not reach servers.
-const CONVICTING_CRASHES: usize = 5;
+/// Number of crashes, and time after them, from which poison requests must not reach servers. A part
+/// that requests share is harder to find than a request that is sent again.
+const CONVICTING_CRASHES: [(PoisonKind, usize); 2] =
+    [(PoisonKind::SharedPart, 5), (PoisonKind::SameRequest, 3)];
 const CONVICTION_LIMIT: Duration = Duration::from_secs(3);
 /// Number of poison requests that may reach servers nevertheless.
 const LATE_POISON_LIMIT: usize = 3;
@@ -83,7 +87,9 @@
     }
     violations.extend(check_versions(history));
     violations.extend(check_draining(history));
-    violations.extend(check_poison(history));
+    for (kind, crashes) in CONVICTING_CRASHES {
+        violations.extend(check_poison(history, kind, crashes));
+    }
     violations.extend(check_limits(history));
     violations.extend(check_notices(history));
     violations.extend(check_quiet(history));
@@ -93,19 +99,24 @@
 
 /// Checks that poison requests stop reaching servers after they have crashed several, at daemons
 /// without faults.
-fn check_poison(history: &SoakHistory) -> Option<InvariantViolation> {
-    let crash = *history.crashes.get(CONVICTING_CRASHES - 1)?;
-    let is_late = |(id, at): &&(String, Instant)| {
+fn check_poison(
+    history: &SoakHistory,
+    kind: PoisonKind,
+    crashes: usize,
+) -> Option<InvariantViolation> {
+    let times = history.crashes.iter().filter(|crash| crash.0 == kind).map(|crash| crash.1);
+    let crash = times.clone().nth(crashes - 1)?;
+    let is_late = |arrival: &&PoisonArrival| {
+        let PoisonArrival { id, at, .. } = arrival;
         let call = history.calls.iter().find(|call| call.id == *id);
         let from = at.checked_sub(CONVICTION_LIMIT).unwrap_or(*at);
         let is_in_touch = call.is_some_and(|call| {
             !had_store_fault(history, from, *at, |daemon| daemon == call.daemon)
         });
-        *at > crash + CONVICTION_LIMIT && is_in_touch
+        arrival.kind == kind && *at > crash + CONVICTION_LIMIT && is_in_touch
     };
     let late: Vec<_> = history.poison_arrivals.iter().filter(is_late).collect();
-    let details =
-        || format!("{} sends and {} crashes: {late:?}", late.len(), history.crashes.len());
+    let details = || format!("{} sends and {} crashes: {late:?}", late.len(), times.count());
     (late.len() > LATE_POISON_LIMIT).then(|| InvariantViolation::SentAfterCrashes(details()))
 }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -4,6 +4,8 @@
 
 use gooseberry_standins::gateway_mocks;
 
+use crate::plan::PoisonKind;
+
 /// Kinds of requests, which differ in the service and in whether they are idempotent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
@@ -95,6 +97,15 @@
     pub asks_for_quiet: bool,
 }
 
+/// A poison request that a server got.
+#[derive(Clone, Debug)]
+pub struct PoisonArrival {
+    pub kind: PoisonKind,
+    /// Id of the request.
+    pub id: String,
+    pub at: Instant,
+}
+
 /// A limit that a server named in all its responses from a time on.
 #[derive(Clone, Copy, Debug)]
 pub struct NamedLimit {
@@ -132,10 +143,9 @@
     pub arrivals: Vec<ArrivalRecord>,
     /// Limits that servers named, by their ids.
     pub limits: HashMap<String, NamedLimit>,
-    /// Ids of the poison requests that servers got, with the time.
-    pub poison_arrivals: Vec<(String, Instant)>,
+    pub poison_arrivals: Vec<PoisonArrival>,
     /// Times at which poison requests crashed servers.
-    pub crashes: Vec<Instant>,
+    pub crashes: Vec<(PoisonKind, Instant)>,
     /// Time at which each server's entry in the store was set to draining.
     pub draining_since: HashMap<String, Instant>,
     /// Times at which the route of plain calls changed, with the new service.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -85,19 +85,39 @@
     pub fault: SoakFault,
 }
 
-/// Requests that share a prompt part with which each of them crashes its engine.
+/// What requests that crash their servers have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoisonKind {
+    /// They share a prompt part, and no two are alike.
+    SharedPart,
+    /// They are the same request to a plain service.
+    SameRequest,
+}
+
+/// Requests that crash their servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoisonPlan {
+    pub kind: PoisonKind,
     /// Time of the first request.
     pub from: Duration,
     /// Time between two requests.
     pub interval: Duration,
 }
 
-/// Returns the poison requests of a seed, which three of four seeds have.
-pub fn plan_poison(options: SoakOptions) -> Option<PoisonPlan> {
-    let mut rng = ChaCha8Rng::seed_from_u64(options.seed.rotate_left(32));
+/// Returns the poison requests of a seed. Three of four seeds have those of each kind.
+pub fn plan_poison(options: SoakOptions) -> impl Iterator<Item = PoisonPlan> {
+    let seed = options.seed.rotate_left(32);
+    let plans = [
+        plan_poison_of(PoisonKind::SharedPart, seed),
+        plan_poison_of(PoisonKind::SameRequest, seed.wrapping_add(1)),
+    ];
+    plans.into_iter().flatten()
+}
+
+fn plan_poison_of(kind: PoisonKind, seed: u64) -> Option<PoisonPlan> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let plan = PoisonPlan {
+        kind,
         from: Duration::from_millis(rng.random_range(POISON_START_MS.0..POISON_START_MS.1)),
         interval: Duration::from_millis(
             rng.random_range(POISON_INTERVAL_MS.0..POISON_INTERVAL_MS.1),
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -11,8 +11,12 @@
 use gooseberry_standins::gateway_mocks::{self, ReceivedRequest, ScriptedServer};
 use parking_lot::Mutex;
 
-use crate::history::{
-    ArrivalRecord, ExecutionRecord, FaultInterval, FaultScope, NamedLimit, SoakHistory,
+use crate::{
+    history::{
+        ArrivalRecord, ExecutionRecord, FaultInterval, FaultScope, NamedLimit, PoisonArrival,
+        SoakHistory,
+    },
+    plan::PoisonKind,
 };
 
 /// Time that a server takes for a plain call, a prefill or the start of a stream.
@@ -27,6 +31,8 @@
 
 /// Name of the prompt part with which a request crashes its engine.
 pub const POISON_PART: &str = "badc0de0bad";
+/// Last segment of the path with which a plain request crashes its server.
+pub const POISON_PATH: &str = "badc0de";
 /// Time for which a crashed server is down.
 pub const CRASH_DURATION: Duration = Duration::from_millis(500);
 
@@ -159,10 +165,10 @@
             return gateway_mocks::write_misdirected(stream);
         }
         self.record_arrival(request);
-        let is_poison = request.prompt_parts().contains(POISON_PART);
-        if is_poison {
-            let arrival = (request.id().to_owned(), Instant::now());
-            self.history.lock().poison_arrivals.push(arrival);
+        let poison = poison_kind(request);
+        if let Some(kind) = poison {
+            let (id, at) = (request.id().to_owned(), Instant::now());
+            self.history.lock().poison_arrivals.push(PoisonArrival { kind, id, at });
         }
         if self.behaviour == ServerBehaviour::Rejecting {
             return gateway_mocks::write_rejection(stream, &notices);
@@ -191,8 +197,8 @@
         };
         self.history.lock().executions.entry(request.id().to_owned()).or_default().push(record);
         thread::sleep(CALL_DURATION);
-        if is_poison {
-            self.crash();
+        if let Some(kind) = poison {
+            self.crash(kind);
             return false;
         }
         if self.behaviour == ServerBehaviour::DroppingResponses {
@@ -214,15 +220,15 @@
             let named = NamedLimit { per_second, since: at };
             history.limits.entry(server.clone()).or_insert(named);
         }
-        let is_poison = request.prompt_parts().contains(POISON_PART);
-        let responds = self.behaviour != ServerBehaviour::DroppingResponses && !is_poison;
+        let responds =
+            self.behaviour != ServerBehaviour::DroppingResponses && poison_kind(request).is_none();
         let is_leaving = self.notices.is_leaving && responds;
         let asks_for_quiet = self.behaviour == ServerBehaviour::AskingForQuiet;
         history.arrivals.push(ArrivalRecord { server, id, at, is_leaving, asks_for_quiet });
     }
 
     /// Closes all connections to the server; the system starts it again.
-    fn crash(&self) {
+    fn crash(&self, kind: PoisonKind) {
         let mut crashed_at = self.crashed_at.lock();
         if crashed_at.is_some() {
             return;
@@ -230,7 +236,7 @@
         let now = Instant::now();
         *crashed_at = Some(now);
         let mut history = self.history.lock();
-        history.crashes.push(now);
+        history.crashes.push((kind, now));
         let until = now + CRASH_DURATION;
         history.fault_intervals.push(FaultInterval {
             scope: FaultScope::Servers,
@@ -268,6 +274,14 @@
     }
 }
 
+/// Returns what crashes the server of a request, if anything does.
+fn poison_kind(request: &ReceivedRequest) -> Option<PoisonKind> {
+    if request.path().ends_with(POISON_PATH) {
+        return Some(PoisonKind::SameRequest);
+    }
+    request.prompt_parts().contains(POISON_PART).then_some(PoisonKind::SharedPart)
+}
+
 /// Writes an unframed stream up to the middle of an event; returns `false`, which closes the
 /// connection. No write ends between two events, where a cut can't be detected.
 fn write_cut_stream(
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -33,6 +33,12 @@
     soak(9406, 12, 4);
 }
 
+/// Guards against a plain request that crashes server after server.
+#[test]
+fn seed_11001_stops_a_plain_request_that_crashes_servers() {
+    soak(11001, 12, 4);
+}
+
 #[test]
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
