--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -52,6 +52,13 @@
         system
     }
 
+    /// Starts another gateway on another address of the same store.
+    pub fn join_view(&self, view: &StandinStore, name: &str) -> Self {
+        let system = Self::start_on(view.clone(), name);
+        system.wait(|state| state.configuration.is_some());
+        system
+    }
+
     fn start_on(store: StandinStore, name: &str) -> Self {
         let (callers, ready) = (unused_address(), unused_address());
         let settings: GatewaySettings = serde_json::from_value(json!({
--- a/crates/harness/src/proxy.rs
+++ b/crates/harness/src/proxy.rs
@@ -26,6 +26,10 @@
     Forwarding,
     /// Connections are closed, and new ones are refused.
     Closed,
+    /// Open connections go on, and new ones are refused.
+    RefusingNew,
+    /// Open connections stay open but nothing is forwarded, and attempts to connect hang.
+    Unreachable,
     /// Connections stay open and new ones are accepted, but nothing is forwarded.
     Stalled,
     /// Requests are forwarded, but the bytes that the target sends are not.
@@ -44,8 +48,8 @@
 impl ProxyState {
     fn blocks(self, direction: ProxyDirection) -> bool {
         match self {
-            Self::Forwarding | Self::Closed | Self::Delayed(_) => false,
-            Self::Stalled => true,
+            Self::Forwarding | Self::Closed | Self::RefusingNew | Self::Delayed(_) => false,
+            Self::Stalled | Self::Unreachable => true,
             Self::ResponsesStalled => direction == ProxyDirection::FromTarget,
         }
     }
@@ -119,9 +123,19 @@
     /// Accepts connections until the proxy is dropped. It doesn't listen while the
     /// proxy is closed, so that new connections are refused.
     fn accept_connections(self: Arc<Self>, listen: &str, mut listener: Option<TcpListener>) {
+        let mut fillers = Vec::new();
         while !self.ended.load(Ordering::SeqCst) {
-            if self.state() == ProxyState::Closed {
+            let state = self.state();
+            if state != ProxyState::Unreachable && !fillers.is_empty() {
+                fillers.clear();
                 listener = None;
+            }
+            if matches!(state, ProxyState::Closed | ProxyState::RefusingNew) {
+                listener = None;
+            } else if state == ProxyState::Unreachable {
+                if fillers.is_empty() {
+                    fillers = listener.as_ref().map(fill_queue).unwrap_or_default();
+                }
             } else if let Some(listener) = listener.as_ref() {
                 listener.set_nonblocking(true).expect("a listener that doesn't block");
                 while let Ok((stream, _)) = listener.accept() {
@@ -186,6 +200,14 @@
     }
 }
 
+/// Fills the queue of new connections, so that attempts to connect hang. Returns what fills it.
+fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
+    rustix::net::listen(listener, 0).expect("the queue can be shortened");
+    let address = listener.local_addr().expect("an address");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(20));
+    std::iter::from_fn(|| connect().ok()).collect()
+}
+
 /// Shuts down a connection in both directions.
 fn close(stream: &TcpStream) {
     let _: io::Result<()> = stream.shutdown(Shutdown::Both);
--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -257,6 +257,8 @@
 pub struct StandinStore {
     pub address: SocketAddr,
     tables: Arc<Mutex<StoreTables>>,
+    /// Addresses of servers that readers at this address of the store get in place of others.
+    redirects: Arc<Mutex<BTreeMap<String, String>>>,
 }
 
 impl StandinStore {
@@ -266,8 +268,27 @@
     ///
     /// Panics if there is no free port.
     pub fn start() -> Self {
+        Self::serve_tables(Arc::default())
+    }
+
+    /// Starts another address of this store, whose readers can be given addresses of their own for
+    /// the servers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no free port.
+    pub fn start_view(&self) -> Self {
+        Self::serve_tables(Arc::clone(&self.tables))
+    }
+
+    /// Lets readers at this address of the store reach a server at another address.
+    pub fn redirect(&self, server: &str, address: &str) {
+        self.redirects.lock().insert(server.to_owned(), address.to_owned());
+    }
+
+    fn serve_tables(tables: Arc<Mutex<StoreTables>>) -> Self {
         let (listener, address) = bind_listener();
-        let store = Self { address, tables: Arc::default() };
+        let store = Self { address, tables, redirects: Arc::default() };
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -383,11 +404,22 @@
 
     fn range(&self) -> Value {
         let tables = self.tables.lock();
-        let items = tables.items.iter().filter_map(|(key, item)| item_json(key, item));
+        let items = tables.items.iter().filter_map(|(key, item)| self.item_json(key, item));
         let items: Vec<Value> = items.collect();
         json!({"items": items, "has-more": false, "as-of": tables.revision})
     }
 
+    fn item_json(&self, key: &str, item: &StoreItem) -> Option<Value> {
+        let value = item.value.as_ref()?;
+        let redirected =
+            key.starts_with("servers/").then(|| redirect(value, &self.redirects.lock()));
+        let value = redirected.flatten().unwrap_or_else(|| value.clone());
+        let revision = item.revision;
+        Some(
+            json!({"key": key, "value": value, "revision": revision, "created": revision, "lease": item.lease}),
+        )
+    }
+
     fn watch(&self, after: u64, wait_ms: u64) -> (u16, Value) {
         let end = Instant::now() + Duration::from_millis(wait_ms);
         loop {
@@ -401,7 +433,7 @@
                     let newer = tables.items.iter().filter(|(_, item)| item.revision > after);
                     let events: Vec<Value> = newer
                         .map(|(key, item)| {
-                            item_json(key, item).unwrap_or_else(
+                            self.item_json(key, item).unwrap_or_else(
                                 || json!({"key": key, "revision": item.revision, "deleted": true}),
                             )
                         })
@@ -457,12 +489,12 @@
     }
 }
 
-fn item_json(key: &str, item: &StoreItem) -> Option<Value> {
-    let value = item.value.as_ref()?;
-    let revision = item.revision;
-    Some(
-        json!({"key": key, "value": value, "revision": revision, "created": revision, "lease": item.lease}),
-    )
+/// Returns the entry of a server with another address, or `None` if it keeps its own.
+fn redirect(value: &str, redirects: &BTreeMap<String, String>) -> Option<String> {
+    let mut entry: Value = serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()?;
+    let address = redirects.get(entry["address"].as_str()?)?;
+    entry["address"] = address.as_str().into();
+    Some(STANDARD.encode(entry.to_string()))
 }
 
 /// Makes a configuration with a route of each kind.
