Hand requests to other daemons while cut off from the servers

Cause: a daemon had only its own links. It took each unreachable server for a crashed one, stayed ready, and refused; being unready would have left open connections behind.

A daemon now finds out that it is cut off from a service: several servers in a row can't be connected, a check of more fails too, and another daemon has reached one of them since the failures began, which it tells with its summaries. Then it hands requests of that service over, whole and before their placement, to a daemon that reaches it, on a new connection with the token of that daemon's entry in the store. That daemon keeps all rules as for its own callers, and never hands them on. The cut daemon goes on trying to connect each 200 ms, and one success ends it. Crash reports are void once any daemon reaches the same start of the server later, and a cut daemon gives up leadership.

Why it works: what decides is evidence that crashed or silent servers can't give, so both sides hold, and each request is sent to servers by one daemon that sees them.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -22,6 +22,7 @@
 pub mod prefix_index;
 pub mod prompt;
 pub mod rate;
+pub mod reach;
 pub mod relays;
 pub mod request_limit;
 pub mod shutdown;
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -51,6 +51,8 @@
     pub quiet_until: Timestamp,
     /// Rate of requests that the server takes.
     pub request_limit: RequestLimit,
+    /// Time of this daemon's last new connection to the server, or response from it.
+    pub reached_at: Option<Timestamp>,
     /// Unfinished requests that this daemon has sent to the server.
     pub running: u32,
     /// Unfinished requests of each other daemon, as of its last summary. The key is the hash of the
@@ -75,6 +77,7 @@
             is_leaving: false,
             quiet_until: Timestamp::default(),
             request_limit: RequestLimit::default(),
+            reached_at: None,
             running: 0,
             peer_running: HashMap::new(),
             speed: None,
@@ -154,6 +157,7 @@
         self.is_leaving = false;
         self.quiet_until = Timestamp::default();
         self.request_limit = RequestLimit::default();
+        self.reached_at = None;
         self.speed = None;
     }
 }
--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -42,6 +42,8 @@
 const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Largest number of crashes that are kept for a part.
 const CRASH_LIMIT: usize = 12;
+/// Number of engines from which those without crashes are removed from the list of crashed ones.
+const CRASHED_LIMIT: usize = 4096;
 /// Largest number of parts that are kept.
 const PART_LIMIT: usize = 4096;
 
@@ -217,6 +219,8 @@
     records: HashMap<PartFingerprint, PartRecord>,
     /// Engines whose crash a convicted part explains.
     explained: HashSet<EngineIncarnation>,
+    /// Engines that have crashes recorded, and maybe others.
+    crashed: HashSet<EngineIncarnation>,
 }
 
 impl PartEvidence {
@@ -315,6 +319,11 @@
         at: Timestamp,
         is_trial: bool,
     ) -> VerdictChanges {
+        if self.crashed.len() >= CRASHED_LIMIT {
+            let crashes = self.records.values().flat_map(|record| &record.crashes);
+            self.crashed = crashes.map(|crash| crash.engine).collect();
+        }
+        self.crashed.insert(engine);
         for (depth, part) in parts.iter().enumerate() {
             self.make_room(part, at);
             let record = self.records.entry(*part).or_default();
@@ -332,6 +341,28 @@
         self.convict(at)
     }
 
+    /// Removes the crashes of an engine that was reached later: only a link was lost.
+    pub fn void_crashes(
+        &mut self,
+        engine: EngineIncarnation,
+        reached_at: Timestamp,
+    ) -> VerdictChanges {
+        if !self.crashed.contains(&engine) {
+            return VerdictChanges::default();
+        }
+        let mut has_changed = false;
+        for record in self.records.values_mut() {
+            let count = record.crashes.len();
+            record.crashes.retain(|crash| crash.engine != engine || crash.at >= reached_at);
+            has_changed |= record.crashes.len() < count;
+        }
+        if has_changed {
+            self.convict(reached_at)
+        } else {
+            VerdictChanges::default()
+        }
+    }
+
     /// Records a request with these parts that was complete at `now`, which acquits them of all
     /// crashes until then.
     pub fn record_completion(
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -31,9 +31,10 @@
 
 use crate::{
     crashes::{self, TrialGuard},
+    forward,
     gateway::Gateway,
     prompt_call,
-    send::{self, ConnectionChoice, SendOutcome, SendResponse, SendTarget},
+    send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendResponse, SendTarget},
 };
 
 /// Largest response of a plain service, in bytes. It is buffered before it is forwarded. The
@@ -45,10 +46,22 @@
 /// attempt is possible.
 const ATTEMPT_SHARE: f64 = 0.4;
 
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSource {
+    Caller,
+    /// Another daemon, which is cut off from the servers, handed it over.
+    Daemon {
+        /// Whether that daemon has counted it for the retry budget.
+        is_counted: bool,
+    },
+}
+
 /// A caller's request.
 #[derive(Debug)]
 pub struct Call {
     pub gateway: Arc<Gateway>,
+    pub source: CallSource,
     pub parts: request::Parts,
     pub head: RequestHead,
     pub body: Bytes,
@@ -69,6 +82,8 @@
     is_sent: AtomicBool,
     /// Whether a server has run the request, or a send has ended without proof that none did.
     has_run: AtomicBool,
+    /// Whether a server may have got the request, or its prefill.
+    has_arrived: AtomicBool,
 }
 
 impl ExecutionState {
@@ -87,6 +102,11 @@
         self.has_run.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a server may have got the request, or its prefill.
+    pub fn record_arrival(&self) {
+        self.has_arrived.store(true, Ordering::Relaxed);
+    }
+
     fn may_have_run(&self) -> bool {
         self.is_sent.load(Ordering::Relaxed) || self.has_run.load(Ordering::Relaxed)
     }
@@ -155,14 +175,33 @@
 
     /// Handles the request and returns its response.
     pub async fn run(&self, route: &CallRoute) -> Response<ResponseBody> {
-        let now = self.gateway.now();
-        let window = self.gateway.limits.lock().retry_allowance.window;
-        self.gateway.state.lock().record_request(&route.service, window, now);
+        let is_cut = || self.gateway.state.lock().is_cut(&route.service);
+        if is_cut() {
+            match self.source {
+                CallSource::Daemon { .. } => return forward::not_taken(),
+                CallSource::Caller => {
+                    if let Some(response) = forward::forward(self, route, false).await {
+                        return response;
+                    }
+                }
+            }
+        }
+        if self.source != (CallSource::Daemon { is_counted: true }) {
+            let now = self.gateway.now();
+            let window = self.gateway.limits.lock().retry_allowance.window;
+            self.gateway.state.lock().record_request(&route.service, window, now);
+        }
         let service = route.configuration.service(&route.service);
         let answer = match service.and_then(|service| service.engine) {
             Some(spec) => prompt_call::run(self, route, spec).await,
             None => self.run_plain(route).await,
         };
+        let is_unsent = !self.execution.has_arrived.load(Ordering::Relaxed);
+        if answer.is_err() && is_unsent && self.source == CallSource::Caller && is_cut() {
+            if let Some(response) = forward::forward(self, route, true).await {
+                return response;
+            }
+        }
         answer.unwrap_or_else(|answer| self.refuse(answer, log_reason(answer)))
     }
 
@@ -315,14 +354,19 @@
             );
             match sent.await {
                 SendOutcome::Responded(answer) => {
+                    self.execution.record_arrival();
                     self.read_plain(route.row.kind, target, *answer).await
                 }
                 SendOutcome::NotRun(reason) => {
                     let id = &self.head.request_id;
                     tracing::info!(request = %id, server = %target.id, %reason, "request not run by server");
+                    if reason != NotRunReason::Unreachable {
+                        self.execution.record_arrival();
+                    }
                     PlainAttempt::NotRun
                 }
                 SendOutcome::Unknown(_) => {
+                    self.execution.record_arrival();
                     crashes::record_interruption(self, target);
                     PlainAttempt::Failed(Err(LocalResponse::BackendFailed))
                 }
@@ -332,6 +376,7 @@
         let outcome = match self.gateway.clock.timeout(limit, work).await {
             Ok(outcome) => outcome,
             Err(_) => {
+                self.execution.record_arrival();
                 send::record_failure(&self.gateway, target, "no response in time");
                 crashes::record_interruption(self, target);
                 PlainAttempt::Failed(Err(LocalResponse::TimedOut))
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -16,14 +16,13 @@
 use gooseberry_transport::{
     body::{self, ReadError, ResponseBody},
     client::{ClientConnection, SendError},
-    server::HttpServer,
 };
 use http::{header, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::{gateway::Gateway, program};
+use crate::{forward, gateway::Gateway, program};
 
 /// Number of changes that are kept for members that lag behind.
 const CHANGE_LIMIT: usize = 512;
@@ -141,7 +140,7 @@
     }
 }
 
-/// Serves changes to the members of this domain.
+/// Serves other daemons: changes to the members of this domain, and requests that are handed over.
 ///
 /// # Errors
 ///
@@ -150,10 +149,17 @@
     let address = gateway.options.peer_listen;
     let listener =
         TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))?;
-    let (gateway, log) = (Arc::clone(gateway), Arc::clone(log));
-    program::spawn_server(&HttpServer::default(), listener, move |request| {
+    let (server, gateway, log) =
+        (gateway.peer_server.clone(), Arc::clone(gateway), Arc::clone(log));
+    program::spawn_server(&server, listener, move |request| {
         let (gateway, log) = (Arc::clone(&gateway), Arc::clone(&log));
-        async move { respond(&gateway, &log, &request).await }
+        async move {
+            if forward::is_forwarded(&request) {
+                forward::take_over(gateway, request).await
+            } else {
+                respond(&gateway, &log, &request).await
+            }
+        }
     });
     Ok(())
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -14,14 +14,14 @@
     front::LocalResponse,
     store::{StoreClient, StoreError, StorePut},
 };
-use gooseberry_transport::client::{ClientConnection, SendError};
+use gooseberry_transport::client::SendError;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::{
     call::Call,
     gateway::Gateway,
-    send::{SendTarget, CONNECT_TIMEOUT},
+    send::{self, SendTarget},
     state::DoubtfulEnd,
 };
 
@@ -189,10 +189,11 @@
     gateway.clock.sleep(PROBE_DELAY).await;
     let began_at = gateway.now();
     gateway.state.lock().begin_probe(target.incarnation);
-    gateway.metrics.connections.inc();
-    let connected = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await;
+    let connected = send::connect(&gateway, &target).await;
+    let service = gateway.state.lock().fleet.server(target.key).entry.service.clone();
     let outcome = match &connected {
         Ok(_) => ProbeOutcome::Alive,
+        Err(_) if gateway.state.lock().is_cut(&service) => ProbeOutcome::Unknown,
         Err(SendError::NotConnected { reason, .. })
             if reason.kind() == io::ErrorKind::ConnectionRefused =>
         {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 
 use crate::{
-    call::{Call, ExecutionState},
+    call::{Call, CallSource, ExecutionState},
     gateway::Gateway,
 };
 
@@ -46,8 +46,17 @@
 
 /// Handles a caller's request and returns the response, whose body may still be streaming.
 pub async fn respond(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+    respond_to(gateway, request, CallSource::Caller).await
+}
+
+/// Handles a request that came directly or from another daemon.
+pub async fn respond_to(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    source: CallSource,
+) -> Response<ResponseBody> {
     let running = RunningGuard::new(&gateway);
-    let mut response = handle(&gateway, request).await;
+    let mut response = handle(&gateway, request, source).await;
     drop(running);
     if gateway.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -55,7 +64,11 @@
     response
 }
 
-async fn handle(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn handle(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    source: CallSource,
+) -> Response<ResponseBody> {
     let arrived_at = gateway.now();
     let (parts, body) = request.into_parts();
     let head = match front::decode(&parts) {
@@ -81,6 +94,7 @@
     let mut call = Call {
         gateway: Arc::clone(gateway),
         blamable_parts: Call::blamable_parts(&parts, &body, &head),
+        source,
         parts,
         head,
         body,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,19 +1,25 @@
 //! State that the tasks of a gateway share.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    collections::HashMap,
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
 use async_channel::{Receiver, Sender};
 use gooseberry_core::time::Timestamp;
 use gooseberry_edges::clock::Clock;
-use gooseberry_transport::pool::ConnectionPool;
+use gooseberry_transport::{pool::ConnectionPool, server::HttpServer};
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 use xxhash_rust::xxh3;
 
 use crate::{
     metrics::GatewayMetrics,
+    peers::PeerDirectory,
     settings::{GatewayLimits, GatewayOptions},
     state::GatewayState,
 };
@@ -41,6 +47,18 @@
     pub running: AtomicUsize,
     /// Hash of this daemon's name and incarnation.
     pub daemon: u64,
+    /// The other daemons.
+    pub peers: Arc<PeerDirectory>,
+    /// Token with which other daemons hand requests to this one.
+    pub peer_token: SmolStr,
+    /// Serves the other daemons.
+    pub peer_server: HttpServer,
+    /// Requests that were handed to each other daemon and haven't ended.
+    pub forwards: Mutex<HashMap<SmolStr, u32>>,
+    /// Requests of other daemons whose response head hasn't been returned yet.
+    pub taken: AtomicUsize,
+    /// Services that this daemon may be cut off from.
+    suspicion_channel: (Sender<SmolStr>, Receiver<SmolStr>),
     /// Wakes the task that sends updates to the other daemons.
     wake_channel: (Sender<()>, Receiver<()>),
 }
@@ -61,6 +79,12 @@
             stopping_since: Mutex::new(None),
             running: AtomicUsize::new(0),
             daemon,
+            peers: Arc::default(),
+            peer_token: smol_str::format_smolstr!("{:032x}", rand::random::<u128>()),
+            peer_server: HttpServer::default(),
+            forwards: Mutex::default(),
+            taken: AtomicUsize::new(0),
+            suspicion_channel: async_channel::unbounded(),
             wake_channel: async_channel::bounded(1),
         }
     }
@@ -108,6 +132,17 @@
         let _ = self.wake_channel.0.try_send(());
     }
 
+    /// Lets a service be checked from which this daemon may be cut off.
+    pub fn suspect_cut(&self, service: SmolStr) {
+        // The channel is unbounded and stays open.
+        let _ = self.suspicion_channel.0.try_send(service);
+    }
+
+    /// Waits for a service that has to be checked.
+    pub async fn suspected_service(&self) -> Option<SmolStr> {
+        self.suspicion_channel.1.recv().await.ok()
+    }
+
     /// Waits until there are updates to send.
     pub async fn updates_ready(&self) {
         let _ = self.wake_channel.1.recv().await;
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -81,7 +81,8 @@
     let mut client = StoreClient::new(gateway.options.store);
     loop {
         gateway.clock.sleep(RENEW_INTERVAL + spread).await;
-        if !gateway.is_ready() || !leader_key.is_free() {
+        let is_cut = gateway.state.lock().is_cut_from_engines();
+        if is_cut || !gateway.is_ready() || !leader_key.is_free() {
             continue;
         }
         match lead(&gateway, &mut client).await {
@@ -121,6 +122,10 @@
     };
     while !gateway.is_stopping() {
         gateway.clock.sleep(RENEW_INTERVAL).await;
+        if gateway.state.lock().is_cut_from_engines() {
+            tracing::info!("cut off from engines; giving up leadership");
+            return Ok(());
+        }
         client.renew_lease(lease.id, CALL_TIMEOUT).await?;
         let due = term.due();
         if gateway.now().since(acquired_at) >= TAKEOVER_WAIT {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod changes;
 pub mod crashes;
+pub mod forward;
 pub mod front;
 pub mod gateway;
 pub mod leader;
@@ -17,6 +18,7 @@
 pub mod prefill_guard;
 pub mod program;
 pub mod prompt_call;
+pub mod reach;
 pub mod send;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,12 @@
     pub held_back: IntCounter,
     /// Responses in which servers asked for quiet.
     pub quiet_requests: IntCounter,
+    /// Times at which this daemon found itself cut off from a service.
+    pub cuts: IntCounter,
+    /// Requests handed to other daemons, by outcome.
+    pub forwards: IntCounterVec,
+    /// Requests of other daemons that were taken over.
+    pub taken_over: IntCounter,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -89,6 +95,10 @@
         let quiet_requests =
             IntCounter::new("quiet_requests_total", "Responses that asked for quiet")?;
         registry.register(Box::new(quiet_requests.clone()))?;
+        let cuts = IntCounter::new("cuts_total", "Cuts from the servers of a service")?;
+        registry.register(Box::new(cuts.clone()))?;
+        let taken_over = IntCounter::new("taken_over_total", "Requests taken over")?;
+        registry.register(Box::new(taken_over.clone()))?;
         let leaving_servers =
             IntCounter::new("leaving_servers_total", "Servers that said that they leave")?;
         registry.register(Box::new(leaving_servers.clone()))?;
@@ -96,6 +106,9 @@
             leaving_servers,
             held_back,
             quiet_requests,
+            cuts,
+            taken_over,
+            forwards: counters("forwards_total", "Requests handed to other daemons", &["outcome"])?,
             requests: counters("requests_total", "Ended requests", &["route", "outcome"])?,
             latency,
             sends: counters("sends_total", "Sends to backend servers", &["outcome"])?,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -72,18 +72,30 @@
     pub domain: SmolStr,
     /// Share of a CPU core that its VM has.
     pub capacity: f64,
+    /// Token that requests handed to it must carry. Empty if it takes none.
+    #[serde(default)]
+    pub token: SmolStr,
 }
 
 impl PeerRecord {
-    fn own(options: &GatewayOptions) -> Self {
+    fn own(options: &GatewayOptions, token: &SmolStr) -> Self {
         Self {
             address: options.peer_listen,
             domain: options.domain.clone(),
             capacity: options.capacity,
+            token: token.clone(),
         }
     }
 }
 
+/// A daemon to which requests can be handed.
+#[derive(Clone, Debug)]
+pub struct ForwardTarget {
+    pub name: SmolStr,
+    pub address: SocketAddr,
+    pub token: SmolStr,
+}
+
 #[derive(Clone, Debug)]
 struct PeerRow {
     record: PeerRecord,
@@ -171,7 +183,8 @@
             .iter()
             .map(|(name, row)| candidate(name, &row.record, row.is_unresponsive(now)))
             .collect();
-        candidates.push(candidate(&options.name, &PeerRecord::own(options), false));
+        let own = PeerRecord::own(options, &SmolStr::default());
+        candidates.push(candidate(&options.name, &own, false));
         let plan = relays::plan(&options.name, &candidates);
         for (name, row) in rows.iter_mut() {
             if !plan.expected_relays.contains(name) {
@@ -197,6 +210,14 @@
         self.rows.lock().get(name).map(|row| row.record.address)
     }
 
+    /// Returns how requests are handed to a daemon, if it takes any.
+    pub fn forward_target(&self, name: &SmolStr) -> Option<ForwardTarget> {
+        let rows = self.rows.lock();
+        let PeerRecord { address, token, .. } = rows.get(name)?.record.clone();
+        let target = ForwardTarget { name: name.clone(), address, token };
+        (!target.token.is_empty()).then_some(target)
+    }
+
     fn record_datagram(&self, name: &str, now: Timestamp) -> Option<SmolStr> {
         let mut rows = self.rows.lock();
         let row = rows.get_mut(name)?;
@@ -238,7 +259,7 @@
         None => {
             let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?.id;
             let key = format!("{KEY_PREFIX}{}", options.name);
-            let value = serde_json::to_vec(&PeerRecord::own(options))?;
+            let value = serde_json::to_vec(&PeerRecord::own(options, &gateway.peer_token))?;
             let put = StorePut { key: &key, value: &value, lease, expected: None };
             client.put(&put, CALL_TIMEOUT).await?;
             *registered = Some(lease);
@@ -305,6 +326,9 @@
                 let (pending, running) = state.own_summary();
                 let mut repeated = state.limits_to_repeat(now);
                 repeated.extend(state.crashes_to_repeat(now));
+                if !self.gateway.is_stopping() {
+                    repeated.extend(state.reach_report(now));
+                }
                 (pending, running, repeated)
             };
             self.publish_verdicts();
@@ -453,6 +477,7 @@
         {
             let mut state = self.gateway.state.lock();
             for bundle in &datagram.bundles {
+                state.record_peer_name(bundle.daemon, &bundle.name);
                 state.apply_updates(bundle.daemon, &bundle.updates, now);
             }
         }
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -22,7 +22,7 @@
     gateway::Gateway,
     leader,
     metrics::{GatewayMetrics, LineCounter},
-    peers,
+    peers, reach,
     settings::{GatewayLimits, GatewayOptions},
     store_watch::{self, GatewayKeys},
 };
@@ -113,7 +113,7 @@
     let metrics = GatewayMetrics::new(dropped_lines).context("can't register the metrics")?;
     let gateway = Arc::new(Gateway::new(options, Clock::system(), metrics));
     let options = &gateway.options;
-    let keys = GatewayKeys::default();
+    let keys = GatewayKeys { peers: Arc::clone(&gateway.peers), ..GatewayKeys::default() };
     peers::start(&gateway, &keys.peers)
         .await
         .with_context(|| format!("can't listen on {}", options.peer_listen))?;
@@ -121,6 +121,7 @@
     task::spawn(store_watch::run(Arc::clone(&gateway), keys.clone()));
     task::spawn(leader::run(Arc::clone(&gateway), keys.leader));
     task::spawn(peers::register(Arc::clone(&gateway)));
+    task::spawn(reach::run(Arc::clone(&gateway)));
     serve_ready(&gateway).await?;
     serve_metrics(&gateway).await?;
     let callers = serve_callers(&gateway).await?;
@@ -135,12 +136,15 @@
     let open = callers.open_connections();
     tracing::info!(running = gateway.running.load(Ordering::Relaxed), open, "stopping");
     gateway.clock.sleep(DRAIN_DURATION).await;
+    let peer_server = &gateway.peer_server;
     callers.close();
+    peer_server.close();
+    let open_connections = || callers.open_connections() + peer_server.open_connections();
     let is_over = || gateway.time_until_exit().is_none_or(|left| left.is_zero());
-    while callers.open_connections() > 0 && !is_over() {
+    while open_connections() > 0 && !is_over() {
         gateway.clock.sleep(POLL_INTERVAL).await;
     }
-    tracing::info!(cut = callers.open_connections(), "stopped");
+    tracing::info!(cut = open_connections(), "stopped");
 }
 
 async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -300,6 +300,7 @@
     let choice = ConnectionChoice::Pooled;
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
+    record_arrival(call, &sent);
     let answer = match sent {
         SendOutcome::Responded(answer) => *answer,
         SendOutcome::NotRun(reason) => {
@@ -368,6 +369,7 @@
     }
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
+    record_arrival(call, &sent);
     match sent {
         SendOutcome::Responded(answer) => {
             if answer.response.status().is_server_error() {
@@ -389,6 +391,12 @@
     }
 }
 
+fn record_arrival(call: &Call, sent: &SendOutcome) {
+    if !matches!(sent, SendOutcome::NotRun(NotRunReason::Unreachable)) {
+        call.execution.record_arrival();
+    }
+}
+
 fn log_not_run(call: &Call, target: &SendTarget, reason: NotRunReason) {
     tracing::info!(request = %call.head.request_id, server = %target.id, %reason, "request not run by server");
 }
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,70 @@
+//! Finds out whether this daemon is cut off from a service, by connections to its servers.
+
+use std::{sync::Arc, time::Duration};
+
+use async_std::task;
+use futures_util::future;
+use rand::seq::IndexedRandom;
+
+use crate::{
+    gateway::Gateway,
+    send::{self, SendTarget},
+};
+
+/// Number of servers that are connected in one check.
+const CHECKED_SERVERS: usize = 3;
+/// Time between two checks of a service that is cut off.
+const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// First and longest time between two checks of a service whose servers may have crashed.
+const CHECK_INTERVALS: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(1000));
+
+/// Checks services that this daemon may be cut off from, for as long as the process runs.
+pub async fn run(gateway: Arc<Gateway>) {
+    while let Some(service) = gateway.suspected_service().await {
+        let gateway = Arc::clone(&gateway);
+        task::spawn(async move {
+            check_until_reached(&gateway, &service).await;
+            gateway.state.lock().end_checks(&service);
+        });
+    }
+}
+
+async fn check_until_reached(gateway: &Gateway, service: &str) {
+    let mut delay = CHECK_INTERVALS.0;
+    while !is_reached(gateway, service).await {
+        let is_new = gateway.state.lock().decide_reach(service, gateway.now());
+        if is_new {
+            gateway.metrics.cuts.inc();
+            tracing::warn!(
+                service,
+                "cut off from servers that other daemons reach; handing requests to these daemons"
+            );
+            drop_connections(gateway, service);
+        }
+        let is_cut = gateway.state.lock().is_cut(service);
+        gateway.clock.sleep(if is_cut { CUT_CHECK_INTERVAL } else { delay }).await;
+        delay = (delay * 2).min(CHECK_INTERVALS.1);
+    }
+}
+
+/// Connects to some servers. Returns whether that succeeded, or the service has no servers.
+async fn is_reached(gateway: &Gateway, service: &str) -> bool {
+    let targets: Vec<_> = {
+        let state = gateway.state.lock();
+        let servers: Vec<_> = state.reachable_servers(service, gateway.now()).collect();
+        let chosen = servers.choose_multiple(&mut rand::rng(), CHECKED_SERVERS);
+        chosen.map(|key| SendTarget::new(*key, state.fleet.server(*key))).collect()
+    };
+    let connects = targets.iter().map(|target| send::connect(gateway, target));
+    let connected = future::join_all(connects).await;
+    connected.is_empty() || connected.iter().any(Result::is_ok)
+}
+
+/// Closes idle connections, which may still hang when the servers can be reached again.
+fn drop_connections(gateway: &Gateway, service: &str) {
+    let state = gateway.state.lock();
+    for (_, server) in state.fleet.iter().filter(|(_, server)| server.entry.service == *service) {
+        gateway.connections.remove(server.entry.address);
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 
-use crate::gateway::Gateway;
+use crate::{gateway::Gateway, state::ReachChange};
 
 /// Timeout of a connection to a backend server; round trips take 16 ms.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -230,12 +230,33 @@
             sent => return sent.map(|response| (response, connection)),
         }
     }
-    gateway.metrics.connections.inc();
-    let mut connection = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await?;
+    let mut connection = connect(gateway, target).await?;
     let response = connection.send(request()).await?;
     Ok((response, connection))
 }
 
+/// Connects to a server, and records whether it can be reached.
+///
+/// # Errors
+///
+/// Returns [`SendError::NotConnected`] if the connection fails or isn't established in time.
+pub async fn connect(
+    gateway: &Gateway,
+    target: &SendTarget,
+) -> Result<ClientConnection, SendError> {
+    gateway.metrics.connections.inc();
+    let connected = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await;
+    let change = gateway.state.lock().record_connect(target.key, connected.is_ok(), gateway.now());
+    match change {
+        ReachChange::Unchanged => {}
+        ReachChange::Suspected(service) => gateway.suspect_cut(service),
+        ReachChange::Restored(service) => {
+            tracing::info!(%service, "servers can be reached again; handing over no more requests");
+        }
+    }
+    connected
+}
+
 /// Records what a response says about its server: whether it leaves, asks for quiet, and which rate
 /// of requests it takes.
 fn record_statements(
@@ -250,6 +271,7 @@
     if fleet::incarnation(&state.fleet.server(target.key).entry) != target.incarnation {
         return;
     }
+    state.record_contact(target.key, now);
     let mut has_news = false;
     if engine::is_leaving(headers) && state.record_leaving(target.key) {
         gateway.metrics.leaving_servers.inc();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
         part_evidence::{EngineIncarnation, PartConviction, PartEvidence, VerdictChanges},
         prompt::PartFingerprint,
         rate::EventRate,
+        reach::ServiceReach,
         relays,
         request_limit::ReturnQueue,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
@@ -27,7 +28,7 @@
 };
 use smol_str::SmolStr;
 
-pub use crate::state::evidence::DoubtfulEnd;
+pub use crate::state::{evidence::DoubtfulEnd, reach::ReachChange};
 use crate::{
     state::evidence::{ConfirmedCrash, CrashDoubt},
     updates::{PrefillEnd, SendRecord, SendUpdate},
@@ -35,6 +36,7 @@
 
 mod evidence;
 mod notices;
+mod reach;
 
 /// Time without updates after which a daemon no longer counts as live.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -56,6 +58,12 @@
     doubts: VecDeque<CrashDoubt>,
     /// Crashes that this daemon has confirmed lately, oldest first.
     recent_crashes: VecDeque<ConfirmedCrash>,
+    /// Links to the servers, by service.
+    reach: HashMap<SmolStr, ServiceReach>,
+    /// Services that are being checked because this daemon may be cut off from them.
+    checked_services: HashSet<SmolStr>,
+    /// Time at which any daemon last reached a server.
+    contacts: HashMap<EngineIncarnation, Timestamp>,
     /// Servers that are to be probed.
     pending_probes: HashSet<EngineIncarnation>,
     /// Verdicts from evidence of this daemon that aren't in the key-value service yet.
@@ -68,6 +76,8 @@
     registered_peers: u32,
     /// Other daemons by the hash of their name and incarnation.
     peers: HashMap<u64, PeerState>,
+    /// Names of other daemons, by the same hash.
+    peer_names: HashMap<u64, SmolStr>,
     /// Pending prefills of this daemon, by their sequence numbers.
     own_prefills: HashMap<u64, SendRecord>,
     /// Updates that haven't been sent to the other daemons.
@@ -268,6 +278,13 @@
         (self.own_prefills.keys().copied().collect(), running.collect())
     }
 
+    /// Records the name of another daemon.
+    pub fn record_peer_name(&mut self, daemon: u64, name: &str) {
+        if daemon != self.daemon {
+            self.peer_names.entry(daemon).or_insert_with(|| name.into());
+        }
+    }
+
     /// Applies updates of another daemon.
     pub fn apply_updates(&mut self, daemon: u64, updates: &[SendUpdate], now: Timestamp) {
         if daemon == self.daemon {
@@ -342,6 +359,7 @@
                 SendUpdate::StreamSent { stream, software } => {
                     self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
                 }
+                SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
                 // `origin_responses` handles the questions.
                 SendUpdate::OriginAsked { .. } => {}
             }
@@ -365,6 +383,7 @@
             server.peer_running.retain(|daemon, _| !expired.contains(daemon));
         }
         self.peers.retain(|daemon, _| !expired.contains(daemon));
+        self.peer_names.retain(|daemon, _| !expired.contains(daemon));
     }
 
     /// Returns how many engines are evaluated together for a prompt.
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -148,6 +148,9 @@
             }
             self.prove_parts(&doubt.parts, now);
             let CrashDoubt { server, parts, is_trial, at, .. } = doubt;
+            if self.outlived(server, at) {
+                continue;
+            }
             let changes = self.record_part_crash(server, &parts, at, is_trial);
             self.record_verdicts(changes);
             let crash = ConfirmedCrash { server, parts, is_trial, at };
@@ -172,6 +175,9 @@
         at: Timestamp,
         is_trial: bool,
     ) -> VerdictChanges {
+        if self.outlived(server, at) {
+            return VerdictChanges::default();
+        }
         if is_trial {
             self.parts.record_trial_crash(server, parts, at)
         } else {
@@ -179,7 +185,7 @@
         }
     }
 
-    fn record_verdicts(&mut self, changes: VerdictChanges) {
+    pub(super) fn record_verdicts(&mut self, changes: VerdictChanges) {
         for conviction in &changes.convicted {
             let crashes = conviction.engines.len();
             tracing::warn!(part = %conviction.part, crashes, "request or prompt part crashes servers; refusing it");
--- /dev/null
+++ b/crates/gateway/src/state/reach.rs
@@ -0,0 +1,186 @@
+//! Which servers this daemon and the others reach.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    arena::EngineKey,
+    serving::{fleet, health::EngineHealth, part_evidence::EngineIncarnation, reach::ServiceReach},
+    time::Timestamp,
+};
+use smol_str::SmolStr;
+
+use crate::{
+    state::GatewayState,
+    updates::{ReachRecord, SendUpdate},
+};
+
+/// Age up to which a contact with a server is reported: a summary interval with its delays.
+const REPORT_AGE: Duration = Duration::from_millis(600);
+/// Largest number of servers in a report.
+const REPORT_LIMIT: usize = 16;
+/// Time for which a contact voids reports of an earlier crash. Crashes are repeated for 5 s.
+const CONTACT_TTL: Duration = Duration::from_secs(30);
+/// Number of contacts from which the table is full.
+const CONTACT_LIMIT: usize = 2048;
+/// Time by which a contact has to be later than a crash to void it: a response that the server sent
+/// before its end may arrive that late.
+const CONTACT_MARGIN: Duration = Duration::from_millis(100);
+
+/// What an attempt to connect to a server changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReachChange {
+    Unchanged,
+    /// This daemon may be cut off from the service, which has to be checked.
+    Suspected(SmolStr),
+    /// The servers of the service can be reached again.
+    Restored(SmolStr),
+}
+
+impl GatewayState {
+    /// Records an attempt to connect to a server.
+    pub fn record_connect(
+        &mut self,
+        key: EngineKey,
+        has_succeeded: bool,
+        now: Timestamp,
+    ) -> ReachChange {
+        let service = self.fleet.server(key).entry.service.clone();
+        if has_succeeded {
+            self.record_contact(key, now);
+            if !self.reach.entry(service.clone()).or_default().record_success() {
+                return ReachChange::Unchanged;
+            }
+            self.reset_health(&service);
+            return ReachChange::Restored(service);
+        }
+        let servers = self.reachable_servers(&service, now).count();
+        let reach = self.reach.entry(service.clone()).or_default();
+        reach.record_failure(key, now);
+        if reach.is_suspect(servers) && self.checked_services.insert(service.clone()) {
+            return ReachChange::Suspected(service);
+        }
+        ReachChange::Unchanged
+    }
+
+    /// Records that this daemon got a response of a server, or a connection to it.
+    pub fn record_contact(&mut self, key: EngineKey, now: Timestamp) {
+        let server = self.fleet.server_mut(key);
+        server.reached_at = Some(now);
+        let incarnation = fleet::incarnation(&server.entry);
+        self.record_reached(incarnation, now);
+    }
+
+    /// Returns the servers that this daemon has reached lately, for the other daemons. Says nothing of
+    /// services from which it may be cut off.
+    pub fn reach_report(&mut self, now: Timestamp) -> Option<SendUpdate> {
+        for reach in self.reach.values_mut() {
+            reach.remove_expired(now);
+        }
+        let is_trusted = |service: &SmolStr| {
+            let servers = self.reachable_servers(service, now).count();
+            self.reach.get(service).is_none_or(|reach| !reach.is_suspect(servers))
+        };
+        let mut servers: Vec<_> = self
+            .fleet
+            .iter()
+            .filter_map(|(_, server)| Some((server, now.since(server.reached_at?))))
+            .filter(|(server, age)| *age < REPORT_AGE && is_trusted(&server.entry.service))
+            .map(|(server, age)| ReachRecord {
+                server: fleet::server_hash(&server.entry.id),
+                incarnation: fleet::incarnation(&server.entry).0,
+                age_ms: age.as_millis() as u32,
+            })
+            .collect();
+        servers.sort_unstable_by_key(|record| record.age_ms);
+        servers.truncate(REPORT_LIMIT);
+        (!servers.is_empty()).then_some(SendUpdate::Reached { servers })
+    }
+
+    /// Applies the report of another daemon.
+    pub(super) fn apply_report(&mut self, daemon: u64, servers: &[ReachRecord], now: Timestamp) {
+        for record in servers {
+            let at = now - Duration::from_millis(u64::from(record.age_ms));
+            self.record_reached(EngineIncarnation(record.incarnation), at);
+            let Some(key) = self.fleet.key_by_hash(record.server) else {
+                continue;
+            };
+            let service = self.fleet.server(key).entry.service.clone();
+            self.reach.entry(service).or_default().record_report(daemon, at);
+        }
+    }
+
+    /// Returns whether this daemon is cut off from the servers of a service that others reach.
+    pub fn is_cut(&self, service: &str) -> bool {
+        self.reach.get(service).is_some_and(ServiceReach::is_cut)
+    }
+
+    /// Returns whether this daemon may be cut off from the servers of a service.
+    pub fn is_suspected_cut(&self, service: &str) -> bool {
+        self.checked_services.contains(service)
+    }
+
+    /// Returns whether this daemon is cut off from any model engines.
+    pub fn is_cut_from_engines(&self) -> bool {
+        let services = self.configuration.iter().flat_map(|row| row.services.iter());
+        services.filter(|row| row.engine.is_some()).any(|row| self.is_cut(&row.name))
+    }
+
+    /// Decides whether a service is cut off after a check failed. Returns whether that is new.
+    pub fn decide_reach(&mut self, service: &str, now: Timestamp) -> bool {
+        let servers = self.reachable_servers(service, now).count();
+        self.reach.get_mut(service).is_some_and(|reach| reach.decide(servers))
+    }
+
+    /// Ends the checks of a service.
+    pub fn end_checks(&mut self, service: &str) {
+        self.checked_services.remove(service);
+    }
+
+    /// Returns the servers of a service that should accept connections.
+    pub fn reachable_servers<'a>(
+        &'a self,
+        service: &'a str,
+        now: Timestamp,
+    ) -> impl Iterator<Item = EngineKey> + 'a {
+        let servers = self.fleet.iter();
+        let servers = servers.filter(move |(_, server)| {
+            server.entry.service == *service
+                && server.presence.is_usable(now)
+                && !server.is_departing()
+        });
+        servers.map(|(key, _)| key)
+    }
+
+    /// Returns the names of the daemons that have lately reached servers of a service.
+    pub fn reaching_daemons(&self, service: &str, now: Timestamp) -> Vec<SmolStr> {
+        let reach = self.reach.get(service).into_iter();
+        let daemons = reach.flat_map(|reach| reach.reaching_daemons(now));
+        daemons.filter_map(|daemon| self.peer_names.get(&daemon).cloned()).collect()
+    }
+
+    /// Returns whether a server was reached later than an alleged crash.
+    pub(super) fn outlived(&self, server: EngineIncarnation, crashed_at: Timestamp) -> bool {
+        let reached_at = self.contacts.get(&server);
+        reached_at.is_some_and(|reached_at| *reached_at > crashed_at + CONTACT_MARGIN)
+    }
+
+    fn record_reached(&mut self, server: EngineIncarnation, at: Timestamp) {
+        if self.contacts.len() >= CONTACT_LIMIT {
+            self.contacts.retain(|_, reached_at| at.since(*reached_at) < CONTACT_TTL);
+        }
+        let reached_at = self.contacts.entry(server).or_insert(at);
+        *reached_at = at.max(*reached_at);
+        let changes = self.parts.void_crashes(server, at - CONTACT_MARGIN);
+        self.record_verdicts(changes);
+    }
+
+    /// Makes servers available again that only the cut made fail.
+    fn reset_health(&mut self, service: &str) {
+        for key in self.fleet.keys() {
+            let server = self.fleet.server_mut(key);
+            if server.entry.service == *service {
+                server.health = EngineHealth::default();
+            }
+        }
+    }
+}
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -57,6 +57,16 @@
     pub prefill_ms: u32,
 }
 
+/// A server that a daemon has reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachRecord {
+    /// Hash of the server's id.
+    pub server: u64,
+    pub incarnation: u64,
+    /// Time since the last contact.
+    pub age_ms: u32,
+}
+
 /// One update of a daemon on its own requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SendUpdate {
@@ -132,6 +142,10 @@
         stream: u64,
         service: String,
     },
+    /// Servers that the daemon has reached since its last summary.
+    Reached {
+        servers: Vec<ReachRecord>,
+    },
 }
 
 /// The updates of one daemon.
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn remove(&self, address: SocketAddr) {
+        self.idle.lock().remove(&address);
+    }
+
     /// Closes the connections that are closed by the server or idle for too long.
     pub fn prune(&self, now: Instant) {
         self.idle.lock().retain(|_, connections| {
