End a cut only once half of the checked servers can be connected

Callers got the refusals of one engine.

During a cut a single success no longer counts; a check ends it if at least half of its servers can be connected, which after a whole cut is the first check.

Tests for the other side pass: servers that nobody reaches, servers that are silent for a second, the token, and crash reports of a cut daemon.

--- a/crates/core/src/serving/reach.rs
+++ b/crates/core/src/serving/reach.rs
@@ -39,11 +39,24 @@
         self.failing_since.get_or_insert(now);
     }
 
-    /// Records a new connection to a server. Returns whether that ends a cut.
-    pub fn record_success(&mut self) -> bool {
-        self.failed.clear();
-        self.failing_since = None;
-        std::mem::take(&mut self.is_cut)
+    /// Records a new connection to a server. During a cut it doesn't count, since some of the links may
+    /// be left.
+    pub fn record_success(&mut self) {
+        if !self.is_cut {
+            self.failed.clear();
+            self.failing_since = None;
+        }
+    }
+
+    /// Records a check in which so many servers could be connected. Returns whether that ends a cut,
+    /// which takes at least half of them.
+    pub fn record_check(&mut self, connected: usize, checked: usize) -> bool {
+        let is_restored = self.is_cut && 2 * connected >= checked;
+        if is_restored {
+            self.is_cut = false;
+            self.record_success();
+        }
+        is_restored
     }
 
     /// Records that another daemon reached a server at a time.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -48,7 +48,8 @@
     }
 }
 
-/// Connects to some servers. Returns whether that succeeded, or the service has no servers.
+/// Connects to some servers. Returns whether this daemon isn't cut off from the service, or it has no
+/// servers.
 async fn is_reached(gateway: &Gateway, service: &str) -> bool {
     let targets: Vec<_> = {
         let state = gateway.state.lock();
@@ -58,7 +59,18 @@
     };
     let connects = targets.iter().map(|target| send::connect(gateway, target));
     let connected = future::join_all(connects).await;
-    connected.is_empty() || connected.iter().any(Result::is_ok)
+    let (checked, connected) =
+        (connected.len(), connected.iter().filter(|connected| connected.is_ok()).count());
+    let mut state = gateway.state.lock();
+    if state.record_check(service, connected, checked) {
+        tracing::info!(
+            service,
+            connected,
+            checked,
+            "servers can be reached again; handing over no more requests"
+        );
+    }
+    !state.is_cut(service) && (connected > 0 || checked == 0)
 }
 
 /// Closes idle connections, which may still hang when the servers can be reached again.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 
-use crate::{gateway::Gateway, state::ReachChange};
+use crate::gateway::Gateway;
 
 /// Timeout of a connection to a backend server; round trips take 16 ms.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -246,13 +246,10 @@
 ) -> Result<ClientConnection, SendError> {
     gateway.metrics.connections.inc();
     let connected = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await;
-    let change = gateway.state.lock().record_connect(target.key, connected.is_ok(), gateway.now());
-    match change {
-        ReachChange::Unchanged => {}
-        ReachChange::Suspected(service) => gateway.suspect_cut(service),
-        ReachChange::Restored(service) => {
-            tracing::info!(%service, "servers can be reached again; handing over no more requests");
-        }
+    let has_succeeded = connected.is_ok();
+    let suspected = gateway.state.lock().record_connect(target.key, has_succeeded, gateway.now());
+    if let Some(service) = suspected {
+        gateway.suspect_cut(service);
     }
     connected
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,7 +28,7 @@
 };
 use smol_str::SmolStr;
 
-pub use crate::state::{evidence::DoubtfulEnd, reach::ReachChange};
+pub use crate::state::evidence::DoubtfulEnd;
 use crate::{
     state::evidence::{ConfirmedCrash, CrashDoubt},
     updates::{PrefillEnd, SendRecord, SendUpdate},
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -26,40 +26,37 @@
 /// before its end may arrive that late.
 const CONTACT_MARGIN: Duration = Duration::from_millis(100);
 
-/// What an attempt to connect to a server changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReachChange {
-    Unchanged,
-    /// This daemon may be cut off from the service, which has to be checked.
-    Suspected(SmolStr),
-    /// The servers of the service can be reached again.
-    Restored(SmolStr),
-}
-
 impl GatewayState {
-    /// Records an attempt to connect to a server.
+    /// Records an attempt to connect to a server. Returns its service if this daemon may be cut off from
+    /// it, so that it has to be checked.
     pub fn record_connect(
         &mut self,
         key: EngineKey,
         has_succeeded: bool,
         now: Timestamp,
-    ) -> ReachChange {
+    ) -> Option<SmolStr> {
         let service = self.fleet.server(key).entry.service.clone();
         if has_succeeded {
             self.record_contact(key, now);
-            if !self.reach.entry(service.clone()).or_default().record_success() {
-                return ReachChange::Unchanged;
-            }
-            self.reset_health(&service);
-            return ReachChange::Restored(service);
+            self.reach.entry(service).or_default().record_success();
+            return None;
         }
         let servers = self.reachable_servers(&service, now).count();
         let reach = self.reach.entry(service.clone()).or_default();
         reach.record_failure(key, now);
-        if reach.is_suspect(servers) && self.checked_services.insert(service.clone()) {
-            return ReachChange::Suspected(service);
+        let is_new = reach.is_suspect(servers) && self.checked_services.insert(service.clone());
+        is_new.then_some(service)
+    }
+
+    /// Records a check in which so many servers of a service could be connected. Returns whether that
+    /// ends a cut.
+    pub fn record_check(&mut self, service: &str, connected: usize, checked: usize) -> bool {
+        let reach = self.reach.get_mut(service);
+        let is_restored = reach.is_some_and(|reach| reach.record_check(connected, checked));
+        if is_restored {
+            self.reset_health(service);
         }
-        ReachChange::Unchanged
+        is_restored
     }
 
     /// Records that this daemon got a response of a server, or a connection to it.
@@ -114,11 +111,6 @@
         self.reach.get(service).is_some_and(ServiceReach::is_cut)
     }
 
-    /// Returns whether this daemon may be cut off from the servers of a service.
-    pub fn is_suspected_cut(&self, service: &str) -> bool {
-        self.checked_services.contains(service)
-    }
-
     /// Returns whether this daemon is cut off from any model engines.
     pub fn is_cut_from_engines(&self) -> bool {
         let services = self.configuration.iter().flat_map(|row| row.services.iter());
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -12,6 +12,8 @@
     time::{Duration, Instant},
 };
 
+use gooseberry_core::serving::{fleet, part_evidence::PartVerdict, prompt::PartFingerprint};
+use gooseberry_gateway::state::DoubtfulEnd;
 use gooseberry_harness::proxy::{ProxyState, TestProxy};
 use gooseberry_standins::gateway_mocks::{self, ReceivedRequest};
 use parking_lot::Mutex;
@@ -42,6 +44,15 @@
     is_served: bool,
 }
 
+/// Ends the calls of a test, also if it fails.
+struct StopGuard<'a>(&'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Number of times that each request ran, by its id.
 type RunCounts = Arc<Mutex<HashMap<String, usize>>>;
 
@@ -136,6 +147,7 @@
     fn check_cut(&self, cut: &[usize], state: ProxyState) {
         let stop = AtomicBool::new(false);
         let (tries, cut_at, healed_at) = thread::scope(|scope| {
+            let stopping = StopGuard(&stop);
             let callers: Vec<_> = (0..self.daemons.len())
                 .flat_map(|daemon| PATHS.map(|path| (daemon, path)))
                 .map(|(daemon, path)| (daemon, path, &stop))
@@ -148,7 +160,7 @@
             let healed_at = Instant::now();
             self.set_links(cut, ProxyState::Forwarding);
             thread::sleep(2 * RETURN_LIMIT);
-            stop.store(true, Ordering::SeqCst);
+            drop(stopping);
             let tries = callers.into_iter().flat_map(|caller| caller.join().expect("no panic"));
             (tries.collect::<Vec<_>>(), cut_at, healed_at)
         });
@@ -225,3 +237,107 @@
 fn callers_are_served_while_only_open_links_live_on() {
     CutTest::start(4).check_cut(&[0, 2], ProxyState::RefusingNew);
 }
+
+fn is_cut(daemon: &System) -> bool {
+    let state = daemon.gateway.state.lock();
+    state.is_cut("plain") || state.is_cut("model")
+}
+
+#[test]
+fn servers_that_no_daemon_reaches_are_not_taken_for_a_cut() {
+    let test = CutTest::start(3);
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let _stopping = StopGuard(&stop);
+        for daemon in 0..3 {
+            for path in PATHS {
+                let (test, stop) = (&test, &stop);
+                scope.spawn(move || test.call(daemon, path, stop));
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+        for state in [ProxyState::Closed, ProxyState::Unreachable] {
+            test.set_links(&[0, 1, 2], state);
+            let end = Instant::now() + Duration::from_secs(3);
+            while Instant::now() < end {
+                assert!(!test.daemons.iter().any(is_cut), "links are {state:?} everywhere");
+                thread::sleep(Duration::from_millis(20));
+            }
+            test.set_links(&[0, 1, 2], ProxyState::Forwarding);
+            thread::sleep(Duration::from_secs(2));
+            assert!(!test.daemons.iter().any(is_cut), "after links that were {state:?}");
+        }
+    });
+}
+
+#[test]
+fn a_server_that_is_silent_for_a_second_is_not_taken_for_a_cut() {
+    let test = CutTest::start(3);
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let _stopping = StopGuard(&stop);
+        for path in PATHS {
+            let (test, stop) = (&test, &stop);
+            scope.spawn(move || test.call(0, path, stop));
+        }
+        for server in [2, 4] {
+            test.links.iter().for_each(|links| links[server].set_state(ProxyState::Unreachable));
+            thread::sleep(Duration::from_secs(1));
+            test.links.iter().for_each(|links| links[server].set_state(ProxyState::Forwarding));
+        }
+    });
+    assert_eq!(test.daemons[0].gateway.metrics.cuts.get(), 0);
+}
+
+/// Sends a request to the address of a daemon for other daemons.
+fn send_to_peer_address(daemon: &System, token: &str) -> String {
+    let mut stream = TcpStream::connect(daemon.gateway.options.peer_listen).expect("connects");
+    let headers = format!("Gooseberry-Forward-Token: {token}\r\n");
+    write_text(&mut stream, &get_request("/plain/x", &headers));
+    read_response(&mut stream)
+}
+
+#[test]
+fn only_the_token_of_a_daemon_opens_its_address_for_other_daemons() {
+    let test = CutTest::start(2);
+    let daemon = &test.daemons[0];
+    for token in ["", "0", test.daemons[1].gateway.peer_token.as_str()] {
+        let text = send_to_peer_address(daemon, token);
+        assert_eq!(status_code(&text), "503", "{text}");
+        assert!(text.contains("gooseberry-forward-not-taken"), "{text}");
+    }
+    assert!(test.runs.lock().is_empty());
+    let text = send_to_peer_address(daemon, &daemon.gateway.peer_token);
+    assert_eq!(status_code(&text), "200", "{text}");
+    let server = test.servers.iter().find(|server| !server.received().is_empty());
+    let received = server.expect("a server got the request").received().remove(0);
+    assert_eq!(received.header("gooseberry-forward-token"), None);
+}
+
+#[test]
+fn crashes_that_a_daemon_without_links_reports_do_not_count_once_others_reach_the_servers() {
+    let test = CutTest::start(3);
+    let parts = [PartFingerprint::of_request(7)];
+    {
+        let gateway = &test.daemons[0].gateway;
+        let (mut state, now) = (gateway.state.lock(), gateway.now());
+        let servers: Vec<_> =
+            state.fleet.iter().map(|(_, server)| fleet::incarnation(&server.entry)).collect();
+        for server in servers.into_iter().skip(STAGES.len()) {
+            state.record_doubt(server, &parts, DoubtfulEnd::Interrupted, false, now);
+            state.confirm_crash(server, now);
+        }
+    }
+    let is_suspected = |daemon: &System| {
+        let state = daemon.gateway.state.lock();
+        state.parts.clone().admit(&parts, 1, daemon.gateway.now()) != PartVerdict::Clear
+    };
+    support::wait_for(|| test.daemons.iter().all(is_suspected));
+    support::wait_for(|| {
+        test.daemons[1].send(&get_request("/plain/x", ""));
+        !test.daemons.iter().any(is_suspected)
+    });
+    // The reports are repeated for 5 s.
+    thread::sleep(Duration::from_secs(1));
+    assert!(!test.daemons.iter().any(is_suspected));
+}
