Ask the other daemons whether they reach a service that fails here

A daemon that was cut off while the others were idle never found out: its evidence is what others have reached lately, and they had no reason to reach anything. Its callers were refused until they had.

A check that fails now asks the others, and waits 60 ms. A daemon that is asked answers at once, after an attempt to connect if it has reached no server of the service for 600 ms, and at most each 150 ms. Reports name the newest contact of each service first, so that none is crowded out in a large fleet.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::{
     crashes,
     gateway::Gateway,
+    reach,
     settings::GatewayOptions,
     updates::{SendUpdate, UpdateBundle, UpdateDatagram},
 };
@@ -438,6 +439,11 @@
     /// Responds to the questions of a datagram's sender.
     async fn respond(&self, datagram: &UpdateDatagram) {
         let now = self.gateway.now();
+        for update in datagram.bundles.iter().flat_map(|bundle| &bundle.updates) {
+            if let SendUpdate::ReachAsked { service } = update {
+                task::spawn(reach::answer(Arc::clone(&self.gateway), service.clone()));
+            }
+        }
         let responses: Vec<_> = {
             let state = self.gateway.state.lock();
             let updates = datagram.bundles.iter().map(|bundle| bundle.updates.as_slice());
@@ -488,7 +494,13 @@
         let is_direct = datagram.bundles.iter().all(|bundle| bundle.name == datagram.sender);
         if is_relay && (!is_home || is_direct) {
             for bundle in &mut datagram.bundles {
-                bundle.updates.retain(|update| !matches!(update, SendUpdate::OriginAsked { .. }));
+                bundle.updates.retain(|update| {
+                    let is_question = matches!(
+                        update,
+                        SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. }
+                    );
+                    !is_question
+                });
             }
             datagram.bundles.retain(|bundle| !bundle.updates.is_empty());
             let bundles = datagram.bundles.into_iter();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -15,6 +15,9 @@
 const CHECKED_SERVERS: usize = 3;
 /// Time between two checks of a service that is cut off.
 const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time in which the other daemons answer whether they reach a service: an attempt to connect, and the
+/// way there and back.
+const ANSWER_DELAY: Duration = Duration::from_millis(60);
 /// First and longest time between two checks of a service whose servers may have crashed.
 const CHECK_INTERVALS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1000));
@@ -33,6 +36,11 @@
 async fn check_until_reached(gateway: &Gateway, service: &str) {
     let mut delay = CHECK_INTERVALS.0;
     while !is_reached(gateway, service).await {
+        if !gateway.state.lock().is_cut(service) {
+            gateway.state.lock().ask_reach(service);
+            gateway.wake_publisher();
+            gateway.clock.sleep(ANSWER_DELAY).await;
+        }
         let is_new = gateway.state.lock().decide_reach(service, gateway.now());
         if is_new {
             gateway.metrics.cuts.inc();
@@ -73,6 +81,30 @@
     !state.is_cut(service) && (connected > 0 || checked == 0)
 }
 
+/// Tells the other daemons whether this one reaches a service, one of which asked. If it hasn't
+/// reached a server lately, it tries one.
+pub async fn answer(gateway: Arc<Gateway>, service: String) {
+    let target = {
+        let mut state = gateway.state.lock();
+        let now = gateway.now();
+        if state.is_cut(&service) || !state.begin_answer(&service, now) {
+            return;
+        }
+        let servers: Vec<_> = state.reachable_servers(&service, now).collect();
+        let chosen = servers.choose(&mut rand::rng()).copied();
+        chosen
+            .filter(|_| !state.has_reached(&service, now))
+            .map(|key| SendTarget::new(key, state.fleet.server(key)))
+    };
+    if let Some(target) = target {
+        // The outcome is recorded, and the report tells it.
+        let _ = send::connect(&gateway, &target).await;
+    }
+    if !gateway.is_stopping() && gateway.state.lock().queue_reach_report(gateway.now()) {
+        gateway.wake_publisher();
+    }
+}
+
 /// Closes idle connections, which may still hang when the servers can be reached again.
 fn drop_connections(gateway: &Gateway, service: &str) {
     let state = gateway.state.lock();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,6 +62,8 @@
     reach: HashMap<SmolStr, ServiceReach>,
     /// Services that are being checked because this daemon may be cut off from them.
     checked_services: HashSet<SmolStr>,
+    /// Time at which this daemon last answered whether it reaches a service.
+    answers: HashMap<SmolStr, Timestamp>,
     /// Time at which any daemon last reached a server.
     contacts: HashMap<EngineIncarnation, Timestamp>,
     /// Servers that are to be probed.
@@ -360,8 +362,8 @@
                     self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
                 }
                 SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
-                // `origin_responses` handles the questions.
-                SendUpdate::OriginAsked { .. } => {}
+                // `origin_responses` and `reach::answer` handle the questions.
+                SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -1,6 +1,6 @@
 //! Which servers this daemon and the others reach.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use gooseberry_core::{
     arena::EngineKey,
@@ -16,6 +16,8 @@
 
 /// Age up to which a contact with a server is reported: a summary interval with its delays.
 const REPORT_AGE: Duration = Duration::from_millis(600);
+/// Shortest time between two answers about a service.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(150);
 /// Largest number of servers in a report.
 const REPORT_LIMIT: usize = 16;
 /// Time for which a contact voids reports of an earlier crash. Crashes are repeated for 5 s.
@@ -73,26 +75,65 @@
         for reach in self.reach.values_mut() {
             reach.remove_expired(now);
         }
-        let is_trusted = |service: &SmolStr| {
-            let servers = self.reachable_servers(service, now).count();
-            self.reach.get(service).is_none_or(|reach| !reach.is_suspect(servers))
-        };
-        let mut servers: Vec<_> = self
-            .fleet
-            .iter()
-            .filter_map(|(_, server)| Some((server, now.since(server.reached_at?))))
-            .filter(|(server, age)| *age < REPORT_AGE && is_trusted(&server.entry.service))
-            .map(|(server, age)| ReachRecord {
+        let mut by_service: HashMap<&SmolStr, Vec<ReachRecord>> = HashMap::new();
+        for (_, server) in self.fleet.iter() {
+            let age = server.reached_at.map(|reached_at| now.since(reached_at));
+            let Some(age) = age.filter(|age| *age < REPORT_AGE) else {
+                continue;
+            };
+            by_service.entry(&server.entry.service).or_default().push(ReachRecord {
                 server: fleet::server_hash(&server.entry.id),
                 incarnation: fleet::incarnation(&server.entry).0,
                 age_ms: age.as_millis() as u32,
-            })
-            .collect();
-        servers.sort_unstable_by_key(|record| record.age_ms);
-        servers.truncate(REPORT_LIMIT);
+            });
+        }
+        by_service.retain(|service, _| {
+            let servers = self.reachable_servers(service, now).count();
+            self.reach.get(*service).is_none_or(|reach| !reach.is_suspect(servers))
+        });
+        // The newest contact of each service shows that it is reached, so these come first.
+        let mut servers: Vec<(usize, ReachRecord)> = Vec::new();
+        for records in by_service.values_mut() {
+            records.sort_unstable_by_key(|record| record.age_ms);
+            servers.extend(records.iter().copied().enumerate());
+        }
+        servers.sort_unstable_by_key(|(rank, record)| (*rank, record.age_ms));
+        let servers: Vec<_> =
+            servers.into_iter().take(REPORT_LIMIT).map(|(_, record)| record).collect();
         (!servers.is_empty()).then_some(SendUpdate::Reached { servers })
     }
 
+    /// Queues the question to the other daemons whether they reach a service.
+    pub fn ask_reach(&mut self, service: &str) {
+        self.outgoing.push_back(SendUpdate::ReachAsked { service: service.to_owned() });
+    }
+
+    /// Records that a question about a service is to be answered. Returns false if one was lately.
+    pub fn begin_answer(&mut self, service: &str, now: Timestamp) -> bool {
+        let answered_at = self.answers.get(service);
+        let is_due = answered_at.is_none_or(|at| now.since(*at) >= ANSWER_INTERVAL);
+        if is_due && self.fleet.iter().any(|(_, server)| server.entry.service == *service) {
+            self.answers.insert(service.into(), now);
+        }
+        is_due
+    }
+
+    /// Queues a report for the other daemons. Returns whether there is one.
+    pub fn queue_reach_report(&mut self, now: Timestamp) -> bool {
+        let report = self.reach_report(now);
+        let has_report = report.is_some();
+        self.outgoing.extend(report);
+        has_report
+    }
+
+    /// Returns whether this daemon has lately reached a server of a service.
+    pub fn has_reached(&self, service: &str, now: Timestamp) -> bool {
+        self.fleet.iter().any(|(_, server)| {
+            server.entry.service == *service
+                && server.reached_at.is_some_and(|at| now.since(at) < REPORT_AGE)
+        })
+    }
+
     /// Applies the report of another daemon.
     pub(super) fn apply_report(&mut self, daemon: u64, servers: &[ReachRecord], now: Timestamp) {
         for record in servers {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -142,10 +142,14 @@
         stream: u64,
         service: String,
     },
-    /// Servers that the daemon has reached since its last summary.
+    /// Servers that the daemon has reached lately.
     Reached {
         servers: Vec<ReachRecord>,
     },
+    /// The daemon is asked whether it reaches the servers of a service. Relays don't forward this.
+    ReachAsked {
+        service: String,
+    },
 }
 
 /// The updates of one daemon.
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -238,6 +238,19 @@
     CutTest::start(4).check_cut(&[0, 2], ProxyState::RefusingNew);
 }
 
+/// Waits under load until a daemon has found that it is cut off from all services.
+fn wait_until_cut(test: &CutTest, daemon: usize) {
+    let stop = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let _stopping = StopGuard(&stop);
+        for path in PATHS {
+            let (test, stop) = (&test, &stop);
+            scope.spawn(move || test.call(daemon, path, stop));
+        }
+        test.daemons[daemon].wait(|state| state.is_cut("plain") && state.is_cut("model"));
+    });
+}
+
 fn is_cut(daemon: &System) -> bool {
     let state = daemon.gateway.state.lock();
     state.is_cut("plain") || state.is_cut("model")
@@ -314,6 +327,38 @@
     assert_eq!(received.header("gooseberry-forward-token"), None);
 }
 
+#[test]
+fn a_request_that_was_handed_over_is_not_handed_on() {
+    let test = CutTest::start(3);
+    test.set_links(&[0], ProxyState::Closed);
+    wait_until_cut(&test, 0);
+    let daemon = &test.daemons[0];
+    let taken = || test.daemons[1..].iter().map(|other| other.gateway.metrics.taken_over.get());
+    let before: u64 = taken().sum();
+    let text = send_to_peer_address(daemon, &daemon.gateway.peer_token);
+    assert_eq!(status_code(&text), "503", "{text}");
+    assert!(text.contains("gooseberry-forward-not-taken"), "{text}");
+    assert_eq!(taken().sum::<u64>(), before);
+}
+
+#[test]
+fn a_request_that_is_handed_over_keeps_its_content_and_its_deadline() {
+    let test = CutTest::start(3);
+    test.set_links(&[0], ProxyState::Unreachable);
+    wait_until_cut(&test, 0);
+    let request = get_request("/order/new?crew=7", "X-Kept: 1\r\nContent-Length: 4\r\n");
+    let text = test.daemons[0].send(&(request.replacen("GET", "POST", 1) + "body"));
+    assert_eq!(status_code(&text), "200", "{text}");
+    assert!(gateway_mocks::is_signed(&text), "{text}");
+    let received = test.servers.iter().flat_map(ScriptedServer::received);
+    let received: Vec<_> = received.filter(|request| request.header("x-kept").is_some()).collect();
+    assert_eq!(received.len(), 1);
+    assert_eq!(received[0].request_line, "POST /order/new?crew=7 HTTP/1.1");
+    assert_eq!(received[0].body, "body");
+    let time_left: u64 = received[0].header("x-deadline-ms").expect("a deadline").parse().unwrap();
+    assert!(time_left <= 3000, "{time_left} ms");
+}
+
 #[test]
 fn crashes_that_a_daemon_without_links_reports_do_not_count_once_others_reach_the_servers() {
     let test = CutTest::start(3);
@@ -341,3 +386,18 @@
     thread::sleep(Duration::from_secs(1));
     assert!(!test.daemons.iter().any(is_suspected));
 }
+
+#[test]
+fn a_leader_without_links_to_engines_gives_up() {
+    let test = CutTest::start(3);
+    let store = &test.daemons[0].store;
+    let holder = || store.value_text("gateway/steward");
+    let number =
+        |name: &str| test.daemons.iter().position(|daemon| daemon.gateway.options.name == name);
+    support::wait_for(|| holder().is_some_and(|name| number(&name).is_some()));
+    let leader = holder().expect("a leader");
+    let daemon = number(&leader).expect("a daemon of the test");
+    test.set_links(&[daemon], ProxyState::Closed);
+    wait_until_cut(&test, daemon);
+    support::wait_for(|| holder().is_some_and(|name| name != leader));
+}
