Let only responses void the crashes of a server

There the connection led to a proxy that still listened; on the platform another server may have the address of one that crashed.

A report now says separately when its daemon last got a response of the server, whose id the request names, and only that voids crashes. A connection still shows that a link works.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -53,6 +53,8 @@
     pub request_limit: RequestLimit,
     /// Time of this daemon's last new connection to the server, or response from it.
     pub reached_at: Option<Timestamp>,
+    /// Time of this daemon's last response from the server.
+    pub responded_at: Option<Timestamp>,
     /// Unfinished requests that this daemon has sent to the server.
     pub running: u32,
     /// Unfinished requests of each other daemon, as of its last summary. The key is the hash of the
@@ -78,6 +80,7 @@
             quiet_until: Timestamp::default(),
             request_limit: RequestLimit::default(),
             reached_at: None,
+            responded_at: None,
             running: 0,
             peer_running: HashMap::new(),
             speed: None,
@@ -158,6 +161,7 @@
         self.quiet_until = Timestamp::default();
         self.request_limit = RequestLimit::default();
         self.reached_at = None;
+        self.responded_at = None;
         self.speed = None;
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -268,7 +268,7 @@
     if fleet::incarnation(&state.fleet.server(target.key).entry) != target.incarnation {
         return;
     }
-    state.record_contact(target.key, now);
+    state.record_response(target.key, now);
     let mut has_news = false;
     if engine::is_leaving(headers) && state.record_leaving(target.key) {
         gateway.metrics.leaving_servers.inc();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -64,8 +64,8 @@
     checked_services: HashSet<SmolStr>,
     /// Time at which this daemon last answered whether it reaches a service.
     answers: HashMap<SmolStr, Timestamp>,
-    /// Time at which any daemon last reached a server.
-    contacts: HashMap<EngineIncarnation, Timestamp>,
+    /// Time at which each server last responded to any daemon.
+    responses: HashMap<EngineIncarnation, Timestamp>,
     /// Servers that are to be probed.
     pending_probes: HashSet<EngineIncarnation>,
     /// Verdicts from evidence of this daemon that aren't in the key-value service yet.
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -20,13 +20,13 @@
 const ANSWER_INTERVAL: Duration = Duration::from_millis(150);
 /// Largest number of servers in a report.
 const REPORT_LIMIT: usize = 16;
-/// Time for which a contact voids reports of an earlier crash. Crashes are repeated for 5 s.
-const CONTACT_TTL: Duration = Duration::from_secs(30);
-/// Number of contacts from which the table is full.
-const CONTACT_LIMIT: usize = 2048;
-/// Time by which a contact has to be later than a crash to void it: a response that the server sent
-/// before its end may arrive that late.
-const CONTACT_MARGIN: Duration = Duration::from_millis(100);
+/// Time for which a response voids reports of an earlier crash. Crashes are repeated for 5 s.
+const RESPONSE_TTL: Duration = Duration::from_secs(30);
+/// Number of servers from which the table of responses is full.
+const RESPONSE_LIMIT: usize = 2048;
+/// Time by which a response has to be later than a crash to void it: one that the server sent before
+/// its end may arrive that late.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
 impl GatewayState {
     /// Records an attempt to connect to a server. Returns its service if this daemon may be cut off from
@@ -39,7 +39,7 @@
     ) -> Option<SmolStr> {
         let service = self.fleet.server(key).entry.service.clone();
         if has_succeeded {
-            self.record_contact(key, now);
+            self.fleet.server_mut(key).reached_at = Some(now);
             self.reach.entry(service).or_default().record_success();
             return None;
         }
@@ -61,12 +61,14 @@
         is_restored
     }
 
-    /// Records that this daemon got a response of a server, or a connection to it.
-    pub fn record_contact(&mut self, key: EngineKey, now: Timestamp) {
+    /// Records that a server responded to this daemon. A new connection alone doesn't show that the
+    /// server lives, since another one may have its address.
+    pub fn record_response(&mut self, key: EngineKey, now: Timestamp) {
         let server = self.fleet.server_mut(key);
         server.reached_at = Some(now);
+        server.responded_at = Some(now);
         let incarnation = fleet::incarnation(&server.entry);
-        self.record_reached(incarnation, now);
+        self.record_life(incarnation, now);
     }
 
     /// Returns the servers that this daemon has reached lately, for the other daemons. Says nothing of
@@ -85,6 +87,9 @@
                 server: fleet::server_hash(&server.entry.id),
                 incarnation: fleet::incarnation(&server.entry).0,
                 age_ms: age.as_millis() as u32,
+                response_age_ms: server
+                    .responded_at
+                    .map(|responded_at| now.since(responded_at).as_millis() as u32),
             });
         }
         by_service.retain(|service, _| {
@@ -137,8 +142,11 @@
     /// Applies the report of another daemon.
     pub(super) fn apply_report(&mut self, daemon: u64, servers: &[ReachRecord], now: Timestamp) {
         for record in servers {
-            let at = now - Duration::from_millis(u64::from(record.age_ms));
-            self.record_reached(EngineIncarnation(record.incarnation), at);
+            let before = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
+            let at = before(record.age_ms);
+            if let Some(age_ms) = record.response_age_ms {
+                self.record_life(EngineIncarnation(record.incarnation), before(age_ms));
+            }
             let Some(key) = self.fleet.key_by_hash(record.server) else {
                 continue;
             };
@@ -191,19 +199,19 @@
         daemons.filter_map(|daemon| self.peer_names.get(&daemon).cloned()).collect()
     }
 
-    /// Returns whether a server was reached later than an alleged crash.
+    /// Returns whether a server responded later than an alleged crash.
     pub(super) fn outlived(&self, server: EngineIncarnation, crashed_at: Timestamp) -> bool {
-        let reached_at = self.contacts.get(&server);
-        reached_at.is_some_and(|reached_at| *reached_at > crashed_at + CONTACT_MARGIN)
+        let responded_at = self.responses.get(&server);
+        responded_at.is_some_and(|responded_at| *responded_at > crashed_at + RESPONSE_MARGIN)
     }
 
-    fn record_reached(&mut self, server: EngineIncarnation, at: Timestamp) {
-        if self.contacts.len() >= CONTACT_LIMIT {
-            self.contacts.retain(|_, reached_at| at.since(*reached_at) < CONTACT_TTL);
+    fn record_life(&mut self, server: EngineIncarnation, at: Timestamp) {
+        if self.responses.len() >= RESPONSE_LIMIT {
+            self.responses.retain(|_, responded_at| at.since(*responded_at) < RESPONSE_TTL);
         }
-        let reached_at = self.contacts.entry(server).or_insert(at);
-        *reached_at = at.max(*reached_at);
-        let changes = self.parts.void_crashes(server, at - CONTACT_MARGIN);
+        let responded_at = self.responses.entry(server).or_insert(at);
+        *responded_at = at.max(*responded_at);
+        let changes = self.parts.void_crashes(server, at - RESPONSE_MARGIN);
         self.record_verdicts(changes);
     }
 
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -63,8 +63,10 @@
     /// Hash of the server's id.
     pub server: u64,
     pub incarnation: u64,
-    /// Time since the last contact.
+    /// Time since the last new connection or response.
     pub age_ms: u32,
+    /// Time since the last response, if there was one lately.
+    pub response_age_ms: Option<u32>,
 }
 
 /// One update of a daemon on its own requests.
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -387,6 +387,24 @@
     assert!(!test.daemons.iter().any(is_suspected));
 }
 
+#[test]
+fn a_connection_to_a_reused_address_does_not_void_a_crash() {
+    let test = CutTest::start(2);
+    let parts = [PartFingerprint::of_request(7)];
+    let gateway = &test.daemons[0].gateway;
+    let mut state = gateway.state.lock();
+    let now = gateway.now();
+    let keys = state.fleet.keys();
+    for key in keys.iter().skip(STAGES.len()) {
+        let server = fleet::incarnation(&state.fleet.server(*key).entry);
+        state.record_doubt(server, &parts, DoubtfulEnd::Interrupted, false, now);
+        state.confirm_crash(server, now);
+        state.record_connect(*key, true, now + Duration::from_secs(1));
+    }
+    let verdict = state.parts.clone().admit(&parts, 1, now + Duration::from_secs(1));
+    assert_eq!(verdict, PartVerdict::Trial);
+}
+
 #[test]
 fn a_leader_without_links_to_engines_gives_up() {
     let test = CutTest::start(3);
