Hand a request to the next daemon if one refuses it

Of two daemons the one with fewer of this daemon's requests was chosen, and one whose servers had asked it for quiet refused so fast that it always had fewer: it drew 403 requests, the other one 104.

A refusal of a request that no server has got is now marked as not taken, so that it goes on to the next daemon, and a daemon that refused in the last 500 ms is chosen only if the other choice has, too. If all refuse, the caller gets the last refusal with its Retry-After at once. Nothing has reached a server by then, so attempts and the retry budget are as before.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -202,7 +202,17 @@
                 return response;
             }
         }
-        answer.unwrap_or_else(|answer| self.refuse(answer, log_reason(answer)))
+        match answer {
+            Ok(response) => response,
+            Err(answer) => {
+                let mut response = self.refuse(answer, log_reason(answer));
+                let is_handed_over = matches!(self.source, CallSource::Daemon { .. });
+                if is_handed_over && is_unsent && answer.guarantees_not_run() {
+                    forward::mark_not_taken(&mut response);
+                }
+                response
+            }
+        }
     }
 
     /// Creates a response of the gateway itself and logs the reason. A response that guarantees
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -41,6 +41,8 @@
 const TARGET_LIMIT: usize = 3;
 /// Largest number of requests of other daemons that run here at a time.
 const TAKEN_LIMIT: usize = 256;
+/// Time for which a daemon that has refused a request is chosen only if the other choice has, too.
+const REFUSAL_DURATION: Duration = Duration::from_millis(500);
 /// Timeout of a connection to another daemon; round trips take 16 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time after the deadline in which the other daemon's response may still arrive.
@@ -84,8 +86,9 @@
     Unanswered,
 }
 
-/// Hands a request to a daemon that reaches the servers of its service. Returns the response, or
-/// `None` if no daemon has taken the request. `is_counted` tells whether the request is already counted
+/// Hands a request to a daemon that reaches the servers of its service. Returns the response, also a
+/// refusal of the last daemon that has no capacity, or `None` if there is no such daemon. `is_counted`
+/// tells whether the request is already counted
 /// for the retry budget.
 pub async fn forward(
     call: &Call,
@@ -93,8 +96,11 @@
     is_counted: bool,
 ) -> Option<Response<ResponseBody>> {
     let mut tried: Vec<SmolStr> = Vec::new();
+    let mut refusal = None;
     while tried.len() < TARGET_LIMIT {
-        let target = choose(call, route, &tried)?;
+        let Some(target) = choose(call, route, &tried) else {
+            break;
+        };
         tried.push(target.name.clone());
         let guard = ForwardGuard::new(&call.gateway, &target.name);
         let exchange = exchange(call, &target, is_counted);
@@ -105,7 +111,16 @@
                 let response = stream(call, response, connection, guard);
                 (ForwardOutcome::Taken, Some(response))
             }
-            Ok(Ok(_)) => (ForwardOutcome::NotTaken, None),
+            Ok(Ok((response, connection))) => {
+                call.gateway
+                    .refused_forwards
+                    .lock()
+                    .insert(target.name.clone(), call.gateway.now());
+                if response.headers().contains_key(header::RETRY_AFTER) {
+                    refusal = Some(stream(call, response, connection, guard));
+                }
+                (ForwardOutcome::NotTaken, None)
+            }
             Ok(Err(fault)) if fault.is_unsent() => (ForwardOutcome::Unreachable, None),
             Ok(Err(_)) => {
                 let response = call.refuse(LocalResponse::BackendFailed, "another daemon failed");
@@ -130,18 +145,27 @@
         }
         call.execution.record_not_run();
     }
-    None
+    refusal.map(|mut refusal| {
+        refusal.headers_mut().remove(NOT_TAKEN);
+        refusal
+    })
 }
 
-/// Chooses the daemon that has fewer requests of this one, of two that reach the service.
+/// Chooses one of two daemons that reach the service: one that hasn't refused lately, or else the one
+/// that has fewer requests of this daemon. A daemon that refuses has few.
 fn choose(call: &Call, route: &CallRoute, tried: &[SmolStr]) -> Option<ForwardTarget> {
     let gateway = &call.gateway;
     let names = gateway.state.lock().reaching_daemons(&route.service, gateway.now());
     let targets = names.iter().filter(|name| !tried.contains(name));
     let targets: Vec<_> = targets.filter_map(|name| gateway.peers.forward_target(name)).collect();
-    let forwards = gateway.forwards.lock();
-    let count = |target: &&ForwardTarget| forwards.get(&target.name).copied().unwrap_or_default();
-    targets.choose_multiple(&mut rand::rng(), 2).min_by_key(count).cloned()
+    let (forwards, mut refused) = (gateway.forwards.lock(), gateway.refused_forwards.lock());
+    let now = gateway.now();
+    refused.retain(|_, refused_at| now.since(*refused_at) < REFUSAL_DURATION);
+    let rank = |target: &&ForwardTarget| {
+        let count = forwards.get(&target.name).copied().unwrap_or_default();
+        (refused.contains_key(&target.name), count)
+    };
+    targets.choose_multiple(&mut rand::rng(), 2).min_by_key(rank).cloned()
 }
 
 async fn exchange(
@@ -232,10 +256,16 @@
     response
 }
 
+/// Marks a refusal of a request that another daemon handed over and no server has got, so that this
+/// daemon can hand it to the next one.
+pub fn mark_not_taken(response: &mut Response<ResponseBody>) {
+    response.headers_mut().insert(NOT_TAKEN, HeaderValue::from_static("1"));
+}
+
 /// Returns the response that a request wasn't taken over, and hasn't run.
 pub fn not_taken() -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::whole(Bytes::new()));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response.headers_mut().insert(NOT_TAKEN, HeaderValue::from_static("1"));
+    mark_not_taken(&mut response);
     response
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,6 +55,8 @@
     pub peer_server: HttpServer,
     /// Requests that were handed to each other daemon and haven't ended.
     pub forwards: Mutex<HashMap<SmolStr, u32>>,
+    /// Time at which each other daemon last refused a request that was handed to it.
+    pub refused_forwards: Mutex<HashMap<SmolStr, Timestamp>>,
     /// Requests of other daemons whose response head hasn't been returned yet.
     pub taken: AtomicUsize,
     /// Services that this daemon may be cut off from.
@@ -83,6 +85,7 @@
             peer_token: smol_str::format_smolstr!("{:032x}", rand::random::<u128>()),
             peer_server: HttpServer::default(),
             forwards: Mutex::default(),
+            refused_forwards: Mutex::default(),
             taken: AtomicUsize::new(0),
             suspicion_channel: async_channel::unbounded(),
             wake_channel: async_channel::bounded(1),
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -419,3 +419,45 @@
     wait_until_cut(&test, daemon);
     support::wait_for(|| holder().is_some_and(|name| name != leader));
 }
+
+#[test]
+fn a_daemon_that_refuses_does_not_draw_the_requests_of_one_that_is_cut() {
+    let test = CutTest::start(3);
+    test.set_links(&[0], ProxyState::Closed);
+    wait_until_cut(&test, 0);
+    {
+        let gateway = &test.daemons[1].gateway;
+        let (mut state, now) = (gateway.state.lock(), gateway.now());
+        for key in state.fleet.keys() {
+            state.record_quiet(key, Duration::from_secs(60), now);
+        }
+    }
+    let stop = AtomicBool::new(false);
+    let tries = thread::scope(|scope| {
+        let _stopping = StopGuard(&stop);
+        // Both other daemons reach the servers, and say so.
+        for daemon in [1, 2] {
+            let (test, stop) = (&test, &stop);
+            scope.spawn(move || test.call(daemon, "/plain/x", stop));
+        }
+        let callers = PATHS.map(|path| {
+            let (test, stop) = (&test, &stop);
+            scope.spawn(move || test.call(0, path, stop))
+        });
+        let end = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < end {
+            let gateway = &test.daemons[1].gateway;
+            let (mut state, now) = (gateway.state.lock(), gateway.now());
+            for key in state.fleet.keys() {
+                state.fleet.server_mut(key).reached_at = Some(now);
+            }
+            drop(state);
+            thread::sleep(Duration::from_millis(50));
+        }
+        stop.store(true, Ordering::SeqCst);
+        callers.map(|caller| caller.join().expect("no panic"))
+    });
+    let tries: Vec<_> = tries.into_iter().flatten().collect();
+    let served = tries.iter().filter(|one| one.is_served).count();
+    assert!(10 * served >= 9 * tries.len(), "{served} of {} were served", tries.len());
+}
