Soak: daemons that lose their links to all servers

Half of the seeds now cut one to all but one of the daemons off from every server for 5 to 9 s, by links that hang, that are reset, or that live on while new ones are refused, together with all other faults. From 3 s on, first tries there must be served at least two thirds as often as at the others, or no more than 10 and one in 50 fail. Each daemon has links of its own to each server, so that a server that crashes refuses connections at all of them.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -25,6 +25,10 @@
 const STABLE_DURATION: Duration = Duration::from_secs(4);
 /// Time after the last fault after which requests must be served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(5);
+/// Time in which a daemon that has started again serves, also if the store was down meanwhile.
+const START_LIMIT: Duration = Duration::from_secs(6);
+/// Time after daemons lost their links after which their callers must be served.
+const CUT_LIMIT: Duration = Duration::from_secs(3);
 /// Share of requests that must be served after the recovery limit.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -71,6 +75,8 @@
     SentDuringQuiet(String),
     /// A server got far more requests than the limit that it named.
     OverLimit(String),
+    /// Callers of daemons without links to servers were served far worse than the others.
+    CutCallers(String),
     /// Too few requests were served after the last fault.
     NotRecovered(String),
     /// A daemon ended unexpectedly, or a planned stop failed.
@@ -93,6 +99,7 @@
     violations.extend(check_limits(history));
     violations.extend(check_notices(history));
     violations.extend(check_quiet(history));
+    violations.extend(check_links(history));
     violations.extend(check_recovery(history));
     violations
 }
@@ -111,7 +118,7 @@
         let call = history.calls.iter().find(|call| call.id == *id);
         let from = at.checked_sub(CONVICTION_LIMIT).unwrap_or(*at);
         let is_in_touch = call.is_some_and(|call| {
-            !had_store_fault(history, from, *at, |daemon| daemon == call.daemon)
+            !had_store_fault(history, from, *at, |daemon| may_have_sent(history, call, daemon))
         });
         arrival.kind == kind && *at > crash + CONVICTION_LIMIT && is_in_touch
     };
@@ -195,7 +202,8 @@
     history.had_fault(from, call.ended_at, |scope| match scope {
         FaultScope::Daemon(daemon) => daemon == call.daemon,
         FaultScope::Servers | FaultScope::ServerConnection(_) => true,
-        FaultScope::StoreConnection(_) | FaultScope::Store => false,
+        FaultScope::DaemonLinks(daemon) => daemon == call.daemon,
+        FaultScope::StoreConnection(_) | FaultScope::Store | FaultScope::DaemonRestart(_) => false,
     })
 }
 
@@ -212,7 +220,9 @@
     let is_due = call.sent_at >= moved_at + IN_FORCE_LIMIT;
     let wrong = runs.iter().find(|run| run.service != service)?;
     let from = moved_at.checked_sub(STABLE_DURATION).unwrap_or(moved_at);
-    let had_fault = had_store_fault(history, from, wrong.began_at, |daemon| daemon == call.daemon);
+    let had_fault = had_store_fault(history, from, wrong.began_at, |daemon| {
+        may_have_sent(history, call, daemon)
+    });
     let details =
         || format!("{call:?} was executed as {wrong:?} after the route changed to {service}");
     (is_due && !had_fault).then(|| InvariantViolation::OldConfiguration(details()))
@@ -245,7 +255,11 @@
         let is_affected = |scope| match scope {
             FaultScope::Daemon(daemon) => daemon == call.daemon,
             FaultScope::ServerConnection(server) => server == number(&arrival.server),
-            FaultScope::Servers | FaultScope::Store | FaultScope::StoreConnection(_) => false,
+            FaultScope::DaemonLinks(_) => true,
+            FaultScope::Servers
+            | FaultScope::Store
+            | FaultScope::StoreConnection(_)
+            | FaultScope::DaemonRestart(_) => false,
         };
         match told.get(&key) {
             Some(told_at) if call.sent_at > *told_at + NOTICE_LIMIT => {
@@ -277,7 +291,11 @@
         let is_affected = |scope| match scope {
             FaultScope::Daemon(affected) => affected == daemon,
             FaultScope::ServerConnection(server) => server == number(&asked.server),
-            FaultScope::Servers | FaultScope::Store | FaultScope::StoreConnection(_) => false,
+            FaultScope::DaemonLinks(_) => true,
+            FaultScope::Servers
+            | FaultScope::Store
+            | FaultScope::StoreConnection(_)
+            | FaultScope::DaemonRestart(_) => false,
         };
         if history.had_fault(asked.at, until, is_affected) {
             continue;
@@ -305,15 +323,20 @@
 /// Checks that no server got far more requests than the limit that it named, from daemons without
 /// faults.
 fn check_limits(history: &SoakHistory) -> Option<InvariantViolation> {
-    let daemons: HashMap<&str, usize> =
-        history.calls.iter().map(|call| (call.id.as_str(), call.daemon)).collect();
+    let calls: HashMap<&str, &CallRecord> =
+        history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
     let is_excused = |arrival: &ArrivalRecord| {
         let from = arrival.at.checked_sub(LIMIT_DELAY).unwrap_or(arrival.at);
         history.had_fault(from, arrival.at, |scope| match scope {
             FaultScope::Daemon(daemon) | FaultScope::StoreConnection(daemon) => {
-                daemons.get(arrival.id.as_str()).is_none_or(|sender| *sender == daemon)
+                let call = calls.get(arrival.id.as_str());
+                call.is_none_or(|call| may_have_sent(history, call, daemon))
             }
-            FaultScope::Store | FaultScope::Servers | FaultScope::ServerConnection(_) => false,
+            FaultScope::Store
+            | FaultScope::Servers
+            | FaultScope::ServerConnection(_)
+            | FaultScope::DaemonLinks(_)
+            | FaultScope::DaemonRestart(_) => false,
         })
     };
     for (server, limit) in &history.limits {
@@ -336,6 +359,13 @@
     None
 }
 
+/// Returns whether a daemon may have sent a call to a server: the caller's, or any other if that one had
+/// lost its links.
+fn may_have_sent(history: &SoakHistory, call: &CallRecord, daemon: usize) -> bool {
+    let is_cut = |scope| scope == FaultScope::DaemonLinks(call.daemon);
+    daemon == call.daemon || history.had_fault(call.sent_at, call.ended_at, is_cut)
+}
+
 /// Returns whether a fault may have kept the matching daemons from reading the store.
 fn had_store_fault(
     history: &SoakHistory,
@@ -346,10 +376,47 @@
     history.had_fault(from, until, |scope| match scope {
         FaultScope::Daemon(daemon) | FaultScope::StoreConnection(daemon) => is_affected(daemon),
         FaultScope::Store => true,
-        FaultScope::Servers | FaultScope::ServerConnection(_) => false,
+        FaultScope::Servers
+        | FaultScope::ServerConnection(_)
+        | FaultScope::DaemonLinks(_)
+        | FaultScope::DaemonRestart(_) => false,
     })
 }
 
+/// Checks that callers of daemons without links to servers are served like those of the others.
+fn check_links(history: &SoakHistory) -> Option<InvariantViolation> {
+    let cuts = || {
+        history.fault_intervals.iter().filter_map(|interval| match interval.scope {
+            FaultScope::DaemonLinks(daemon) => Some((daemon, interval)),
+            _ => None,
+        })
+    };
+    let (_, cut) = cuts().next()?;
+    let from = cut.from + CUT_LIMIT;
+    // A daemon that has started again needs the store, and evidence of the cut, before it can serve.
+    let is_disturbed = |call: &CallRecord| {
+        let since = call.sent_at.checked_sub(START_LIMIT).unwrap_or(call.sent_at);
+        let own = [FaultScope::Daemon(call.daemon), FaultScope::DaemonRestart(call.daemon)];
+        history.had_fault(since, call.ended_at, |scope| own.contains(&scope))
+    };
+    let first_tries = || {
+        history.calls.iter().filter(|call| {
+            let is_counted = !call.is_poison && call.resumed.is_none();
+            is_counted && (from..cut.until).contains(&call.sent_at) && !is_disturbed(call)
+        })
+    };
+    let count = |is_cut: bool| {
+        let calls = || first_tries().filter(|call| cuts().any(|(d, _)| d == call.daemon) == is_cut);
+        (calls().filter(|call| call.is_served()).count(), calls().count())
+    };
+    let ((served, all), (other_served, other_all)) = (count(true), count(false));
+    let share = |served: usize, all: usize| served as f64 / all.max(1) as f64;
+    let is_served = 3.0 * share(served, all) >= 2.0 * share(other_served, other_all)
+        || all - served <= 10 + all / 50;
+    let details = format!("{served} of {all}, at the other daemons {other_served} of {other_all}");
+    (!is_served).then_some(InvariantViolation::CutCallers(details))
+}
+
 /// Checks that requests are served again after the recovery limit.
 fn check_recovery(history: &SoakHistory) -> Option<InvariantViolation> {
     let since = history.faults_cleared_at? + RECOVERY_LIMIT;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -132,6 +132,10 @@
     Servers,
     /// The connections of one server, which may not deliver its responses.
     ServerConnection(usize),
+    /// The links of one daemon to all servers, which other daemons reach.
+    DaemonLinks(usize),
+    /// A daemon that is asked to shut down, or starts after it.
+    DaemonRestart(usize),
 }
 
 /// Holds all recorded events.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 pub mod checks;
 pub mod history;
+pub mod links;
 pub mod plan;
 pub mod servers;
 pub mod system;
@@ -46,7 +47,7 @@
     let faults = plan::plan(terms);
     let mut system = SoakSystem::start(terms, folder);
     let traffic = callers::start(&system, terms);
-    system.inject_faults(&faults, plan::plan_limit(terms));
+    system.inject_faults(&faults, plan::plan_limit(terms), plan::plan_links(terms));
     system.clear_faults();
     traffic.stop();
     let exits = system.stop();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use rand::{seq::IndexedRandom, Rng, SeedableRng};
+use gooseberry_harness::proxy::ProxyState;
+use rand::{
+    seq::{IndexedRandom, SliceRandom},
+    Rng, SeedableRng,
+};
 use rand_chacha::ChaCha8Rng;
 
 use crate::SoakOptions;
@@ -25,6 +29,11 @@
 const LIMITS_PER_SECOND: (f64, f64) = (0.5, 12.0);
 /// Share of the seeds in which a server names a limit.
 const LIMIT_SHARE: f64 = 0.75;
+/// Earliest and latest start, and shortest and longest duration, of a cut of daemons' links.
+const LINK_CUT_START_MS: (u64, u64) = (500, 4000);
+const LINK_CUT_MS: (u64, u64) = (5000, 9000);
+/// Share of the seeds in which daemons lose their links.
+const LINK_CUT_SHARE: f64 = 0.5;
 /// Number of engines of the model service.
 pub const ENGINE_COUNT: usize = 4;
 /// Number of servers of each of the two plain services.
@@ -94,6 +103,31 @@
     SameRequest,
 }
 
+/// Daemons that lose their links to all servers for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkPlan {
+    pub at: Duration,
+    pub length: Duration,
+    pub daemons: Vec<usize>,
+    pub state: ProxyState,
+}
+
+/// Returns the cut of links of a seed, which half of the seeds have.
+pub fn plan_links(options: SoakOptions) -> Option<LinkPlan> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed.rotate_left(32).wrapping_add(2));
+    let states = [ProxyState::Unreachable, ProxyState::Closed, ProxyState::RefusingNew];
+    let mut daemons: Vec<usize> = (0..options.daemons).collect();
+    daemons.shuffle(&mut rng);
+    daemons.truncate(rng.random_range(1..options.daemons.max(2)));
+    let plan = LinkPlan {
+        at: Duration::from_millis(rng.random_range(LINK_CUT_START_MS.0..LINK_CUT_START_MS.1)),
+        length: Duration::from_millis(rng.random_range(LINK_CUT_MS.0..LINK_CUT_MS.1)),
+        daemons,
+        state: *states.choose(&mut rng).expect("the list of states isn't empty"),
+    };
+    rng.random_bool(LINK_CUT_SHARE).then_some(plan)
+}
+
 /// Requests that crash their servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoisonPlan {
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_harness::proxy::{ProxyState, TestProxy};
+use gooseberry_harness::proxy::ProxyState;
 use gooseberry_standins::gateway_mocks::{self, ReceivedRequest, ScriptedServer};
 use parking_lot::Mutex;
 
@@ -16,6 +16,7 @@
         ArrivalRecord, ExecutionRecord, FaultInterval, FaultScope, NamedLimit, PoisonArrival,
         SoakHistory,
     },
+    links::ServerLinks,
     plan::PoisonKind,
 };
 
@@ -69,13 +70,13 @@
     }
 }
 
-/// A backend server with the proxy before it.
+/// A backend server with the links to it.
 pub struct SoakServer {
     /// Id of the server's entry; it changes when the server is replaced.
     pub id: String,
     pub service: &'static str,
     pub stage: &'static str,
-    pub proxy: Arc<TestProxy>,
+    pub links: Arc<ServerLinks>,
     pub behaviour: Arc<Mutex<ServerBehaviour>>,
     /// What the server says of itself in all its responses.
     pub notices: Arc<Mutex<ServerNotices>>,
@@ -85,7 +86,7 @@
 }
 
 impl SoakServer {
-    /// Starts a server and its proxy.
+    /// Starts a server.
     pub fn start(
         id: &str,
         service: &'static str,
@@ -96,15 +97,15 @@
         let name = Arc::new(Mutex::new(id.to_owned()));
         let shared_notices: Arc<Mutex<ServerNotices>> = Arc::default();
         let crashed_at = Arc::new(Mutex::new(None));
-        let proxy_slot: Arc<OnceLock<Arc<TestProxy>>> = Arc::default();
+        let links_slot: Arc<OnceLock<Arc<ServerLinks>>> = Arc::default();
         let server = {
             let (behaviour, name, history) =
                 (Arc::clone(&shared_behaviour), Arc::clone(&name), Arc::clone(history));
-            let (crashed_at, proxy) = (Arc::clone(&crashed_at), Arc::clone(&proxy_slot));
+            let (crashed_at, links) = (Arc::clone(&crashed_at), Arc::clone(&links_slot));
             let notices = Arc::clone(&shared_notices);
             ScriptedServer::start(move |request, stream| {
                 let (behaviour, name) = (*behaviour.lock(), name.lock().clone());
-                let (crashed_at, proxy) = (&*crashed_at, proxy.get());
+                let (crashed_at, links) = (&*crashed_at, links.get());
                 let (history, notices) = (&*history, *notices.lock());
                 let handler = RequestHandler {
                     name,
@@ -113,19 +114,19 @@
                     behaviour,
                     notices,
                     crashed_at,
-                    proxy,
+                    links,
                 };
                 handler.respond(request, stream)
             })
         };
-        let test_proxy = Arc::new(TestProxy::start(&server.address.to_string()));
+        let server_links = Arc::new(ServerLinks::new(server.address.to_string()));
         // Set once, here.
-        let _ = proxy_slot.set(Arc::clone(&test_proxy));
+        let _ = links_slot.set(Arc::clone(&server_links));
         Self {
             id: id.to_owned(),
             service,
             stage,
-            proxy: test_proxy,
+            links: server_links,
             behaviour: shared_behaviour,
             notices: shared_notices,
             crashed_at,
@@ -148,7 +149,7 @@
     behaviour: ServerBehaviour,
     notices: ServerNotices,
     crashed_at: &'a Mutex<Option<Instant>>,
-    proxy: Option<&'a Arc<TestProxy>>,
+    links: Option<&'a Arc<ServerLinks>>,
 }
 
 impl RequestHandler<'_> {
@@ -243,8 +244,8 @@
             from: now,
             until,
         });
-        if let Some(proxy) = self.proxy {
-            proxy.set_state(ProxyState::Closed);
+        if let Some(links) = self.links {
+            links.set_server(ProxyState::Closed);
         }
     }
 
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -19,7 +19,7 @@
 use crate::{
     callers::{self, DaemonAddresses},
     history::{FaultInterval, FaultScope, SoakHistory},
-    plan::{LimitPlan, PlannedFault, SoakFault, ENGINE_COUNT, SERVERS_PER_PLAIN_SERVICE},
+    plan::{LimitPlan, LinkPlan, PlannedFault, SoakFault, ENGINE_COUNT, SERVERS_PER_PLAIN_SERVICE},
     servers::{self, ServerBehaviour, SoakServer, CRASH_DURATION},
     SoakOptions,
 };
@@ -56,6 +56,8 @@
     Replace(usize),
     /// Lets a server name its limit.
     NameLimit(LimitPlan),
+    CutLinks(LinkPlan),
+    RestoreLinks(LinkPlan),
 }
 
 /// The processes and stand-ins of a soak.
@@ -119,7 +121,12 @@
     }
 
     /// Begins and ends faults at their times.
-    pub fn inject_faults(&mut self, faults: &[PlannedFault], limit: Option<LimitPlan>) {
+    pub fn inject_faults(
+        &mut self,
+        faults: &[PlannedFault],
+        limit: Option<LimitPlan>,
+        links: Option<LinkPlan>,
+    ) {
         let began = Instant::now();
         let mut due: BTreeMap<(Duration, usize), DueAction> = BTreeMap::new();
         for (number, fault) in faults.iter().enumerate() {
@@ -132,6 +139,11 @@
         if let Some(limit) = limit {
             due.insert((limit.from, 3 * faults.len()), DueAction::NameLimit(limit));
         }
+        if let Some(links) = links {
+            let (at, end) = (links.at, links.at + links.length);
+            due.insert((at, 3 * faults.len() + 1), DueAction::CutLinks(links.clone()));
+            due.insert((end, 3 * faults.len() + 2), DueAction::RestoreLinks(links));
+        }
         for ((at, _), action) in due {
             while began.elapsed() < at {
                 self.restart_ended_daemons();
@@ -142,6 +154,15 @@
                 DueAction::Begin(fault) => self.begin(fault),
                 DueAction::End(fault) => self.end(fault),
                 DueAction::Replace(server) => self.replace(server),
+                DueAction::CutLinks(links) => {
+                    for daemon in &links.daemons {
+                        self.record_fault(FaultScope::DaemonLinks(*daemon), links.length);
+                    }
+                    self.set_links(&links.daemons, Some(links.state));
+                }
+                DueAction::RestoreLinks(links) => {
+                    self.set_links(&links.daemons, None);
+                }
                 DueAction::NameLimit(LimitPlan { server, per_second, .. }) => {
                     self.servers[server].notices.lock().limit = Some(per_second);
                 }
@@ -154,7 +175,7 @@
         self.store.set_behaviour(StoreBehaviour::Normal);
         for server in &self.servers {
             if server.crashed_at.lock().is_none() {
-                server.proxy.set_state(ProxyState::Forwarding);
+                server.links.set_server(ProxyState::Forwarding);
             }
             *server.behaviour.lock() = ServerBehaviour::Normal;
         }
@@ -188,7 +209,11 @@
     fn start_daemon(&self, number: usize) -> SoakDaemon {
         let name = format!("daemon-{number}");
         let [listen, ready, metrics, peers] = [(); 4].map(|()| process::unused_address());
-        let store_proxy = TestProxy::start(&self.store.address.to_string());
+        let store_view = self.store.start_view();
+        for server in &self.servers {
+            store_view.redirect(&server.links.address, &server.links.add(number));
+        }
+        let store_proxy = TestProxy::start(&store_view.address.to_string());
         let settings = self.folder.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {listen}\n\
@@ -226,7 +251,7 @@
         for server in 0..self.servers.len() {
             let crashed_at = *self.servers[server].crashed_at.lock();
             if crashed_at.is_some_and(|at| at.elapsed() >= CRASH_DURATION) {
-                self.servers[server].proxy.set_state(ProxyState::Forwarding);
+                self.servers[server].links.set_server(ProxyState::Forwarding);
                 *self.servers[server].crashed_at.lock() = None;
                 self.replace(server);
             }
@@ -234,6 +259,7 @@
     }
 
     fn restart(&mut self, number: usize) {
+        self.record_fault(FaultScope::DaemonRestart(number), Duration::ZERO);
         let daemon = &mut self.daemons[number];
         daemon.process = start_process(&self.folder, &daemon.name, &daemon.settings);
         daemon.is_paused = false;
@@ -281,6 +307,7 @@
                 }
             }
             SoakFault::StopDaemon(daemon) => {
+                self.record_fault(FaultScope::DaemonRestart(daemon), Duration::ZERO);
                 if self.daemons[daemon].process.is_running() {
                     self.daemons[daemon].process.terminate();
                 }
@@ -343,7 +370,7 @@
             | SoakFault::FreezeServer(server)
             | SoakFault::DeafServer(server)
             | SoakFault::DelayServer(server) => {
-                self.servers[server].proxy.set_state(ProxyState::Forwarding)
+                self.servers[server].links.set_server(ProxyState::Forwarding)
             }
             SoakFault::FullServer(server)
             | SoakFault::LoseAnswers(server)
@@ -360,6 +387,12 @@
         }
     }
 
+    fn set_links(&self, daemons: &[usize], cut: Option<ProxyState>) {
+        for server in &self.servers {
+            daemons.iter().for_each(|daemon| server.links.set_cut(*daemon, cut));
+        }
+    }
+
     fn block_store(&mut self, daemon: usize, state: ProxyState, length: Duration) {
         self.record_fault(FaultScope::StoreConnection(daemon), length);
         self.daemons[daemon].store_proxy.set_state(state);
@@ -373,7 +406,7 @@
     fn set_proxy(&mut self, server: usize, state: ProxyState, length: Duration) {
         self.record_fault(FaultScope::Servers, length);
         self.record_fault(FaultScope::ServerConnection(server), length);
-        self.servers[server].proxy.set_state(state);
+        self.servers[server].links.set_server(state);
     }
 
     fn reload(&mut self, daemon: usize) {
@@ -403,7 +436,7 @@
     fn register(&self, server: usize, state: &str) {
         let server = &self.servers[server];
         let mut entry =
-            gateway_mocks::server_entry(server.service, &server.proxy.address, server.stage, state);
+            gateway_mocks::server_entry(server.service, &server.links.address, server.stage, state);
         entry["version"] = servers::software(&server.id).into();
         self.store.put_server(&server.id, &entry);
     }
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -39,6 +39,18 @@
     soak(11001, 12, 4);
 }
 
+/// Guards against callers of daemons without links to servers that are refused.
+#[test]
+fn seed_12000_serves_callers_of_daemons_without_links() {
+    soak(12000, 12, 4);
+}
+
+/// Guards against requests of daemons without links that all go to a daemon that refuses them.
+#[test]
+fn seed_12013_does_not_hand_requests_to_a_daemon_that_refuses() {
+    soak(12013, 12, 4);
+}
+
 #[test]
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
