Hand no requests to a daemon whose token can't be sent

A daemon whose entry in the store had a token that is no header text got the request without it, and answered 404 like any unknown call, which the caller would have got (DENIED). Found by reading; no such entry is written by the system itself.

Only tokens of hexadecimal digits are used.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -216,7 +216,10 @@
         let rows = self.rows.lock();
         let PeerRecord { address, token, .. } = rows.get(name)?.record.clone();
         let target = ForwardTarget { name: name.clone(), address, token };
-        (!target.token.is_empty()).then_some(target)
+        // The token is sent in a header.
+        let is_usable =
+            |token: &str| !token.is_empty() && token.bytes().all(|b| b.is_ascii_hexdigit());
+        is_usable(&target.token).then_some(target)
     }
 
     fn record_datagram(&self, name: &str, now: Timestamp) -> Option<SmolStr> {
