Free the place of a request that was taken over if its caller leaves

A daemon takes over at most 256 requests of others at a time. The count was lowered after the response, and never if the other daemon closed the connection first, as it does when its caller leaves.

The count belongs to a guard now, which is dropped with the request. One comment is wrapped besides.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -75,6 +75,24 @@
     }
 }
 
+/// Counts a request of another daemon until its response head is returned, or the daemon gives up.
+struct TakenGuard(Arc<Gateway>);
+
+impl TakenGuard {
+    /// Counts a request, unless there are too many.
+    fn new(gateway: &Arc<Gateway>) -> Option<Self> {
+        let taken = gateway.taken.fetch_add(1, Ordering::Relaxed);
+        let guard = Self(Arc::clone(gateway));
+        (taken < TAKEN_LIMIT).then_some(guard)
+    }
+}
+
+impl Drop for TakenGuard {
+    fn drop(&mut self) {
+        self.0.taken.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// How the attempt to hand a request over ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -244,16 +262,12 @@
         tracing::warn!("request with a wrong token at the address for other daemons; not taken");
         return not_taken();
     }
-    let taken = gateway.taken.fetch_add(1, Ordering::Relaxed);
-    let is_free = taken < TAKEN_LIMIT && gateway.is_ready();
-    let response = if is_free {
-        gateway.metrics.taken_over.inc();
-        front::respond_to(Arc::clone(&gateway), request, CallSource::Daemon { is_counted }).await
-    } else {
-        not_taken()
+    let guard = TakenGuard::new(&gateway).filter(|_| gateway.is_ready());
+    let Some(_guard) = guard else {
+        return not_taken();
     };
-    gateway.taken.fetch_sub(1, Ordering::Relaxed);
-    response
+    gateway.metrics.taken_over.inc();
+    front::respond_to(Arc::clone(&gateway), request, CallSource::Daemon { is_counted }).await
 }
 
 /// Marks a refusal of a request that another daemon handed over and no server has got, so that this
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -460,8 +460,8 @@
         }
     }
 
-    /// Tells the evidence against requests and prompt parts to the sender of a datagram if it is heard for the first time. Its
-    /// address may not be registered yet.
+    /// Tells the evidence against requests and prompt parts to the sender of a datagram if it is heard
+    /// for the first time. Its address may not be registered yet.
     async fn welcome(&self, datagram: &UpdateDatagram, source: SocketAddr) {
         let updates = {
             let state = self.gateway.state.lock();
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    io::Read,
     net::TcpStream,
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -461,3 +462,24 @@
     let served = tries.iter().filter(|one| one.is_served).count();
     assert!(10 * served >= 9 * tries.len(), "{served} of {} were served", tries.len());
 }
+
+#[test]
+fn callers_that_leave_do_not_use_up_what_a_daemon_takes_over() {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    let server = ScriptedServer::start(|_, stream| {
+        // Returns when the gateway closes the connection.
+        let _ = stream.read(&mut [0]);
+        false
+    });
+    system.register("one", "plain", &server, "");
+    let gateway = &system.gateway;
+    let mut stream = TcpStream::connect(gateway.options.peer_listen).expect("connects");
+    let headers = format!("Gooseberry-Forward-Token: {}\r\n", gateway.peer_token);
+    write_text(&mut stream, &get_request("/plain/x", &headers));
+    support::wait_for(|| !server.received().is_empty());
+    assert_eq!(gateway.taken.load(Ordering::SeqCst), 1);
+    drop(stream);
+    support::wait_for(|| gateway.taken.load(Ordering::SeqCst) == 0);
+}
