Take over no requests that a newer configuration has routed

A daemon that took a request over routed it by its own configuration.

The request now says by which version it was routed, and a daemon with an older one answers that it hasn't taken it, so that it goes to the next.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,6 +35,8 @@
 const TOKEN: HeaderName = HeaderName::from_static("gooseberry-forward-token");
 /// Header of a request that its daemon has counted for the retry budget.
 const COUNTED: HeaderName = HeaderName::from_static("gooseberry-forward-counted");
+/// Header of a request with the version of the configuration by which its daemon has routed it.
+const VERSION: HeaderName = HeaderName::from_static("gooseberry-forward-version");
 /// Header of a response of a daemon that hasn't taken the request over.
 const NOT_TAKEN: HeaderName = HeaderName::from_static("gooseberry-forward-not-taken");
 /// Number of daemons to which a request is handed until one takes it.
@@ -121,7 +123,7 @@
         };
         tried.push(target.name.clone());
         let guard = ForwardGuard::new(&call.gateway, &target.name);
-        let exchange = exchange(call, &target, is_counted);
+        let exchange = exchange(call, route, &target, is_counted);
         let limit = call.time_left() + RESPONSE_SLACK;
         let sent = call.gateway.clock.timeout(limit, exchange).await;
         let (outcome, response) = match sent {
@@ -188,6 +190,7 @@
 
 async fn exchange(
     call: &Call,
+    route: &CallRoute,
     target: &ForwardTarget,
     is_counted: bool,
 ) -> Result<(Response<Incoming>, ClientConnection), SendError> {
@@ -198,6 +201,7 @@
     if let Ok(token) = HeaderValue::from_str(&target.token) {
         headers.insert(TOKEN, token);
     }
+    headers.insert(VERSION, route.configuration.version.into());
     if is_counted {
         headers.insert(COUNTED, HeaderValue::from_static("1"));
     }
@@ -256,13 +260,20 @@
     let headers = request.headers_mut();
     let token = headers.remove(TOKEN);
     let is_counted = headers.remove(COUNTED).is_some();
+    let version = headers.remove(VERSION);
+    let version = version.and_then(|version| version.to_str().ok()?.parse().ok()).unwrap_or(0);
     let is_known = token
         .is_some_and(|token| bool::from(token.as_bytes().ct_eq(gateway.peer_token.as_bytes())));
     if !is_known {
         tracing::warn!("request with a wrong token at the address for other daemons; not taken");
         return not_taken();
     }
-    let guard = TakenGuard::new(&gateway).filter(|_| gateway.is_ready());
+    // An older configuration may lack the route, or lead to another service.
+    let is_current = {
+        let state = gateway.state.lock();
+        state.configuration.as_ref().is_some_and(|configuration| configuration.version >= version)
+    };
+    let guard = TakenGuard::new(&gateway).filter(|_| is_current && gateway.is_ready());
     let Some(_guard) = guard else {
         return not_taken();
     };
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -305,8 +305,13 @@
 
 /// Sends a request to the address of a daemon for other daemons.
 fn send_to_peer_address(daemon: &System, token: &str) -> String {
+    send_to_peer_address_with(daemon, token, "")
+}
+
+/// The same with further header lines.
+fn send_to_peer_address_with(daemon: &System, token: &str, headers: &str) -> String {
     let mut stream = TcpStream::connect(daemon.gateway.options.peer_listen).expect("connects");
-    let headers = format!("Gooseberry-Forward-Token: {token}\r\n");
+    let headers = format!("Gooseberry-Forward-Token: {token}\r\n{headers}");
     write_text(&mut stream, &get_request("/plain/x", &headers));
     read_response(&mut stream)
 }
@@ -483,3 +488,21 @@
     drop(stream);
     support::wait_for(|| gateway.taken.load(Ordering::SeqCst) == 0);
 }
+
+#[test]
+fn a_daemon_takes_over_nothing_that_a_newer_configuration_has_routed() {
+    let test = CutTest::start(2);
+    let daemon = &test.daemons[0];
+    let token = &daemon.gateway.peer_token;
+    for (version, expected) in [(2, "503"), (1, "200"), (0, "200")] {
+        let header = format!("Gooseberry-Forward-Version: {version}\r\n");
+        let text = send_to_peer_address_with(daemon, token, &header);
+        assert_eq!(status_code(&text), expected, "version {version}: {text}");
+        let is_taken = !text.contains("gooseberry-forward-not-taken");
+        assert_eq!(is_taken, expected == "200", "version {version}: {text}");
+    }
+    let received = test.servers.iter().flat_map(ScriptedServer::received);
+    for request in received {
+        assert_eq!(request.header("gooseberry-forward-version"), None);
+    }
+}
