Ask idle daemons during a cut, too

A daemon that was cut off knew whom to hand requests to only while the others had requests of their own: they report what they have reached, and their reports count for 1.5 s.

The question to the others, so far asked only before a cut is decided, is asked during it as well once the newest report is 750 ms old.

--- a/crates/core/src/serving/reach.rs
+++ b/crates/core/src/serving/reach.rs
@@ -88,6 +88,11 @@
         self.is_cut
     }
 
+    /// Returns whether the reports of other daemons will soon no longer count.
+    pub fn needs_reports(&self, now: Timestamp) -> bool {
+        self.reports.values().all(|reached_at| now.since(*reached_at) >= REPORT_TTL / 2)
+    }
+
     /// Returns the daemons that have reached the service lately.
     pub fn reaching_daemons(&self, now: Timestamp) -> impl Iterator<Item = u64> + '_ {
         let is_recent =
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -36,7 +36,8 @@
 async fn check_until_reached(gateway: &Gateway, service: &str) {
     let mut delay = CHECK_INTERVALS.0;
     while !is_reached(gateway, service).await {
-        if !gateway.state.lock().is_cut(service) {
+        let is_asking = gateway.state.lock().needs_reach_reports(service, gateway.now());
+        if is_asking {
             gateway.state.lock().ask_reach(service);
             gateway.wake_publisher();
             gateway.clock.sleep(ANSWER_DELAY).await;
--- a/crates/gateway/src/state/reach.rs
+++ b/crates/gateway/src/state/reach.rs
@@ -108,6 +108,13 @@
         (!servers.is_empty()).then_some(SendUpdate::Reached { servers })
     }
 
+    /// Returns whether the others have to be asked whether they reach a service. They report by
+    /// themselves only while they have requests for it.
+    pub fn needs_reach_reports(&self, service: &str, now: Timestamp) -> bool {
+        let reach = self.reach.get(service);
+        reach.is_none_or(|reach| !reach.is_cut() || reach.needs_reports(now))
+    }
+
     /// Queues the question to the other daemons whether they reach a service.
     pub fn ask_reach(&mut self, service: &str) {
         self.outgoing.push_back(SendUpdate::ReachAsked { service: service.to_owned() });
--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -506,3 +506,16 @@
         assert_eq!(request.header("gooseberry-forward-version"), None);
     }
 }
+
+#[test]
+fn a_cut_goes_on_being_bridged_while_the_other_daemons_are_idle() {
+    let test = CutTest::start(3);
+    test.set_links(&[0], ProxyState::Closed);
+    wait_until_cut(&test, 0);
+    thread::sleep(Duration::from_secs(3));
+    for path in PATHS {
+        let prompt = "X-Model: m\r\nX-Token-Usage: 400,5\r\nX-Prompt-Prefix: aa:300,bb:100\r\n";
+        let text = test.daemons[0].send(&get_request(path, prompt));
+        assert_eq!(status_code(&text), "200", "{path}: {text}");
+    }
+}
