Stop using missing entries once a daemon that was cut off counts as in touch

Cause: a daemon that was cut off from the store can't tell its cut from an outage of the store, and used entries that were missing afterwards for 2 s from its first response.

Change: the 2 s end at the latest 2.8 s after the last failed call began, as the link can't have healed before. The watch after a failed call waits for no changes, so a failed call takes 1 s instead of 2.2 s.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -15,6 +15,11 @@
 /// Time after the end of an outage during which a missing entry may have expired in the outage: the
 /// changes of the outage arrive with the first responses.
 const OUTAGE_GRACE_PERIOD: Duration = Duration::from_millis(500);
+/// Time after a failed call began for which the list of entries may be out of date. If only this
+/// daemon was cut off, its link may have recovered right after that call began. Requests must then
+/// go by the current entries 3 s later, the least `stable-ms` of the deployments, and take some time
+/// to arrive.
+const STALE_LIST_LIMIT: Duration = Duration::from_millis(2800);
 
 /// The phase of inference that an engine runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, strum::Display)]
@@ -74,13 +79,17 @@
 pub struct StoreConnectivity {
     outage_started_at: Option<Timestamp>,
     outage_ended_at: Option<Timestamp>,
+    /// Time at which the last failed call began.
+    last_failed_call_at: Timestamp,
 }
 
 impl StoreConnectivity {
-    /// Records a failed call. Returns whether it is the first failure of an outage.
-    pub fn record_failure(&mut self, now: Timestamp) -> bool {
+    /// Records that a call failed which began at `called_at`. Returns whether it is the first failure
+    /// of an outage.
+    pub fn record_failure(&mut self, called_at: Timestamp) -> bool {
         let is_first = self.outage_started_at.is_none();
-        self.outage_started_at.get_or_insert(now);
+        self.outage_started_at.get_or_insert(called_at);
+        self.last_failed_call_at = called_at;
         is_first
     }
 
@@ -98,13 +107,15 @@
 
     /// Returns the presence of a server whose entry is found missing now.
     pub fn missing_entry_presence(&self, now: Timestamp) -> ServerPresence {
+        let lapsed = |since: Timestamp| {
+            let until = since + REWRITE_WINDOW;
+            ServerPresence::Lapsed { until: until.min(self.last_failed_call_at + STALE_LIST_LIMIT) }
+        };
         if self.outage_started_at.is_some() {
-            return ServerPresence::Lapsed { until: now + REWRITE_WINDOW };
+            return lapsed(now);
         }
         match self.outage_ended_at {
-            Some(at) if now.since(at) < OUTAGE_GRACE_PERIOD => {
-                ServerPresence::Lapsed { until: at + REWRITE_WINDOW }
-            }
+            Some(at) if now.since(at) < OUTAGE_GRACE_PERIOD => lapsed(at),
             _ => ServerPresence::Gone,
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -29,6 +29,9 @@
 const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond the wait after which a watch times out.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Timeout of the watch after a failed call, which waits for no changes: after a cut, entries that
+/// are missing have to be known soon.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout of a read of all keys.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Delay after a response with changes. Changes come in bursts, and each response costs a call.
@@ -83,7 +86,15 @@
                 self.watch_relay(relay, revision).await;
                 return;
             }
-            (Some(revision), _, _) => self.client.watch(revision, WATCH_TIMEOUT, WATCH_SLACK).await,
+            (Some(revision), _, _) => {
+                let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
+                let (wait, slack) = if is_failing {
+                    (Duration::ZERO, PROBE_TIMEOUT)
+                } else {
+                    (WATCH_TIMEOUT, WATCH_SLACK)
+                };
+                self.client.watch(revision, wait, slack).await
+            }
             (None, _, _) => self.client.read_all(READ_TIMEOUT).await,
         };
         match update {
@@ -96,7 +107,7 @@
                 }
             }
             Err(fault) => {
-                record_error(&self.gateway, &fault);
+                record_error(&self.gateway, &fault, now);
                 if matches!(fault, StoreError::Compacted(_)) {
                     self.revision = None;
                     return;
@@ -155,16 +166,15 @@
     }
 }
 
-fn record_error(gateway: &Gateway, fault: &StoreError) {
+fn record_error(gateway: &Gateway, fault: &StoreError, called_at: Timestamp) {
     gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
     if matches!(fault, StoreError::Compacted(_)) {
         tracing::info!(%fault, "revision was compacted; reading all keys again");
         return;
     }
-    let now = gateway.now();
     let mut state = gateway.state.lock();
     state.versions.record_gap();
-    if state.fleet.connectivity.record_failure(now) {
+    if state.fleet.connectivity.record_failure(called_at) {
         tracing::warn!(%fault, "key-value service is not responding");
     }
 }
