Soak: compare daemons with and without links in the same spans

Change: requests are compared in spans of 0.5 s in which both sides have some; a start counts for 3 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -25,10 +25,11 @@
 const STABLE_DURATION: Duration = Duration::from_secs(4);
 /// Time after the last fault after which requests must be served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(5);
-/// Time in which a daemon that has started again serves, also if the store was down meanwhile.
-const START_LIMIT: Duration = Duration::from_secs(6);
-/// Time after daemons lost their links after which their callers must be served.
+/// Time after daemons lost their links, or were stopped or started, after which their callers must
+/// be served.
 const CUT_LIMIT: Duration = Duration::from_secs(3);
+/// Length of the spans in which requests of daemons with and without links are compared.
+const COMPARED_SPAN: Duration = Duration::from_millis(500);
 /// Share of requests that must be served after the recovery limit.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -383,7 +384,17 @@
     })
 }
 
-/// Checks that callers of daemons without links to servers are served like those of the others.
+/// First tries of callers in one span of a cut.
+#[derive(Clone, Copy, Debug, Default)]
+struct SpanCount {
+    served: usize,
+    all: usize,
+    other_served: usize,
+    other_all: usize,
+}
+
+/// Checks that callers of daemons without links to servers are served like those of the others in
+/// the same spans.
 fn check_links(history: &SoakHistory) -> Option<InvariantViolation> {
     let cuts = || {
         history.fault_intervals.iter().filter_map(|interval| match interval.scope {
@@ -393,28 +404,40 @@
     };
     let (_, cut) = cuts().next()?;
     let from = cut.from + CUT_LIMIT;
-    // A daemon that has started again needs the store, and evidence of the cut, before it can serve.
     let is_disturbed = |call: &CallRecord| {
-        let since = call.sent_at.checked_sub(START_LIMIT).unwrap_or(call.sent_at);
+        let since = call.sent_at.checked_sub(CUT_LIMIT).unwrap_or(call.sent_at);
         let own = [FaultScope::Daemon(call.daemon), FaultScope::DaemonRestart(call.daemon)];
         history.had_fault(since, call.ended_at, |scope| own.contains(&scope))
     };
-    let first_tries = || {
-        history.calls.iter().filter(|call| {
-            let is_counted = !call.is_poison && call.resumed.is_none();
-            is_counted && (from..cut.until).contains(&call.sent_at) && !is_disturbed(call)
-        })
-    };
-    let count = |is_cut: bool| {
-        let calls = || first_tries().filter(|call| cuts().any(|(d, _)| d == call.daemon) == is_cut);
-        (calls().filter(|call| call.is_served()).count(), calls().count())
+    let first_tries = history.calls.iter().filter(|call| {
+        let is_counted = !call.is_poison && call.resumed.is_none();
+        is_counted && (from..cut.until).contains(&call.sent_at) && !is_disturbed(call)
+    });
+    let mut spans: BTreeMap<u128, SpanCount> = BTreeMap::new();
+    for call in first_tries {
+        let number = call.sent_at.duration_since(from).as_millis() / COMPARED_SPAN.as_millis();
+        let span = spans.entry(number).or_default();
+        let (served, all) = if cuts().any(|(daemon, _)| daemon == call.daemon) {
+            (&mut span.served, &mut span.all)
+        } else {
+            (&mut span.other_served, &mut span.other_all)
+        };
+        *served += usize::from(call.is_served());
+        *all += 1;
+    }
+    spans.retain(|_, span| span.all > 0 && span.other_all > 0);
+    let served: usize = spans.values().map(|span| span.served).sum();
+    let all: usize = spans.values().map(|span| span.all).sum();
+    // Requests that would be served at the shares of the other daemons.
+    let expected: f64 = spans
+        .values()
+        .map(|span| (span.all * span.other_served) as f64 / span.other_all as f64)
+        .sum();
+    let is_served = 3.0 * served as f64 >= 2.0 * expected || all - served <= 10 + all / 50;
+    let details = || {
+        format!("{served} of {all}, {expected:.0} at the shares of the other daemons: {spans:?}")
     };
-    let ((served, all), (other_served, other_all)) = (count(true), count(false));
-    let share = |served: usize, all: usize| served as f64 / all.max(1) as f64;
-    let is_served = 3.0 * share(served, all) >= 2.0 * share(other_served, other_all)
-        || all - served <= 10 + all / 50;
-    let details = format!("{served} of {all}, at the other daemons {other_served} of {other_all}");
-    (!is_served).then_some(InvariantViolation::CutCallers(details))
+    (!is_served).then(|| InvariantViolation::CutCallers(details()))
 }
 
 /// Checks that requests are served again after the recovery limit.
