Give the datagrams between daemons a version

Cause: datagrams were bare postcard values. A build that had another set of updates took one for another (a crash for a completion, a conviction for a leaving server) or lost the whole datagram, so two builds could not run side by side.

Unknown updates are skipped alone, counted, and passed on by relays. Golden bytes fix both formats, the records in the store, a relay's changes and the hashes that daemons compare.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,9 @@
     pub store_calls: IntCounterVec,
     /// Datagrams to and from other daemons, and those that can't be decoded.
     pub datagrams: IntCounterVec,
+    /// Updates of daemons of other builds that this one doesn't know, by the newest format that the
+    /// sender reads.
+    pub skipped_updates: IntCounterVec,
     /// New connections to backend servers.
     pub connections: IntCounter,
     /// Servers that said in a response to this daemon that they leave.
@@ -122,6 +125,11 @@
             retries: counters("retries_total", "Further sends", &["verdict"])?,
             store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
             datagrams: counters("datagrams_total", "Datagrams of daemons", &["direction"])?,
+            skipped_updates: counters(
+                "skipped_updates_total",
+                "Updates of daemons of other builds that aren't known",
+                &["reads"],
+            )?,
             connections,
             lines_dropped: gauge("log_lines_dropped", "Lines that the log has lost")?,
             count_dropped_lines,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,13 +25,17 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use strum::IntoEnumIterator;
 
 use crate::{
     crashes,
     gateway::Gateway,
     reach,
     settings::GatewayOptions,
-    updates::{SendUpdate, UpdateBundle, UpdateDatagram},
+    updates::{
+        format::{self, DatagramFormat, ReceivedDatagram},
+        SendUpdate, UpdateBundle, UpdateDatagram,
+    },
 };
 
 /// Prefix of the keys under which daemons write their addresses.
@@ -66,7 +70,8 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
 
-/// Record of a daemon in the key-value service.
+/// Record of a daemon in the key-value service. Other builds read it too, so fields are only added,
+/// with a default for records without them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerRecord {
     pub address: SocketAddr,
@@ -76,15 +81,24 @@
     /// Token that requests handed to it must carry. Empty if it takes none.
     #[serde(default)]
     pub token: SmolStr,
+    /// Hash of the daemon's name and incarnation.
+    #[serde(default)]
+    pub daemon: u64,
+    /// Number of the newest [`DatagramFormat`] that it reads.
+    #[serde(default)]
+    pub reads: u8,
 }
 
 impl PeerRecord {
-    fn own(options: &GatewayOptions, token: &SmolStr) -> Self {
+    fn own(gateway: &Gateway) -> Self {
+        let options = &gateway.options;
         Self {
             address: options.peer_listen,
             domain: options.domain.clone(),
             capacity: options.capacity,
-            token: token.clone(),
+            token: gateway.peer_token.clone(),
+            daemon: gateway.daemon,
+            reads: DatagramFormat::NEWEST.number(),
         }
     }
 }
@@ -97,9 +111,21 @@
     pub token: SmolStr,
 }
 
+/// Where updates are sent, and in which format.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpdateTarget {
+    pub address: SocketAddr,
+    pub format: DatagramFormat,
+}
+
 #[derive(Clone, Debug)]
 struct PeerRow {
     record: PeerRecord,
+    /// Start of the daemon that last said what it reads, or was first heard, and the newest format
+    /// that both builds know.
+    format: (u64, DatagramFormat),
+    /// Whether updates of this start were skipped.
+    has_skipped: bool,
     /// Time of the daemon's last datagram or registration.
     last_seen_at: Timestamp,
     /// Time since which this daemon has expected updates from it as a relay.
@@ -109,6 +135,33 @@
 }
 
 impl PeerRow {
+    fn new(record: PeerRecord, now: Timestamp) -> Self {
+        Self {
+            format: (record.daemon, DatagramFormat::up_to(record.reads)),
+            has_skipped: false,
+            last_seen_at: now,
+            relay_since: None,
+            unresponsive_at: None,
+            record,
+        }
+    }
+
+    /// Records the format of a datagram that the daemon sent itself. One without a frame says nothing
+    /// of what a start reads that is already known. Returns whether the format changed.
+    fn record_format(&mut self, daemon: Option<u64>, reads: Option<u8>) -> bool {
+        let format = match (daemon, reads) {
+            (daemon, Some(reads)) => {
+                (daemon.unwrap_or(self.format.0), DatagramFormat::up_to(reads))
+            }
+            (Some(daemon), None) if daemon != self.format.0 => (daemon, DatagramFormat::Unframed),
+            (_, None) => return false,
+        };
+        let has_changed = format.1 != self.format.1;
+        self.has_skipped &= format.0 == self.format.0;
+        self.format = format;
+        has_changed
+    }
+
     fn is_unresponsive(&self, now: Timestamp) -> bool {
         self.unresponsive_at
             .is_some_and(|at| self.last_seen_at <= at && now.since(at) < UNRESPONSIVE_DURATION)
@@ -120,7 +173,7 @@
 pub struct PeerDirectory {
     rows: Mutex<HashMap<SmolStr, PeerRow>>,
     /// The latest plan, with the time at which it was made.
-    cached_plan: Mutex<Option<(Timestamp, Arc<RelayPlan<SocketAddr>>)>>,
+    cached_plan: Mutex<Option<(Timestamp, Arc<RelayPlan<UpdateTarget>>)>>,
     /// Updates that this daemon has received as a relay and hasn't forwarded yet.
     forward_queue: Mutex<Vec<QueuedBundle>>,
 }
@@ -139,8 +192,7 @@
         let mut rows = self.rows.lock();
         let old = rows.get(name).map(|row| row.record.clone());
         let has_changed = old.as_ref() != Some(&record);
-        let row = PeerRow { record, last_seen_at: now, relay_since: None, unresponsive_at: None };
-        rows.insert(name.into(), row);
+        rows.insert(name.into(), PeerRow::new(record, now));
         drop(rows);
         *self.cached_plan.lock() = None;
         has_changed
@@ -159,7 +211,7 @@
     }
 
     /// Returns the relay plan, which is at most `PLAN_TTL` old.
-    pub fn plan(&self, options: &GatewayOptions, now: Timestamp) -> Arc<RelayPlan<SocketAddr>> {
+    pub fn plan(&self, options: &GatewayOptions, now: Timestamp) -> Arc<RelayPlan<UpdateTarget>> {
         let mut cached_plan = self.cached_plan.lock();
         match &*cached_plan {
             Some((at, plan)) if now.since(*at) < PLAN_TTL => Arc::clone(plan),
@@ -171,21 +223,23 @@
         }
     }
 
-    fn make_plan(&self, options: &GatewayOptions, now: Timestamp) -> RelayPlan<SocketAddr> {
+    fn make_plan(&self, options: &GatewayOptions, now: Timestamp) -> RelayPlan<UpdateTarget> {
         let mut rows = self.rows.lock();
-        let candidate = |name: &SmolStr, record: &PeerRecord, is_unresponsive| RelayCandidate {
+        let candidate = |(name, row): (&SmolStr, &PeerRow)| RelayCandidate {
             name: name.clone(),
-            domain: record.domain.clone(),
-            address: record.address,
-            capacity: record.capacity,
-            is_unresponsive,
+            domain: row.record.domain.clone(),
+            address: UpdateTarget { address: row.record.address, format: row.format.1 },
+            capacity: row.record.capacity,
+            is_unresponsive: row.is_unresponsive(now),
         };
-        let mut candidates: Vec<_> = rows
-            .iter()
-            .map(|(name, row)| candidate(name, &row.record, row.is_unresponsive(now)))
-            .collect();
-        let own = PeerRecord::own(options, &SmolStr::default());
-        candidates.push(candidate(&options.name, &own, false));
+        let mut candidates: Vec<_> = rows.iter().map(candidate).collect();
+        candidates.push(RelayCandidate {
+            name: options.name.clone(),
+            domain: options.domain.clone(),
+            address: UpdateTarget { address: options.peer_listen, format: DatagramFormat::NEWEST },
+            capacity: options.capacity,
+            is_unresponsive: false,
+        });
         let plan = relays::plan(&options.name, &candidates);
         for (name, row) in rows.iter_mut() {
             if !plan.expected_relays.contains(name) {
@@ -206,9 +260,11 @@
         self.rows.lock().len()
     }
 
-    /// Returns the address of a daemon.
-    fn address(&self, name: &str) -> Option<SocketAddr> {
-        self.rows.lock().get(name).map(|row| row.record.address)
+    /// Returns how updates are sent to a daemon.
+    pub fn target(&self, name: &str) -> Option<UpdateTarget> {
+        let rows = self.rows.lock();
+        let row = rows.get(name)?;
+        Some(UpdateTarget { address: row.record.address, format: row.format.1 })
     }
 
     /// Returns how requests are handed to a daemon, if it takes any.
@@ -222,11 +278,25 @@
         is_usable(&target.token).then_some(target)
     }
 
-    fn record_datagram(&self, name: &str, now: Timestamp) -> Option<SmolStr> {
+    /// Records a datagram, and returns the failure domain of its sender if that is known.
+    pub fn record_datagram(&self, received: &ReceivedDatagram, now: Timestamp) -> Option<SmolStr> {
+        let ReceivedDatagram { datagram, reads, skipped } = received;
+        let sender = &datagram.sender;
+        let own = datagram.bundles.iter().find(|bundle| bundle.name == *sender);
         let mut rows = self.rows.lock();
-        let row = rows.get_mut(name)?;
+        let row = rows.get_mut(sender.as_str())?;
         row.last_seen_at = now;
-        Some(row.record.domain.clone())
+        let has_changed = row.record_format(own.map(|bundle| bundle.daemon), *reads);
+        if *skipped > 0 && !std::mem::replace(&mut row.has_skipped, true) {
+            tracing::info!(daemon = %sender, reads, skipped, "updates of another build are unknown; skipping these");
+        }
+        let (format, domain) = (row.format.1, row.record.domain.clone());
+        drop(rows);
+        if has_changed {
+            tracing::info!(daemon = %sender, %format, "daemon reads another format; sending it that one");
+            *self.cached_plan.lock() = None;
+        }
+        Some(domain)
     }
 }
 
@@ -263,7 +333,7 @@
         None => {
             let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?.id;
             let key = format!("{KEY_PREFIX}{}", options.name);
-            let value = serde_json::to_vec(&PeerRecord::own(options, &gateway.peer_token))?;
+            let value = serde_json::to_vec(&PeerRecord::own(gateway))?;
             let put = StorePut { key: &key, value: &value, lease, expected: None };
             client.put(&put, CALL_TIMEOUT).await?;
             *registered = Some(lease);
@@ -372,11 +442,12 @@
         }
     }
 
-    async fn forward_to(&self, queue: Vec<QueuedBundle>, to: &[SocketAddr]) {
+    async fn forward_to(&self, queue: Vec<QueuedBundle>, to: &[UpdateTarget]) {
         let mut bundles = Vec::new();
         let mut updates = 0;
         for queued_bundle in queue {
-            updates += queued_bundle.bundle.updates.len();
+            let bundle = &queued_bundle.bundle;
+            updates += bundle.updates.len() + bundle.unknown.len();
             bundles.push(queued_bundle.bundle);
             if updates >= BATCH_LIMIT {
                 self.send(std::mem::take(&mut bundles), to).await;
@@ -390,29 +461,39 @@
 
     fn bundle(&self, updates: Vec<SendUpdate>) -> UpdateBundle {
         let name = self.gateway.options.name.to_string();
-        UpdateBundle { daemon: self.gateway.daemon, name, updates }
+        UpdateBundle { daemon: self.gateway.daemon, name, updates, unknown: Vec::new() }
     }
 
-    async fn send(&self, bundles: Vec<UpdateBundle>, to: &[SocketAddr]) {
+    async fn send(&self, bundles: Vec<UpdateBundle>, to: &[UpdateTarget]) {
         let datagram = UpdateDatagram { sender: self.gateway.options.name.to_string(), bundles };
-        let bytes = match postcard::to_stdvec(&datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::warn!(%error, "updates can't be encoded");
-                return;
+        for format in DatagramFormat::iter() {
+            if !to.iter().any(|target| target.format == format) {
+                continue;
             }
-        };
-        let sent = self.gateway.metrics.datagrams.with_label_values(&["sent"]);
-        for address in to {
-            // A lost datagram isn't sent again. The next summary corrects the pending prefills and
-            // the counts of running requests.
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
-                tracing::debug!(%error, %address, "datagram not sent");
+            let bytes = match format::encode(&datagram, format) {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    tracing::warn!(%error, %format, "updates can't be encoded");
+                    continue;
+                }
+            };
+            for target in to {
+                if target.format == format {
+                    self.send_bytes(&bytes, target.address).await;
+                }
             }
-            sent.inc();
         }
     }
 
+    /// Sends a datagram. A lost one isn't sent again: the next summary corrects the pending prefills
+    /// and the counts of running requests.
+    async fn send_bytes(&self, bytes: &[u8], address: SocketAddr) {
+        if let Err(error) = self.socket.send_to(bytes, address).await {
+            tracing::debug!(%error, %address, "datagram not sent");
+        }
+        self.gateway.metrics.datagrams.with_label_values(&["sent"]).inc();
+    }
+
     async fn receive(self) {
         let mut buffer = vec![0; DATAGRAM_LIMIT_BYTES];
         loop {
@@ -424,12 +505,21 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<UpdateDatagram>(&buffer[..length]) {
-                Ok(datagram) => {
-                    self.gateway.metrics.datagrams.with_label_values(&["heard"]).inc();
+            match format::decode(&buffer[..length]) {
+                Ok(received) => {
+                    let metrics = &self.gateway.metrics;
+                    metrics.datagrams.with_label_values(&["heard"]).inc();
+                    if received.skipped > 0 {
+                        let reads = received.reads.unwrap_or_default().to_string();
+                        let skipped = metrics.skipped_updates.with_label_values(&[&reads]);
+                        skipped.inc_by(received.skipped as u64);
+                    }
+                    let sender_domain = self.peers.record_datagram(&received, self.gateway.now());
+                    let format = DatagramFormat::up_to(received.reads.unwrap_or_default());
+                    let datagram = received.datagram;
                     self.respond(&datagram).await;
-                    self.welcome(&datagram, source).await;
-                    self.apply(datagram);
+                    self.welcome(&datagram, UpdateTarget { address: source, format }).await;
+                    self.apply(datagram, sender_domain);
                 }
                 Err(error) => {
                     self.gateway.metrics.datagrams.with_label_values(&["unreadable"]).inc();
@@ -455,14 +545,14 @@
         if responses.is_empty() {
             return;
         }
-        if let Some(address) = self.peers.address(&datagram.sender) {
-            self.send(vec![self.bundle(responses)], &[address]).await;
+        if let Some(target) = self.peers.target(&datagram.sender) {
+            self.send(vec![self.bundle(responses)], &[target]).await;
         }
     }
 
     /// Tells the evidence against requests and prompt parts to the sender of a datagram if it is heard
     /// for the first time. Its address may not be registered yet.
-    async fn welcome(&self, datagram: &UpdateDatagram, source: SocketAddr) {
+    async fn welcome(&self, datagram: &UpdateDatagram, source: UpdateTarget) {
         let updates = {
             let state = self.gateway.state.lock();
             let mut bundles = datagram.bundles.iter();
@@ -479,9 +569,8 @@
         }
     }
 
-    fn apply(&self, mut datagram: UpdateDatagram) {
+    fn apply(&self, mut datagram: UpdateDatagram, sender_domain: Option<SmolStr>) {
         let now = self.gateway.now();
-        let sender_domain = self.peers.record_datagram(&datagram.sender, now);
         let is_home = sender_domain.as_ref() == Some(&self.gateway.options.domain);
         {
             let mut state = self.gateway.state.lock();
@@ -505,7 +594,9 @@
                     !is_question
                 });
             }
-            datagram.bundles.retain(|bundle| !bundle.updates.is_empty());
+            datagram
+                .bundles
+                .retain(|bundle| !bundle.updates.is_empty() || !bundle.unknown.is_empty());
             let bundles = datagram.bundles.into_iter();
             let queued = bundles.map(|bundle| QueuedBundle { bundle, is_home });
             self.peers.forward_queue.lock().extend(queued);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -73,7 +73,8 @@
 impl StoreWatcher {
     /// Returns the relay of this domain, if it is another daemon.
     fn relay(&self, now: Timestamp) -> Option<SocketAddr> {
-        self.keys.peers.plan(&self.gateway.options, now).relay
+        let relay = self.keys.peers.plan(&self.gateway.options, now).relay;
+        relay.map(|relay| relay.address)
     }
 
     async fn step(&mut self) {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -3,11 +3,14 @@
 //! Datagrams may be lost or duplicated. There are no acknowledgements: a periodic summary removes
 //! prefills whose end was lost, and corrects the counts of running requests. Crashes are repeated
 //! for some seconds, and convicted parts are also in the key-value service. A lost start of a prefill
-//! isn't corrected. A daemon that lacks the version of a stream asks for it.
+//! isn't corrected. A daemon that lacks the version of a stream asks for it. [`format`] says how builds of
+//! several versions understand each other.
 
 use gooseberry_core::serving::prompt::{PrefixKey, PromptPart, PromptShape};
 use serde::{Deserialize, Serialize};
 
+pub mod format;
+
 /// A prefill that a daemon has sent to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SendRecord {
@@ -69,8 +72,9 @@
     pub response_age_ms: Option<u32>,
 }
 
-/// One update of a daemon on its own requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// One update of a daemon on its own requests. Other builds read it too, so variants are only
+/// appended, and their fields never change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::EnumCount)]
 pub enum SendUpdate {
     Started(SendRecord),
     /// The prefill finished or was abandoned.
@@ -155,17 +159,19 @@
 }
 
 /// The updates of one daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UpdateBundle {
     /// Hash of the daemon's name and incarnation.
     pub daemon: u64,
     /// Name of the daemon.
     pub name: String,
     pub updates: Vec<SendUpdate>,
+    /// Updates of a newer build that this one doesn't know, as they were encoded.
+    pub unknown: Vec<Vec<u8>>,
 }
 
 /// The content of one datagram between daemons.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpdateDatagram {
     /// Name of the daemon that sent the datagram, with its own updates or those of others.
     pub sender: String,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,8 @@
 mod crashing_engine;
 mod cut_daemons;
 mod endless;
+mod format_one;
+mod formats;
 mod framing;
 mod leaving;
 mod limit_world;
