Let the share of engines that decode follow the measured load

Cause: a quarter of each domain's engines decoded, which suits prompts of thousands of tokens before few events. A limit in tokens kept each prompt over 2,048 tokens from being read where it is decoded, also where that takes 6 ms.

Change: the leader averages the engines that each phase keeps busy over all daemons, prefills by their work and streams by their slots, and a domain changes once it is off that share by 0.75 engines. Until the load is measured, the slots tell. Prefills among outputs are limited by the pause that the routes' events may have.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -27,5 +27,6 @@
 pub mod request_limit;
 pub mod shutdown;
 pub mod software;
+pub mod stage_demand;
 pub mod stages;
 pub mod watch_plan;
--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -50,6 +50,8 @@
     pub timeout: Duration,
     /// Time within which the response, or the first event of a stream, is on time.
     pub objective: Duration,
+    /// Longest pause between events of a stream that is on time.
+    pub event_pause: Duration,
     /// Scheduling priority within a service; 0 is the most urgent.
     pub priority: u8,
     /// Largest number of attempts that may run one request, if it is idempotent. Attempts that
@@ -100,6 +102,9 @@
     pub health_path: SmolStr,
     /// Connections that one server accepts in total.
     pub max_connections: u32,
+    /// Shortest of the pauses between events with which the streams of the service's routes are on
+    /// time.
+    pub event_pause: Duration,
     /// Present if the servers of the service are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -16,6 +16,7 @@
         health::EngineHealth,
         part_evidence::EngineIncarnation,
         prefix_index::PrefixIndex,
+        rate::EventRate,
         request_limit::RequestLimit,
     },
     time::Timestamp,
@@ -34,6 +35,8 @@
 /// Work of a prefill, in the unit of `PromptShape::prefill_work`, below which its duration is no
 /// usable speed sample.
 const MIN_SAMPLE_TOKENS: u32 = 800;
+/// Prefill speed of a prefill engine as a multiple of that of a decode engine.
+const PREFILL_STAGE_FACTOR: f64 = 2.0;
 
 /// State of one backend server.
 #[derive(Clone, Debug)]
@@ -200,6 +203,8 @@
     /// Average prefill speed per service and stage, in tokens per millisecond. Used for engines
     /// that haven't been measured.
     group_speeds: HashMap<(SmolStr, EngineStage), f64>,
+    /// Prefill work of each service that all daemons send, in milliseconds of a prefill engine.
+    prefill_loads: HashMap<SmolStr, EventRate>,
     pub connectivity: StoreConnectivity,
     /// Share of the daemons that this one hears, from 0 to 1, for servers that are added.
     daemon_share: f64,
@@ -211,6 +216,7 @@
             servers: Arena::default(),
             by_hash: HashMap::new(),
             group_speeds: HashMap::new(),
+            prefill_loads: HashMap::new(),
             connectivity: StoreConnectivity::default(),
             daemon_share: 1.0,
         }
@@ -367,13 +373,23 @@
     ) {
         let state = &mut self.servers[key];
         let speed = state.prefill_speed();
+        let mut work_ms = f64::from(prefill.tokens) / speed;
         if state.entry.stage == EngineStage::Decode {
             state.backlog.record_interleaved(prefill.tokens, speed, now);
+            work_ms /= PREFILL_STAGE_FACTOR;
         }
+        let load = self.prefill_loads.entry(state.entry.service.clone()).or_default();
+        load.record_amount(work_ms, now);
         state.prefix_index.insert(&prefill.prompt, kv_tokens);
         state.backlog.add(send_id, prefill, speed, now);
     }
 
+    /// Returns the number of prefill engines that the prompts which all daemons send to a service
+    /// would keep busy.
+    pub fn busy_prefill_engines(&self, service: &str, now: Timestamp) -> f64 {
+        self.prefill_loads.get(service).map_or(0.0, |load| load.per_second(now) / 1000.0)
+    }
+
     /// Records a finished prefill. Returns whether it was still pending. Also records the prompt's
     /// parts as cached at the decode engine, which imports the KV cache.
     pub fn complete_prefill(
--- a/crates/core/src/serving/placement.rs
+++ b/crates/core/src/serving/placement.rs
@@ -35,10 +35,9 @@
 /// Cost of a prefill at an engine that decodes, as a part of its prefill time: it delays the stream
 /// events of other requests.
 const INTERFERENCE_WEIGHT: f64 = 0.3;
-/// Largest number of prompt tokens that are prefilled at once at an engine that decodes. A step
-/// with a prefill chunk of 1,024 tokens takes about 40 ms, and a stream event takes seven steps:
-/// more than four chunks in a row would delay an event by more than 200 ms.
-const MAX_INTERLEAVED_TOKENS: f64 = 2048.0;
+/// Longest time for which an engine that decodes prefills in a row, as a part of the pause that
+/// events of its streams may have. The prefills delay the next event by as long.
+const MAX_INTERLEAVED_SHARE: f64 = 0.5;
 /// Largest cost, in milliseconds, that the rendezvous hash of a shared part adds at an engine that
 /// lacks it. Among engines of about equal cost it makes all daemons choose the same one.
 const HASH_SPREAD_MS: f64 = 30.0;
@@ -69,6 +68,9 @@
     pub group_size: usize,
     /// Time to the first event, in milliseconds, up to which the request is on time.
     pub first_event_limit_ms: f64,
+    /// Shortest of the pauses between events, in milliseconds, with which streams of the service are
+    /// on time.
+    pub event_pause_ms: f64,
 }
 
 impl PlacementRequest<'_> {
@@ -150,7 +152,7 @@
             let Some((cost, placement)) = evaluated else {
                 continue;
             };
-            if has_prefill_engines && delays_outputs(state, &placement, now) {
+            if has_prefill_engines && delays_outputs(state, request, &placement, now) {
                 continue;
             }
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
@@ -173,10 +175,17 @@
 }
 
 /// Returns whether the prefill would delay the stream events of other requests too long.
-fn delays_outputs(state: &ServerState, placement: &Placement, now: Timestamp) -> bool {
-    let interleaved = state.backlog.interleaved_tokens(state.prefill_speed(), now);
+fn delays_outputs(
+    state: &ServerState,
+    request: &PlacementRequest<'_>,
+    placement: &Placement,
+    now: Timestamp,
+) -> bool {
+    let speed = state.prefill_speed();
+    let interleaved = state.backlog.interleaved_tokens(speed, now);
+    let interleaved_ms = (interleaved + f64::from(placement.prefill_tokens)) / speed;
     state.entry.stage == EngineStage::Decode
-        && interleaved + f64::from(placement.prefill_tokens) > MAX_INTERLEAVED_TOKENS
+        && interleaved_ms > request.event_pause_ms * MAX_INTERLEAVED_SHARE
 }
 
 /// Returns the placement that uses an engine for the prefill, with its cost in milliseconds.
--- a/crates/core/src/serving/rate.rs
+++ b/crates/core/src/serving/rate.rs
@@ -17,7 +17,12 @@
 impl EventRate {
     /// Counts an event.
     pub fn record(&mut self, now: Timestamp) {
-        self.weight = self.decayed(now) + 1.0;
+        self.record_amount(1.0, now);
+    }
+
+    /// Counts an amount, such as of work, in place of an event.
+    pub fn record_amount(&mut self, amount: f64, now: Timestamp) {
+        self.weight = self.decayed(now) + amount;
         self.updated_at = now;
     }
 
--- a/crates/core/src/serving/stages.rs
+++ b/crates/core/src/serving/stages.rs
@@ -1,9 +1,9 @@
 //! Plans which engines prefill and which decode.
 //!
-//! Designed for long prompts with short outputs. A decode engine runs prefills at half the speed
-//! and delays the stream events of other requests, so only a small fixed share of each failure
-//! domain's engines decodes, and the rest prefill. A stage change makes an engine unavailable for
-//! seconds, so the plan doesn't depend on the load, and short bursts cause no changes.
+//! A decode engine runs prefills at half the speed and delays the stream events of other requests,
+//! so only a share of each failure domain's engines decodes, and the rest prefill. The share follows
+//! the load, as measured by [`StageDemand`]. A stage change makes an engine unavailable for seconds,
+//! so a domain changes only if it is off its share by most of an engine.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -15,11 +15,12 @@
         directory::{EngineStage, ServerPresence},
         fleet::{ServerFleet, ServerState},
         software::SoftwareKey,
+        stage_demand::StageDemand,
     },
 };
 
-/// Share of a failure domain's engines that decode; at least one engine decodes.
-const DECODE_SHARE: f64 = 0.25;
+/// Number of engines by which a domain has to be off its share before it changes.
+const MIN_EXCESS: f64 = 0.75;
 /// Share of a failure domain's engines that may change their stage at once; at least one may.
 const CHANGING_SHARE: f64 = 0.25;
 
@@ -47,16 +48,16 @@
     decoders: usize,
 }
 
-/// Returns the stage changes that a service needs, given the recent orders.
+/// Returns the stage changes that a service needs, given its load and the recent orders.
 ///
 /// In each failure domain the engines with the fewest requests change first, so the chosen engines
 /// may differ between calls. Among them, changes that leave each software version a decode engine
-/// come first: a stream that is resumed is decoded by the version that began it. Whether a domain
-/// needs a change doesn't depend on the load. A domain with a single engine, or with an engine
+/// come first: a stream that is resumed is decoded by the version that began it. A domain with a single engine, or with an engine
 /// without a stage, needs none.
 pub fn plan(
     fleet: &ServerFleet,
     service: &SmolStr,
+    demand: &StageDemand,
     orders: &HashMap<EngineKey, OrderState>,
 ) -> Vec<StageChange> {
     let mut domains: BTreeMap<&SmolStr, Vec<(EngineKey, &ServerState)>> = BTreeMap::new();
@@ -70,7 +71,7 @@
             version.decoders += usize::from(next_stage(orders, key, state) == EngineStage::Decode);
         }
     }
-    domains.values().flat_map(|engines| changes(engines, orders, &mut versions)).collect()
+    domains.values().flat_map(|engines| changes(engines, demand, orders, &mut versions)).collect()
 }
 
 /// Returns the stage of an engine after its pending order.
@@ -87,6 +88,7 @@
 
 fn changes(
     engines: &[(EngineKey, &ServerState)],
+    demand: &StageDemand,
     orders: &HashMap<EngineKey, OrderState>,
     versions: &mut HashMap<SoftwareKey, VersionCount>,
 ) -> Vec<StageChange> {
@@ -95,21 +97,22 @@
     if engines.len() < 2 || !has_stages {
         return Vec::new();
     }
-    let share_of = |share: f64| ((engines.len() as f64 * share).round() as usize).max(1);
     let is_decode = |(key, state): &&(EngineKey, &ServerState)| {
         next_stage(orders, *key, state) == EngineStage::Decode
     };
-    let (decode_count, target_count) =
-        (engines.iter().filter(is_decode).count(), share_of(DECODE_SHARE));
-    let (from, to) = if decode_count > target_count {
+    let slots = engines.iter().map(|(_, state)| state.entry.slots).min().unwrap_or_default();
+    let target = (engines.len() as f64 * demand.decode_share(slots)).max(1.0);
+    let excess = engines.iter().filter(is_decode).count() as f64 - target;
+    let (from, to) = if excess > 0.0 {
         (EngineStage::Decode, EngineStage::Prefill)
     } else {
         (EngineStage::Prefill, EngineStage::Decode)
     };
     let is_changing = |(key, state): &&(EngineKey, &ServerState)| matches!(orders.get(key), Some(OrderState::Pending(stage)) if *stage != state.entry.stage);
     let changing = engines.iter().filter(is_changing).count();
+    let most_changing = ((engines.len() as f64 * CHANGING_SHARE).round() as usize).max(1);
     let count =
-        decode_count.abs_diff(target_count).min(share_of(CHANGING_SHARE).saturating_sub(changing));
+        ((excess.abs() + 1.0 - MIN_EXCESS) as usize).min(most_changing.saturating_sub(changing));
     let mut candidates: Vec<_> = engines
         .iter()
         .filter(|(key, state)| state.entry.stage == from && !orders.contains_key(key))
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -126,6 +126,7 @@
             body_bytes: 1_000,
             group_size: group(PREFILL_ENGINES as usize + 6),
             first_event_limit_ms: OBJECTIVE_MS,
+            event_pause_ms: 200.0,
         };
         let placement =
             placement::choose(&fleet, &domains, &request, now).expect("a usable engine");
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -13,6 +13,7 @@
         fleet::ServerFleet,
         placement::{self, Placement, PlacementPath, PlacementRequest},
         prompt::PromptShape,
+        stage_demand::StageDemand,
         stages::{self, OrderState},
     },
     time::Timestamp,
@@ -83,6 +84,7 @@
         body_bytes: 1_000,
         group_size: usize::MAX,
         first_event_limit_ms: 570.0,
+        event_pause_ms: 200.0,
     };
     placement::choose(fleet, &domains(), &request, now)
 }
@@ -115,6 +117,28 @@
     }
 }
 
+/// Guards against a limit in tokens that suits one speed: at engines that read 471 tokens in a
+/// millisecond while they decode, no prompt over 2,048 tokens was read where it was decoded, and each
+/// moved to a second engine for a prefill of 6 ms.
+#[test]
+fn a_prompt_whose_prefill_delays_no_events_is_read_where_it_is_decoded() {
+    let mut fleet = fleet();
+    let prompt = PromptShape::new("m", [("own", 2_900)], 2_900, 100);
+    let is_whole = |fleet: &ServerFleet| {
+        let placement = place(fleet, &prompt, START).expect("a usable engine");
+        matches!(placement.path, PlacementPath::Whole { .. })
+    };
+    assert!(!is_whole(&fleet), "at 20 tokens in a millisecond it would delay events by 150 ms");
+    for key in fleet.keys() {
+        let is_decode = fleet.server(key).entry.stage == EngineStage::Decode;
+        let speed = if is_decode { 471.0 } else { 942.0 };
+        for _ in 0..50 {
+            fleet.record_speed(key, 100_000, 100_000.0 / speed);
+        }
+    }
+    assert!(is_whole(&fleet));
+}
+
 /// Guards against repeated prefills: a fifth of the prefill work under moderate load was for shared
 /// parts that another engine had cached.
 #[test]
@@ -187,6 +211,7 @@
             body_bytes: 1_000,
             group_size: usize::MAX,
             first_event_limit_ms: 570.0,
+            event_pause_ms: 200.0,
         };
         placement::choose(&fleet, &domains(), &request, START).map(|placement| placement.path)
     });
@@ -348,7 +373,9 @@
     }
     let service: SmolStr = "assistant".into();
     let mut changes = 0;
-    while let Some(change) = stages::plan(&fleet, &service, &HashMap::new()).first().copied() {
+    while let Some(change) =
+        stages::plan(&fleet, &service, &StageDemand::default(), &HashMap::new()).first().copied()
+    {
         let mut entry = fleet.server(change.engine).entry.clone();
         entry.stage = change.stage;
         fleet.put(entry);
@@ -366,7 +393,10 @@
     for name in ["1", "2", "3"] {
         fleet.put(entry(name, "a", EngineStage::Mixed));
     }
-    assert_eq!(stages::plan(&fleet, &"assistant".into(), &HashMap::new()), []);
+    assert_eq!(
+        stages::plan(&fleet, &"assistant".into(), &StageDemand::default(), &HashMap::new()),
+        []
+    );
 }
 
 /// Guards against a domain that never gets its planned stages: under load the least loaded engine
@@ -386,14 +416,14 @@
         for (number, key) in fleet.keys().into_iter().enumerate() {
             fleet.server_mut(key).running = ((number + rounds * 7) % 15) as u32;
         }
-        let changes = stages::plan(&fleet, &service, &orders);
+        let changes = stages::plan(&fleet, &service, &StageDemand::default(), &orders);
         if changes.is_empty() {
             break;
         }
         for change in &changes {
             orders.insert(change.engine, OrderState::Pending(change.stage));
         }
-        let again = stages::plan(&fleet, &service, &orders);
+        let again = stages::plan(&fleet, &service, &StageDemand::default(), &orders);
         assert_eq!(again, [], "no further engine may change its stage meanwhile");
         most_changing = most_changing.max(changes.len());
         for change in changes {
@@ -417,9 +447,9 @@
         fleet.put(entry(name, "a", EngineStage::Decode));
     }
     let service: SmolStr = "assistant".into();
-    let first = stages::plan(&fleet, &service, &HashMap::new())[0].engine;
+    let first = stages::plan(&fleet, &service, &StageDemand::default(), &HashMap::new())[0].engine;
     let orders = HashMap::from([(first, OrderState::Refused)]);
-    let next = stages::plan(&fleet, &service, &orders)[0].engine;
+    let next = stages::plan(&fleet, &service, &StageDemand::default(), &orders)[0].engine;
     assert_ne!(next, first);
 }
 
--- a/crates/core/tests/serving_software.rs
+++ b/crates/core/tests/serving_software.rs
@@ -8,6 +8,7 @@
         directory::{EngineStage, ServerEntry},
         fleet::ServerFleet,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
+        stage_demand::StageDemand,
         stages,
     },
     time::Timestamp,
@@ -130,7 +131,7 @@
         let server = fleet.key(id).expect("known server");
         fleet.server_mut(server).running = 5;
     }
-    let changes = stages::plan(&fleet, &"model".into(), &HashMap::new());
+    let changes = stages::plan(&fleet, &"model".into(), &StageDemand::default(), &HashMap::new());
     let mut changed = Vec::new();
     for change in &changes {
         assert_eq!(change.stage, EngineStage::Prefill);
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -33,6 +33,7 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(120),
+        event_pause: Duration::from_millis(200),
         priority: 0,
         attempts: 2,
         carries_prompt: false,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -120,6 +120,16 @@
     pub service: SmolStr,
 }
 
+impl CallRoute {
+    /// Returns the pause between events, in milliseconds, with which all streams of the service are
+    /// on time.
+    pub fn event_pause_ms(&self) -> f64 {
+        let service = self.configuration.service(&self.service);
+        let pause = service.map_or(self.row.event_pause, |service| service.event_pause);
+        pause.as_secs_f64() * 1000.0
+    }
+}
+
 impl Call {
     /// Returns the parts of a request that may be what crashes a server.
     ///
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -14,6 +14,7 @@
     arena::EngineKey,
     serving::{
         directory::EngineStage,
+        stage_demand::StageDemand,
         stages::{self, OrderState, StageChange},
     },
     time::Timestamp,
@@ -102,6 +103,8 @@
     fence: u64,
     /// Time since which a change to a stage has been planned for an engine of a failure domain.
     planned: HashMap<(SmolStr, EngineStage), Timestamp>,
+    /// Load of each service that this daemon has observed as the leader.
+    demand: HashMap<SmolStr, StageDemand>,
     /// Recent orders, with the time at which they were given.
     recent_orders: HashMap<EngineKey, (OrderState, Timestamp)>,
 }
@@ -118,6 +121,7 @@
         lease: lease.id,
         fence,
         planned: HashMap::new(),
+        demand: HashMap::new(),
         recent_orders: HashMap::new(),
     };
     while !gateway.is_stopping() {
@@ -148,9 +152,12 @@
         self.recent_orders.retain(|_, (order, at)| now.since(*at) < order_cooldown(*order));
         let orders = self.recent_orders.iter().map(|(key, (order, _))| (*key, *order)).collect();
         let services = configuration.services.iter().filter(|service| service.engine.is_some());
-        let changes: Vec<_> = services
-            .flat_map(|service| stages::plan(&state.fleet, &service.name, &orders))
-            .collect();
+        let mut changes = Vec::new();
+        for service in services {
+            let demand = self.demand.entry(service.name.clone()).or_default();
+            demand.observe(&state.fleet, &service.name, now);
+            changes.extend(stages::plan(&state.fleet, &service.name, demand, &orders));
+        }
         let planned_key = |change: &StageChange| {
             (state.fleet.server(change.engine).entry.domain.clone(), change.stage)
         };
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -119,6 +119,7 @@
         group_size: state
             .placement_group_size(state.fleet.usable(&route.service, now).count(), now),
         first_event_limit_ms: admission::latest_first_event_ms(&admission),
+        event_pause_ms: route.event_pause_ms(),
     };
     let placement = placement::choose(&state.fleet, &gateway.options.domains, &request, now);
     let Some(placement) = placement else {
--- a/crates/gateway/src/prompt_call/decode.rs
+++ b/crates/gateway/src/prompt_call/decode.rs
@@ -120,6 +120,7 @@
         body_bytes: call.body.len(),
         group_size: 1,
         first_event_limit_ms: 0.0,
+        event_pause_ms: route.event_pause_ms(),
     };
     let domain = &prefill_engine.domain;
     let key = decode_engines::choose(&state.fleet, &options.domains, &request, domain, now)?;
