Replace an assumed prefill speed by the first that is measured

Cause: an engine's speed moved from the assumed 40 tokens a millisecond by at most a fifth with each sample, prefills shorter than the overhead of 10 ms gave none, and decode engines had none until they prefilled, which they did not while they seemed slow. Where engines read 942 tokens a millisecond the speed stood at 345 after 15 s, and almost every prompt was moved to a second engine.

Change: the first sample counts in full, a short prefill counts as 1 ms, and the engines of a stage without samples have twice or half the speed of the other stage's. In serving_news_delay one engine got its speed from clamped samples and the others a slightly lower average; that world is now stated.

Result: two tests that failed.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -35,6 +35,8 @@
 /// Work of a prefill, in the unit of `PromptShape::prefill_work`, below which its duration is no
 /// usable speed sample.
 const MIN_SAMPLE_TOKENS: u32 = 800;
+/// Shortest duration of a prefill in a speed sample: times are measured in milliseconds.
+const MIN_SAMPLE_MS: f64 = 1.0;
 /// Prefill speed of a prefill engine as a multiple of that of a decode engine.
 const PREFILL_STAGE_FACTOR: f64 = 2.0;
 
@@ -65,8 +67,8 @@
     pub peer_running: HashMap<u64, u32>,
     /// Measured prefill speed, in tokens per millisecond.
     speed: Option<f64>,
-    /// Average prefill speed of the engines of the same service and stage, if measured, in tokens
-    /// per millisecond.
+    /// Average prefill speed of the engines of the same service and stage, in tokens per
+    /// millisecond. If none is measured, it follows from that of the other stage.
     group_speed: Option<f64>,
 }
 
@@ -142,13 +144,18 @@
     }
 
     /// Updates the speed with a prefill that took `prefill_ms`. Returns the sample after clamping,
-    /// in tokens per millisecond, or none if the prefill is no usable sample.
+    /// in tokens per millisecond, or none if the prefill is no usable sample. A first sample isn't
+    /// clamped: the assumed speed may be wrong by far.
     fn record_speed(&mut self, tokens: u32, prefill_ms: f64) -> Option<f64> {
-        if tokens < MIN_SAMPLE_TOKENS || prefill_ms <= 0.0 {
+        if tokens < MIN_SAMPLE_TOKENS {
             return None;
         }
+        let sample = f64::from(tokens) / prefill_ms.max(MIN_SAMPLE_MS);
+        if self.speed.or(self.group_speed).is_none() {
+            self.speed = Some(sample);
+            return Some(sample);
+        }
         let old = self.prefill_speed();
-        let sample = f64::from(tokens) / prefill_ms;
         let sample = sample.clamp(old * SAMPLE_BOUNDS.0, old * SAMPLE_BOUNDS.1);
         self.speed = Some(old + (sample - old) * SPEED_WEIGHT);
         Some(sample)
@@ -227,7 +234,7 @@
     /// Adds or updates a server from its entry in the key-value service.
     pub fn put(&mut self, entry: ServerEntry) -> EntryEffect {
         let hash = server_hash(&entry.id);
-        let group_speed = self.group_speeds.get(&(entry.service.clone(), entry.stage)).copied();
+        let group_speed = self.group_speed(&entry.service, entry.stage);
         let Some(key) = self.by_hash.get(&hash).copied() else {
             let mut state = ServerState::new(entry);
             state.group_speed = group_speed;
@@ -431,19 +438,28 @@
     /// prefill may have been ahead of it, and its cached tokens must be known exactly.
     pub fn record_speed(&mut self, key: EngineKey, tokens: u32, prefill_ms: f64) {
         let state = &mut self.servers[key];
-        let old = state.prefill_speed();
         let Some(sample) = state.record_speed(tokens, prefill_ms) else {
             return;
         };
         let group = (state.entry.service.clone(), state.entry.stage);
-        let group_speed = self.group_speeds.entry(group.clone()).or_insert(old);
-        *group_speed += (sample - *group_speed) * GROUP_SPEED_WEIGHT;
-        let group_speed = *group_speed;
+        let speed = self.group_speeds.entry(group.clone()).or_insert(sample);
+        *speed += (sample - *speed) * GROUP_SPEED_WEIGHT;
         for key in self.keys() {
-            let state = &mut self.servers[key];
-            if state.entry.service == group.0 && state.entry.stage == group.1 {
-                state.group_speed = Some(group_speed);
+            let stage = self.servers[key].entry.stage;
+            if self.servers[key].entry.service == group.0 {
+                self.servers[key].group_speed = self.group_speed(&group.0, stage);
             }
         }
     }
+
+    /// Returns the average prefill speed of a service's engines of a stage. If none of them is
+    /// measured, it follows from that of the other stage.
+    fn group_speed(&self, service: &SmolStr, stage: EngineStage) -> Option<f64> {
+        let speed = |stage| self.group_speeds.get(&(service.clone(), stage)).copied();
+        speed(stage).or_else(|| match stage {
+            EngineStage::Prefill => Some(speed(EngineStage::Decode)? * PREFILL_STAGE_FACTOR),
+            EngineStage::Decode => Some(speed(EngineStage::Prefill)? / PREFILL_STAGE_FACTOR),
+            EngineStage::Mixed => None,
+        })
+    }
 }
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -63,9 +63,13 @@
     for number in 0..6 {
         fleet.put(entry(format!("write-{number}"), EngineStage::Decode));
     }
-    let key = fleet.key("read-0").expect("known prefill engine");
-    for _ in 0..40 {
-        fleet.record_speed(key, 6200, 100.0);
+    // One engine seems a little faster than the others, so that all daemons prefer it when several
+    // are idle.
+    for (id, tokens) in [("read-0", 6200), ("read-1", 6167)] {
+        let key = fleet.key(id).expect("known prefill engine");
+        for _ in 0..40 {
+            fleet.record_speed(key, tokens, 100.0);
+        }
     }
     fleet
 }
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -223,6 +223,29 @@
     assert!(speed_of(&fleet, "other") < 30.0, "each stage has its own speed");
 }
 
+/// Guards against engines that are assumed to be slow: where they read 942 tokens in a millisecond, 40 were
+/// assumed, prompts were refused in the first second, and after 15 s the speed stood at 345.
+#[test]
+fn a_first_measurement_replaces_the_assumed_speed_at_all_engines() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(ServerEntry { stage: EngineStage::Prefill, ..entry("one", 1) });
+    fleet.put(ServerEntry { stage: EngineStage::Prefill, ..entry("two", 1) });
+    fleet.put(ServerEntry { stage: EngineStage::Decode, ..entry("three", 1) });
+    fleet.record_speed(fleet.key("one").unwrap(), 4710, 5.0);
+    let speed_of = |id| fleet.server(fleet.key(id).unwrap()).prefill_speed();
+    assert_eq!([speed_of("one"), speed_of("two"), speed_of("three")], [942.0, 942.0, 471.0]);
+}
+
+/// Times are measured in milliseconds, and a prefill may take less.
+#[test]
+fn a_prefill_that_takes_no_measurable_time_is_a_sample() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(ServerEntry { stage: EngineStage::Prefill, ..entry("one", 1) });
+    let key = fleet.key("one").unwrap();
+    fleet.record_speed(key, 900, 0.0);
+    assert_eq!(fleet.server(key).prefill_speed(), 900.0);
+}
+
 #[test]
 fn an_abandoned_prompt_leaves_no_cached_parts() {
     let mut fleet = ServerFleet::default();
