Fit the overhead of prefills apart from their speed

Cause: a prefill's duration without a fixed overhead of 10 ms counted as its work. Where a prompt is read in 3 ms the rest is overhead, too: speeds of 250 tokens a millisecond were measured where engines read 942, so prefill looked four times as expensive in the stages and in waits.

Change: overhead and time per token are fitted by least squares over about 50 prefills of a service and stage; the fitted overhead replaces the fixed one.

Result: the_overhead_of_short_prefills_does_not_count_as_their_work failed before.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -19,6 +19,7 @@
 pub mod health;
 pub mod part_evidence;
 pub mod placement;
+pub mod prefill_fit;
 pub mod prefix_index;
 pub mod prompt;
 pub mod rate;
