--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -19,7 +19,6 @@
 pub mod health;
 pub mod part_evidence;
 pub mod placement;
-pub mod prefill_fit;
 pub mod prefix_index;
 pub mod prompt;
 pub mod rate;
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -15,7 +15,6 @@
         directory::{EngineStage, ServerEntry, ServerPresence, StoreConnectivity},
         health::EngineHealth,
         part_evidence::EngineIncarnation,
-        prefill_fit::PrefillFit,
         prefix_index::PrefixIndex,
         rate::EventRate,
         request_limit::RequestLimit,
@@ -36,9 +35,6 @@
 /// Work of a prefill, in the unit of `PromptShape::prefill_work`, below which its duration is no
 /// usable speed sample.
 const MIN_SAMPLE_TOKENS: u32 = 800;
-/// Overhead of a prefill, in milliseconds, that the durations in speed samples leave out: one step of
-/// an engine and the processing at both ends, as of engines for which it was first measured.
-pub const SAMPLE_OVERHEAD_MS: f64 = 10.0;
 /// Shortest duration of a prefill in a speed sample: times are measured in milliseconds.
 const MIN_SAMPLE_MS: f64 = 1.0;
 /// Prefill speed of a prefill engine as a multiple of that of a decode engine.
@@ -214,8 +210,6 @@
     /// Average prefill speed per service and stage, in tokens per millisecond. Used for engines
     /// that haven't been measured.
     group_speeds: HashMap<(SmolStr, EngineStage), f64>,
-    /// Overhead of the prefills of each service and stage.
-    prefill_fits: HashMap<(SmolStr, EngineStage), PrefillFit>,
     /// Prefill work of each service that all daemons send, in milliseconds of a prefill engine.
     prefill_loads: HashMap<SmolStr, EventRate>,
     pub connectivity: StoreConnectivity,
@@ -229,7 +223,6 @@
             servers: Arena::default(),
             by_hash: HashMap::new(),
             group_speeds: HashMap::new(),
-            prefill_fits: HashMap::new(),
             prefill_loads: HashMap::new(),
             connectivity: StoreConnectivity::default(),
             daemon_share: 1.0,
@@ -441,19 +434,14 @@
 
     /// Updates the measured speed of an engine with a prefill that took `prefill_ms`.
     ///
-    /// `tokens` is the work of the prefill, in the unit of `PromptShape::prefill_work`, and
-    /// `prefill_ms` leaves out [`SAMPLE_OVERHEAD_MS`]; the overhead that the service's prefills show
-    /// corrects it. No other prefill may have been ahead of it, and its cached tokens must be known exactly.
+    /// `tokens` is the work of the prefill, in the unit of `PromptShape::prefill_work`. No other
+    /// prefill may have been ahead of it, and its cached tokens must be known exactly.
     pub fn record_speed(&mut self, key: EngineKey, tokens: u32, prefill_ms: f64) {
         let state = &mut self.servers[key];
-        let group = (state.entry.service.clone(), state.entry.stage);
-        let fit = self.prefill_fits.entry(group.clone()).or_default();
-        let whole_ms = prefill_ms + SAMPLE_OVERHEAD_MS;
-        fit.record(f64::from(tokens), whole_ms);
-        let prefill_ms = fit.overhead_ms().map_or(prefill_ms, |overhead| whole_ms - overhead);
         let Some(sample) = state.record_speed(tokens, prefill_ms) else {
             return;
         };
+        let group = (state.entry.service.clone(), state.entry.stage);
         let speed = self.group_speeds.entry(group.clone()).or_insert(sample);
         *speed += (sample - *speed) * GROUP_SPEED_WEIGHT;
         for key in self.keys() {
--- a/crates/gateway/src/prefill_guard.rs
+++ b/crates/gateway/src/prefill_guard.rs
@@ -3,11 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gooseberry_core::{
-    arena::EngineKey,
-    serving::{backlog::SendId, fleet::SAMPLE_OVERHEAD_MS},
-    time::Timestamp,
-};
+use gooseberry_core::{arena::EngineKey, serving::backlog::SendId, time::Timestamp};
 use gooseberry_platform::engine::{self, CacheHandle};
 use gooseberry_transport::{
     body::{self, ReadError},
@@ -22,6 +18,10 @@
     updates::{PrefillEnd, SpeedSample},
 };
 
+/// Part of the time from the send to the end of a prefill, in milliseconds, that is neither prefill
+/// nor network delay: one step of the engine and the processing at both ends.
+const SEND_OVERHEAD_MS: f64 = 10.0;
+
 /// Timeout of the release of an exported KV cache.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -77,7 +77,7 @@
         let domain = &state.fleet.server(self.key).entry.domain;
         let delay_ms = 2.0 * options.domains.delay_ms(&options.domain, domain);
         let elapsed_ms = now.since(self.started_at).as_millis() as f64;
-        let prefill_ms = (elapsed_ms - delay_ms - SAMPLE_OVERHEAD_MS).max(0.0) as u32;
+        let prefill_ms = (elapsed_ms - delay_ms - SEND_OVERHEAD_MS).max(0.0) as u32;
         self.was_alone.then_some(SpeedSample { tokens: self.tokens, prefill_ms })
     }
 }
