--- a/crates/core/src/serving/stage_demand.rs
+++ b/crates/core/src/serving/stage_demand.rs
@@ -19,8 +19,7 @@
 /// Lowest share of a failure domain's engines that decode. Slots alone don't show what decoding
 /// needs: with all slots in use, steps take longer than the pauses between events may.
 const MIN_DECODE_SHARE: f64 = 0.25;
-/// Number of running streams for which slots are kept at each domain until the load is measured, per
-/// engine that prefills.
+/// Streams that need slots for each engine that prefills, until the load is measured.
 const ASSUMED_STREAMS: f64 = 10.0;
 /// Weight of the newest observation in the averages.
 const OBSERVATION_WEIGHT: f64 = 0.2;
--- a/crates/core/src/serving/stages.rs
+++ b/crates/core/src/serving/stages.rs
@@ -52,8 +52,8 @@
 ///
 /// In each failure domain the engines with the fewest requests change first, so the chosen engines
 /// may differ between calls. Among them, changes that leave each software version a decode engine
-/// come first: a stream that is resumed is decoded by the version that began it. A domain with a single engine, or with an engine
-/// without a stage, needs none.
+/// come first: a stream that is resumed is decoded by the version that began it. A domain with a
+/// single engine, or with an engine without a stage, needs none.
 pub fn plan(
     fleet: &ServerFleet,
     service: &SmolStr,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -121,8 +121,8 @@
 #[derive(Clone, Debug)]
 struct PeerRow {
     record: PeerRecord,
-    /// Start of the daemon that last said what it reads, or was first heard, and the newest format
-    /// that both builds know.
+    /// Start of the daemon whose format is known, by its record or its datagrams, and the newest
+    /// format that both builds read.
     format: (u64, DatagramFormat),
     /// Whether updates of this start were skipped.
     has_skipped: bool,
