Let prefills of the stand-in take the time that keeps them apart from decodes

Change: prefills take 120 ms in this stand-in, at which 9,000 tokens delay events by more than 100 ms. The bounds on the limits are unchanged.

--- a/crates/gateway/tests/gateway/server_limits.rs
+++ b/crates/gateway/tests/gateway/server_limits.rs
@@ -24,6 +24,10 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of callers at each daemon.
 const CALLERS: usize = 2;
+/// Times that a prefill and another request take. At the speed that the first shows, long prompts would
+/// delay the events of an engine that decodes.
+const PREFILL_DURATION: Duration = Duration::from_millis(120);
+const RESPONSE_DURATION: Duration = Duration::from_millis(5);
 /// Share of a server's limit that it has to get while there is more than enough load.
 const USED_SHARE: f64 = 0.7;
 
@@ -43,15 +47,15 @@
             ScriptedServer::start(move |request, stream| {
                 arrivals.lock().push(Instant::now());
                 let statement = limit.lock().map(|limit| format!("\r\nServer-Limit: {limit}"));
-                let body = if request.is_prefill() {
-                    r#"{"kv-handle":"h","token-count":1,"version":1}"#
+                let (body, duration) = if request.is_prefill() {
+                    (r#"{"kv-handle":"h","token-count":1,"version":1}"#, PREFILL_DURATION)
                 } else {
-                    "id: 1\ndata: a\n\n"
+                    ("id: 1\ndata: a\n\n", RESPONSE_DURATION)
                 };
                 let length = format!("Content-Length: {}", body.len());
                 let header = length + &statement.unwrap_or_default();
                 let head = gateway_mocks::response_head(request, &header);
-                thread::sleep(Duration::from_millis(5));
+                thread::sleep(duration);
                 write_text(stream, &(head + body))
             })
         };
