Bound how far a first measured speed may fall below the assumed one

Cause: found in reading the diff. A first sample counted in full in both directions and spread to all engines of the service, and to those of the other daemons. If an engine hung during it, every prompt was expected to take longer than its deadline and refused, and as none was sent no sample corrected that.

Change: a first sample counts as no less than half of the assumed speed, the bound that later samples have; upwards it still counts in full.

Result: a_first_prefill_that_is_delayed_does_not_stop_the_others failed with a refusal and passes.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -144,18 +144,20 @@
     }
 
     /// Updates the speed with a prefill that took `prefill_ms`. Returns the sample after clamping,
-    /// in tokens per millisecond, or none if the prefill is no usable sample. A first sample isn't
-    /// clamped: the assumed speed may be wrong by far.
+    /// in tokens per millisecond, or none if the prefill is no usable sample. A first sample may
+    /// exceed the assumed speed by any factor. It may not fall far below it: one delayed prefill would
+    /// make all engines seem too slow to be sent any further one.
     fn record_speed(&mut self, tokens: u32, prefill_ms: f64) -> Option<f64> {
         if tokens < MIN_SAMPLE_TOKENS {
             return None;
         }
         let sample = f64::from(tokens) / prefill_ms.max(MIN_SAMPLE_MS);
+        let old = self.prefill_speed();
         if self.speed.or(self.group_speed).is_none() {
+            let sample = sample.max(old * SAMPLE_BOUNDS.0);
             self.speed = Some(sample);
             return Some(sample);
         }
-        let old = self.prefill_speed();
         let sample = sample.clamp(old * SAMPLE_BOUNDS.0, old * SAMPLE_BOUNDS.1);
         self.speed = Some(old + (sample - old) * SPEED_WEIGHT);
         Some(sample)
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -139,6 +139,17 @@
     assert!(is_whole(&fleet));
 }
 
+/// Guards against a fleet that refuses everything: an engine that hung during the first prefill made all
+/// engines seem to take 40 s for a prompt, and as none was sent, nothing corrected that.
+#[test]
+fn a_first_prefill_that_is_delayed_does_not_stop_the_others() {
+    let mut fleet = fleet();
+    let key = fleet.key("a-read-1").expect("known prefill engine");
+    fleet.record_speed(key, 900, 10_000.0);
+    let placement = place(&fleet, &short_prompt("next"), START).expect("a usable engine");
+    assert_eq!(decide(&placement, 600, 6000), AdmissionDecision::Send);
+}
+
 /// Guards against repeated prefills: a fifth of the prefill work under moderate load was for shared
 /// parts that another engine had cached.
 #[test]
