Say only what the code and its tests show of stages and formats

Cause: found in reading the diff.

Change: comments, and the name of that test.

Result: no behaviour is changed.

--- a/crates/core/src/serving/stage_demand.rs
+++ b/crates/core/src/serving/stage_demand.rs
@@ -3,8 +3,8 @@
 //! Answers loads of any mix: prompts of thousands of tokens before a few events need engines that
 //! prefill, short prefills before long outputs need slots at engines that decode. The share follows
 //! from the engines that each phase keeps busy, measured over all daemons: prefills by their work,
-//! streams by the slots that they hold. It is averaged over seconds, so that a burst of one kind
-//! doesn't order engines to and fro, each of which is offline for seconds.
+//! streams by the slots that they hold. It is averaged over seconds, as each order takes an engine
+//! offline for seconds. Requests that queue at engines count as busy slots, too.
 
 use smol_str::SmolStr;
 
--- a/crates/gateway/src/updates/format.rs
+++ b/crates/gateway/src/updates/format.rs
@@ -5,7 +5,8 @@
 //! reads. The first format has no frame; builds that know only that one reject frames as a whole.
 //! Within a format, variants of [`SendUpdate`] are only appended and their fields never change:
 //! postcard can't tell that a field is missing. Each update of a frame has its length before it, so
-//! that one that this build doesn't know is skipped alone, and relays pass it on as it is.
+//! that one that this build doesn't know is skipped alone, and relays pass it on as it is. That holds
+//! for questions as well, so a new question reaches all daemons through relays of an older build.
 
 use serde::{Deserialize, Serialize};
 use strum::EnumCount;
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -214,7 +214,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Arbitrary bytes neither panic nor allocate more than a multiple of their length.
+    /// Arbitrary bytes don't panic, and give no more bundles and updates than there are bytes.
     #[test]
     fn arbitrary_bytes_are_decoded_or_rejected(
         is_frame in any::<bool>(),
@@ -229,9 +229,10 @@
         }
     }
 
-    /// A frame with one changed byte is rejected, or loses no more than the update with that byte.
+    /// A frame with one changed byte doesn't panic. What it decodes to isn't checked: the network's
+    /// checksum finds such changes.
     #[test]
-    fn a_changed_byte_is_decoded_or_rejected(index in 0..2000_usize, byte in any::<u8>()) {
+    fn a_changed_byte_does_not_panic(index in 0..2000_usize, byte in any::<u8>()) {
         let (mut bytes, _) = newer_frame();
         let index = index % bytes.len();
         bytes[index] = byte;
