Test that no stream is joined from two versions after a kill of all daemons

Here a daemon that has just started has neither records nor a complete history, asks, and refuses the stream: both tests pass. Without the check of the history's length, the one whose old version has left fails (200 from the new version instead of 503).

--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -117,3 +117,50 @@
     assert_eq!(status_code(&system.send(&get_request("/review/x", &headers))), "503");
     assert_eq!((old.received().len(), new.received().len()), (0, 0));
 }
+
+/// Starts daemons that have seen nothing, as after all of them were killed at once.
+fn restart_all() -> [System; 2] {
+    let first = start();
+    let second = first.join("daemon-2");
+    [first, second]
+}
+
+#[test]
+fn no_stream_is_joined_from_two_versions_after_all_daemons_were_killed() {
+    let before = start();
+    let (old, new) = (engine(), engine());
+    before.register_version("old", &old, "v1");
+    let id = begin(&before);
+    let restarted = restart_all();
+    for daemon in &restarted {
+        daemon.register_version("old", &old, "v1");
+        daemon.register_version("new", &new, "v2");
+    }
+    for number in 0..RESUMES {
+        let text = resume(&restarted[number % 2], &id, number);
+        assert_eq!(status_code(&text), "503", "{text}");
+        assert!(text.contains("retry-after: "), "{text}");
+    }
+    assert_eq!((old.received().len(), new.received().len()), (1, 0));
+}
+
+#[test]
+fn no_stream_of_a_version_that_left_is_joined_after_all_daemons_were_killed() {
+    let before = start();
+    let (old, new) = (engine(), engine());
+    before.register_version("old", &old, "v1");
+    let id = begin(&before);
+    let restarted = restart_all();
+    for daemon in &restarted {
+        daemon.register_version("new", &new, "v2");
+    }
+    for number in 0..RESUMES {
+        assert_eq!(status_code(&resume(&restarted[number % 2], &id, number)), "503");
+    }
+    assert_eq!(new.received().len(), 0);
+    let id = begin(&restarted[0]);
+    for number in 0..RESUMES {
+        assert_eq!(status_code(&resume(&restarted[number % 2], &id, number)), "200");
+    }
+    assert_eq!(new.received().len(), 1 + RESUMES);
+}
