--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -18,7 +18,11 @@
     state::{GatewayState, PEER_TIMEOUT},
     updates::{PrefillEnd, SendUpdate, SpeedSample},
 };
-use gooseberry_platform::store::{StoreChange, StoreKey, StoreUpdate};
+use gooseberry_platform::{
+    configuration,
+    store::{StoreChange, StoreKey, StoreUpdate},
+};
+use gooseberry_standins::gateway_mocks;
 use http::StatusCode;
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -210,6 +214,37 @@
     assert_eq!(new.stream_software(stream), Some(software));
 }
 
+/// Applies a configuration in which streams that may be resumed last up to a minute.
+fn allow_long_streams(state: &mut GatewayState) {
+    let mut configuration = gateway_mocks::configuration(1, "plain");
+    let route = &mut configuration["routes"][3];
+    assert_eq!(route["name"], "review");
+    route["timeout-ms"] = 60_000.into();
+    let text = serde_json::to_vec(&configuration).expect("the configuration can be encoded");
+    state.put_configuration(configuration::decode(&text).expect("valid configuration"));
+}
+
+#[test]
+fn a_restarted_daemon_joins_no_long_stream_from_two_versions() {
+    let mut state = state(1);
+    allow_long_streams(&mut state);
+    state.versions.record_complete(START);
+    let sole_version = |seconds| state.sole_software("model", START + Duration::from_secs(seconds));
+    assert_eq!(sole_version(30), None);
+    assert_eq!(sole_version(60), None);
+    assert!(sole_version(80).is_some());
+}
+
+#[test]
+fn the_version_of_a_long_stream_is_known_until_it_can_no_longer_be_resumed() {
+    let mut state = state(1);
+    allow_long_streams(&mut state);
+    let (first, second) = (StreamKey::of("first"), StreamKey::of("second"));
+    state.record_stream(first, SoftwareKey(7), START);
+    state.record_stream(second, SoftwareKey(8), START + Duration::from_secs(50));
+    assert_eq!(state.stream_software(first), Some(SoftwareKey(7)));
+}
+
 fn limit(state: &GatewayState) -> Option<f64> {
     let key = state.fleet.key("one").expect("known server");
     state.fleet.server(key).request_limit.per_second()
