Remember versions of streams for as long as their routes let them be resumed

Cause: a daemon that has seen one version only for 20 s took it for the one that began the stream, and forgot records after 20 s. The constant fits routes that time out after 15 s. Change: the time follows from the timeouts of the service's resumable routes, 5 s more than the longest that was in force, and is at least 20 s. Deployments with shorter timeouts behave as before.

--- a/crates/core/src/serving/software.rs
+++ b/crates/core/src/serving/software.rs
@@ -13,15 +13,18 @@
 
 use crate::{
     serving::{
+        configuration::{RouteKind, ServingConfiguration},
         directory::ServerEntry,
         fleet::{ServerFleet, ServerState},
     },
     time::Timestamp,
 };
 
-/// Longest time between the first event of a stream and its resumption: callers give up at their
-/// deadlines, which are up to 15 s.
-const RESUME_WINDOW: Duration = Duration::from_secs(20);
+/// Least time after its begin for which a stream may be resumed.
+const MIN_RESUME_WINDOW: Duration = Duration::from_secs(20);
+/// Time beyond the timeout of its route for which a stream may be resumed. Other daemons may know of
+/// changed servers and timeouts later than this one.
+const RESUME_SLACK: Duration = Duration::from_secs(5);
 /// Most streams that are remembered; the oldest are forgotten first.
 const STREAM_LIMIT: usize = 32_768;
 
@@ -37,6 +40,35 @@
     }
 }
 
+/// Times after their begin for which the streams of each service may be resumed.
+#[derive(Clone, Debug, Default)]
+struct ResumeWindows {
+    by_service: HashMap<SmolStr, Duration>,
+}
+
+impl ResumeWindows {
+    /// Extends the windows to the timeouts of a configuration. They never become shorter, since
+    /// streams may have begun under an earlier one.
+    fn extend(&mut self, configuration: &ServingConfiguration) {
+        let resumable =
+            configuration.routes.iter().filter(|row| row.kind == RouteKind::ResumableStream);
+        for row in resumable {
+            for target in &row.targets {
+                let window = self.by_service.entry(target.service.clone()).or_default();
+                *window = (*window).max(row.timeout + RESUME_SLACK);
+            }
+        }
+    }
+
+    fn of_service(&self, service: &str) -> Duration {
+        self.by_service.get(service).copied().unwrap_or_default().max(MIN_RESUME_WINDOW)
+    }
+
+    fn longest(&self) -> Duration {
+        self.by_service.values().copied().max().unwrap_or_default().max(MIN_RESUME_WINDOW)
+    }
+}
+
 /// Identifies a stream by the attempt of a request that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct StreamKey(pub u64);
@@ -60,16 +92,23 @@
     origins: HashMap<StreamKey, StreamOrigin>,
     /// Records in the order of time, for their removal.
     records: VecDeque<(Timestamp, StreamKey)>,
+    windows: ResumeWindows,
 }
 
 impl StreamOrigins {
+    /// Keeps records for as long as the streams of a configuration may be resumed.
+    pub fn apply_timeouts(&mut self, configuration: &ServingConfiguration) {
+        self.windows.extend(configuration);
+    }
+
     /// Records the version that a stream was sent to. A later record replaces an earlier one, since
     /// a request may be sent to another engine before its first event.
     pub fn record(&mut self, stream: StreamKey, software: SoftwareKey, now: Timestamp) {
         self.origins.insert(stream, StreamOrigin { software, recorded_at: now });
         self.records.push_back((now, stream));
+        let window = self.windows.longest();
         while let Some((recorded_at, stream)) = self.records.front().copied() {
-            if self.records.len() <= STREAM_LIMIT && now.since(recorded_at) < RESUME_WINDOW {
+            if self.records.len() <= STREAM_LIMIT && now.since(recorded_at) < window {
                 break;
             }
             self.records.pop_front();
@@ -92,9 +131,15 @@
     complete_since: Option<Timestamp>,
     /// Versions of servers that are gone or have changed, with the time at which they went.
     departed: Vec<(SmolStr, SoftwareKey, Timestamp)>,
+    windows: ResumeWindows,
 }
 
 impl VersionHistory {
+    /// Counts versions for as long as the streams of a configuration may be resumed.
+    pub fn apply_timeouts(&mut self, configuration: &ServingConfiguration) {
+        self.windows.extend(configuration);
+    }
+
     /// Records that all changes of the entries up to now have been received.
     pub fn record_complete(&mut self, now: Timestamp) {
         self.complete_since.get_or_insert(now);
@@ -108,8 +153,10 @@
     /// Records that a server is gone or that another entry replaces this one.
     pub fn record_departure(&mut self, entry: &ServerEntry, now: Timestamp) {
         let software = SoftwareKey::of(entry);
-        self.departed
-            .retain(|(_, departed, at)| *departed != software && now.since(*at) < RESUME_WINDOW);
+        let windows = &self.windows;
+        self.departed.retain(|(service, departed, at)| {
+            *departed != software && now.since(*at) < windows.of_service(service)
+        });
         self.departed.push((entry.service.clone(), software, now));
     }
 
@@ -121,7 +168,8 @@
         fleet: &ServerFleet,
         now: Timestamp,
     ) -> Option<SoftwareKey> {
-        if now.since(self.complete_since?) < RESUME_WINDOW {
+        let window = self.windows.of_service(service);
+        if now.since(self.complete_since?) < window {
             return None;
         }
         let is_present =
@@ -129,7 +177,7 @@
         let present = fleet.iter().filter(|(_, state)| is_present(state));
         let present = present.map(|(_, state)| SoftwareKey::of(&state.entry));
         let departed = self.departed.iter().filter(|(departed_service, _, at)| {
-            departed_service == service && now.since(*at) < RESUME_WINDOW
+            departed_service == service && now.since(*at) < window
         });
         let mut versions = present.chain(departed.map(|(_, software, _)| *software));
         let first = versions.next()?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,6 +106,8 @@
         if current_version.is_some_and(|version| version >= configuration.version) {
             return false;
         }
+        self.origins.apply_timeouts(&configuration);
+        self.versions.apply_timeouts(&configuration);
         self.configuration = Some(Arc::new(configuration));
         true
     }
