--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -189,6 +189,25 @@
     assert!(!fleet.server(fleet.key("one").unwrap()).is_usable(START));
 }
 
+#[test]
+fn an_old_entry_does_not_return_a_server_that_leaves() {
+    let leaving = ServerEntry { is_draining: true, ..entry("one", 1) };
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one", 1));
+    fleet.put(leaving);
+    let usable = |fleet: &ServerFleet| {
+        fleet.server(fleet.key("one").expect("known server")).is_usable(START)
+    };
+    // A write that the server sent before may be carried out later, also after its entry is removed.
+    fleet.put(entry("one", 1));
+    assert!(!usable(&fleet));
+    fleet.remove("one", START);
+    fleet.put(entry("one", 1));
+    assert!(!usable(&fleet));
+    fleet.put(entry("one", 2));
+    assert!(usable(&fleet), "it has started again");
+}
+
 #[test]
 fn parts_are_cached_only_after_a_cached_chain_and_until_evicted() {
     let mut parts = PrefixIndex::default();
