Keep a draining server draining until it starts again

Callers' requests could reach a server that had said it leaves (DRAIN): a write of its entry that says ready may be carried out after the one that says draining, and the daemon took the newest write. Cause: the order of writes in the store was taken for the order of what the server said. Change: an entry of the same start (born and address) can't undo draining, also after its removal.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -52,6 +52,15 @@
     pub started_at_ms: Option<u64>,
 }
 
+impl ServerEntry {
+    /// Returns whether another entry of this id is known to be of the same start of the server.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.started_at_ms.is_some()
+            && self.started_at_ms == other.started_at_ms
+            && self.address == other.address
+    }
+}
+
 /// Whether a server may get new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerPresence {
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -233,8 +233,9 @@
 }
 
 impl ServerFleet {
-    /// Adds or updates a server from its entry in the key-value service.
-    pub fn put(&mut self, entry: ServerEntry) -> EntryEffect {
+    /// Adds or updates a server from its entry in the key-value service. A server that was draining
+    /// stays so until it starts again.
+    pub fn put(&mut self, mut entry: ServerEntry) -> EntryEffect {
         let hash = server_hash(&entry.id);
         let group_speed = self.group_speed(&entry.service, entry.stage);
         let Some(key) = self.by_hash.get(&hash).copied() else {
@@ -246,6 +247,8 @@
             return EntryEffect::Added;
         };
         let state = &mut self.servers[key];
+        // A write from before it was draining may be carried out later.
+        entry.is_draining |= state.entry.is_draining && state.entry.is_same_start(&entry);
         let was_gone = state.presence == ServerPresence::Gone;
         let old = std::mem::replace(&mut state.entry, entry);
         state.group_speed = group_speed;
