Add a failing test of a request that crashes servers while all daemons are killed

If all of them are killed at once, the count begins anew, and a request that comes again crashes two or three more servers after each kill.

--- a/crates/gateway/tests/gateway/plain_crashes.rs
+++ b/crates/gateway/tests/gateway/plain_crashes.rs
@@ -46,10 +46,25 @@
 
 impl CrashTest {
     fn start(daemons: usize, servers: usize) -> Self {
-        let first = System::start();
+        Self::start_with(System::start(), daemons, servers, Arc::default())
+    }
+
+    /// Starts daemons that have seen nothing but the key-value service, and servers beside those
+    /// of the record.
+    fn start_after_kill(&self) -> Self {
+        let first = System::start_after_kill(&self.daemons[0].store);
+        let record = Arc::clone(&self.record);
+        Self::start_with(first, self.daemons.len(), self.servers.len(), record)
+    }
+
+    fn start_with(
+        first: System,
+        daemons: usize,
+        servers: usize,
+        record: Arc<EngineRecord>,
+    ) -> Self {
         first.configure(1);
         first.wait_version(1);
-        let record = Arc::default();
         let start =
             |_| CrashingEngine::start(&first.store, "plain", "", BodyFraming::Chunked, &record);
         let servers: Vec<_> = (0..servers).map(start).collect();
@@ -250,3 +265,26 @@
     let new_daemon = test.daemons[0].join("daemon-9");
     support::wait_for(|| is_on_trial(&new_daemon, &parts));
 }
+
+/// Number of sends before each kill, and how often all daemons are killed.
+const SENDS_PER_LIFE: usize = 2;
+const KILL_COUNT: usize = 4;
+/// Time from the last send to the kill.
+const KILL_DELAY: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_request_that_crashes_servers_stops_although_all_daemons_are_killed_again_and_again() {
+    let mut test = CrashTest::start(2, 3);
+    for life in 0..=KILL_COUNT {
+        if life > 0 {
+            thread::sleep(KILL_DELAY);
+            test = test.start_after_kill();
+        }
+        for daemon in test.daemons.iter().cycle().take(SENDS_PER_LIFE) {
+            daemon.send(&get_request("/order/bad0", ""));
+            thread::sleep(2 * POISON_INTERVAL);
+        }
+    }
+    let crashes = test.record.crashes.lock().len();
+    assert!(crashes <= CRASH_COUNT + LATE_SEND_LIMIT, "{crashes} servers crashed");
+}
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -45,6 +45,21 @@
         Self::start_on(StandinStore::start(), "daemon-1")
     }
 
+    /// Starts a gateway on a new store that holds the same keys of the gateways, except those of
+    /// running ones: all of them were killed at once.
+    pub fn start_after_kill(store: &StandinStore) -> Self {
+        let copy = StandinStore::start();
+        let is_kept = |key: &&String| {
+            let own_key = key.strip_prefix("gateway/");
+            own_key.is_some_and(|key| !key.starts_with("daemons/") && key != "steward")
+        };
+        for key in store.keys().iter().filter(is_kept) {
+            let text = store.value_text(key).expect("a listed key has a value");
+            copy.put(key, &serde_json::from_str(&text).expect("a value in JSON"));
+        }
+        Self::start_on(copy, "daemon-1")
+    }
+
     /// Starts another gateway on the same store.
     pub fn join(&self, name: &str) -> Self {
         let system = Self::start_on(self.store.clone(), name);
