Keep the crashes under a request for daemons that start after a kill of all

Cause: evidence was in the memory of the daemons alone until a conviction; the class is state that survives any daemon but not all of them. Change: from the second crash on, the crashes under a whole request are written to the store, and a daemon reads them once, at its start.

--- a/crates/core/tests/serving_part_evidence.rs
+++ b/crates/core/tests/serving_part_evidence.rs
@@ -228,3 +228,34 @@
     assert!(!evidence.is_convicted(plain), "its engines crashed together, and not in its trials");
     assert!(!evidence.is_convicted(FIRST), "the request explains the crashes");
 }
+
+#[test]
+fn crashes_that_another_daemon_recorded_before_a_kill_count_with_those_after_it() {
+    let request = PartFingerprint::of_request(7);
+    let mut before = PartEvidence::default();
+    crash(&mut before, 1, 1000, &[request]);
+    assert_eq!(
+        before.suspect_history(request, at(1000)),
+        None,
+        "ordinary crashes hit many requests"
+    );
+    crash(&mut before, 2, 1000, &[request]);
+    let history = before.suspect_history(request, at(3000)).expect("two crashes");
+    let mut after = PartEvidence::default();
+    let restored_at = at(60_000);
+    after.restore_history(&history, restored_at);
+    assert!(!after.is_convicted(request));
+    after.record_crash(EngineIncarnation(99), &[request], restored_at + Duration::from_secs(1));
+    assert!(after.is_convicted(request), "the crashes are episodes of their own");
+}
+
+#[test]
+fn only_whole_requests_without_a_verdict_are_remembered() {
+    let (part, request) = (PartFingerprint(7), PartFingerprint::of_request(7));
+    let mut evidence = PartEvidence::default();
+    crash(&mut evidence, 2, 1000, &[part, request]);
+    assert_eq!(evidence.suspect_history(part, at(2000)), None);
+    assert!(evidence.suspect_history(request, at(2000)).is_some());
+    evidence.record_completion(&[request], at(2500));
+    assert_eq!(evidence.suspect_history(request, at(3000)), None);
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -405,7 +405,7 @@
                 }
                 (pending, running, repeated)
             };
-            self.publish_verdicts();
+            self.publish_evidence(now);
             // Changes of the store may have caused updates.
             self.gateway.wake_publisher();
             self.gateway.connections.prune(self.gateway.instant());
@@ -418,12 +418,19 @@
         }
     }
 
-    fn publish_verdicts(&self) {
-        let changes = self.gateway.state.lock().take_verdict_changes();
+    fn publish_evidence(&self, now: Timestamp) {
+        let (changes, suspects) = {
+            let mut state = self.gateway.state.lock();
+            (state.take_verdict_changes(), state.take_suspect_histories(now))
+        };
         if changes != VerdictChanges::default() {
             let gateway = Arc::clone(&self.gateway);
             task::spawn(async move { crashes::publish_verdicts(&gateway, changes).await });
         }
+        if !suspects.is_empty() {
+            let gateway = Arc::clone(&self.gateway);
+            task::spawn(async move { crashes::publish_suspects(&gateway, suspects).await });
+        }
     }
 
     /// Forwards the updates of other daemons while this daemon is a relay.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,8 @@
     pending_probes: HashSet<EngineIncarnation>,
     /// Verdicts from evidence of this daemon that aren't in the key-value service yet.
     verdict_changes: VerdictChanges,
+    /// Requests that have crashed a server of this daemon since their histories were last stored.
+    unstored_suspects: HashSet<PartFingerprint>,
     origins: StreamOrigins,
     retries: HashMap<SmolStr, RetryCounter>,
     /// Returns of callers that were refused by the limits of a service's servers.
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -6,7 +6,8 @@
 use gooseberry_core::{
     serving::{
         part_evidence::{
-            EngineIncarnation, PartConviction, PartVerdict, SuspectCrash, VerdictChanges,
+            EngineIncarnation, PartConviction, PartVerdict, SuspectCrash, SuspectHistory,
+            VerdictChanges,
         },
         prompt::PartFingerprint,
     },
@@ -22,6 +23,8 @@
 const CONVICTION_UPDATE_LIMIT: usize = 16;
 /// Largest number of crashes of suspects that a daemon is told at once.
 const SUSPECT_UPDATE_LIMIT: usize = 48;
+/// Largest number of requests under suspicion that are stored at once.
+const SUSPECT_STORE_LIMIT: usize = 8;
 /// Time for which a confirmed crash is repeated to the other daemons with each summary.
 const CRASH_REPEAT_DURATION: Duration = Duration::from_secs(5);
 /// Largest number of confirmed crashes that are repeated.
@@ -153,6 +156,7 @@
             }
             let changes = self.record_part_crash(server, &parts, at, is_trial);
             self.record_verdicts(changes);
+            self.unstored_suspects.extend(parts.iter().filter(|part| part.is_request()));
             let crash = ConfirmedCrash { server, parts, is_trial, at };
             self.outgoing.push_back(crash.update(now));
             if self.recent_crashes.len() >= RECENT_CRASH_LIMIT {
@@ -207,6 +211,28 @@
         self.verdict_changes.acquitted.extend(changes.acquitted);
     }
 
+    /// Takes the histories of the requests under suspicion that aren't in the key-value service yet, up
+    /// to a limit.
+    pub fn take_suspect_histories(&mut self, now: Timestamp) -> Vec<SuspectHistory> {
+        let parts = std::mem::take(&mut self.unstored_suspects);
+        let mut histories =
+            parts.into_iter().filter_map(|part| self.parts.suspect_history(part, now));
+        let taken = histories.by_ref().take(SUSPECT_STORE_LIMIT).collect();
+        self.unstored_suspects = histories.map(|history| history.part).collect();
+        taken
+    }
+
+    /// Returns a request whose history could not be stored, so that it is taken again.
+    pub fn return_suspect(&mut self, part: PartFingerprint) {
+        self.unstored_suspects.insert(part);
+    }
+
+    /// Applies what daemons before this one have stored of a request under suspicion.
+    pub fn restore_suspect(&mut self, history: &SuspectHistory, now: Timestamp) {
+        let changes = self.parts.restore_history(history, now);
+        self.record_verdicts(changes);
+    }
+
     /// Returns the convictions and the crashes of suspects for a daemon that is heard for the first
     /// time.
     pub fn evidence_updates(&self, now: Timestamp) -> Vec<SendUpdate> {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -51,6 +51,7 @@
         client: StoreClient::new(gateway.options.store),
         relay_client: RelayClient::default(),
         revision: None,
+        has_read: false,
         plan: WatchPlan::new(gateway.daemon, gateway.now()),
         gateway,
         keys,
@@ -67,6 +68,8 @@
     relay_client: RelayClient,
     /// Revision up to which all changes are known.
     revision: Option<u64>,
+    /// Whether this process has read all keys before.
+    has_read: bool,
     plan: WatchPlan,
 }
 
@@ -148,6 +151,9 @@
         // The keys may have been read from a replica that lags behind, so the revision never goes
         // back.
         self.revision = Some(update.revision.max(self.revision.unwrap_or(0)));
+        if !std::mem::replace(&mut self.has_read, true) {
+            restore_suspects(&self.gateway, &update.changes);
+        }
         for change in update.changes {
             apply(&self.gateway, &self.keys, change);
         }
@@ -291,6 +297,14 @@
     }
 }
 
+fn restore_suspects(gateway: &Gateway, changes: &[StoreChange]) {
+    for change in changes {
+        if let (StoreKey::Own(key), Some(value)) = (&change.subject, &change.value) {
+            crashes::restore_suspect(gateway, key, value);
+        }
+    }
+}
+
 fn put_peer(gateway: &Gateway, peers: &PeerDirectory, name: &str, value: Option<Vec<u8>>) {
     let Some(value) = value else {
         peers.remove(name);
