Kill all daemons of the soak before any starts again

The fault that kills all daemons killed and restarted them one after the other, so that those that had started could learn from those that still ran. Change: all are ended first.

--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -296,8 +296,10 @@
             SoakFault::KillAll => {
                 for daemon in 0..self.daemons.len() {
                     self.record_fault(FaultScope::Daemon(daemon), Duration::ZERO);
-                    self.kill(daemon);
+                    self.daemons[daemon].process.kill();
                 }
+                // None starts before all have ended, as it could learn from those that still run.
+                (0..self.daemons.len()).for_each(|daemon| self.restart(daemon));
             }
             SoakFault::PauseDaemon(daemon) => {
                 self.record_fault(FaultScope::Daemon(daemon), length);
