Split the evidence that the store keeps from the detection of crashes

Cause: crashes.rs decided whether a request may run, probed servers, and encoded and stored evidence. Change: what the key-value service keeps is in stored_evidence.rs, moved without other changes; its records are public, and the golden test of formats has the new one.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod settings;
 pub mod state;
 pub mod store_watch;
+pub mod stored_evidence;
 pub mod stream;
 pub mod updates;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,10 +28,10 @@
 use strum::IntoEnumIterator;
 
 use crate::{
-    crashes,
     gateway::Gateway,
     reach,
     settings::GatewayOptions,
+    stored_evidence,
     updates::{
         format::{self, DatagramFormat, ReceivedDatagram},
         SendUpdate, UpdateBundle, UpdateDatagram,
@@ -425,11 +425,11 @@
         };
         if changes != VerdictChanges::default() {
             let gateway = Arc::clone(&self.gateway);
-            task::spawn(async move { crashes::publish_verdicts(&gateway, changes).await });
+            task::spawn(async move { stored_evidence::publish_verdicts(&gateway, changes).await });
         }
         if !suspects.is_empty() {
             let gateway = Arc::clone(&self.gateway);
-            task::spawn(async move { crashes::publish_suspects(&gateway, suspects).await });
+            task::spawn(async move { stored_evidence::publish_suspects(&gateway, suspects).await });
         }
     }
 
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -18,10 +18,10 @@
 
 use crate::{
     changes::{ChangeLog, RelayClient},
-    crashes,
     gateway::Gateway,
     leader::{self, LeaderKey},
     peers::{self, PeerDirectory, PeerRecord},
+    stored_evidence,
 };
 
 /// Time for which a watch waits for changes. An unresponsive connection is detected after this time
@@ -285,10 +285,10 @@
 fn apply_own_key(gateway: &Gateway, keys: &GatewayKeys, key: &SmolStr, value: Option<Vec<u8>>) {
     if key == leader::KEY {
         keys.leader.set_holder(value.map(|name| String::from_utf8_lossy(&name).into_owned()));
-    } else if let Some(part) = key.strip_prefix(crashes::KEY_PREFIX) {
+    } else if let Some(part) = key.strip_prefix(stored_evidence::VERDICT_PREFIX) {
         // A verdict whose lease has expired stays in force until its sentence ends.
         if let Some(value) = value {
-            crashes::apply_verdict(gateway, &part.into(), &value);
+            stored_evidence::apply_verdict(gateway, &part.into(), &value);
         }
     } else if let Some(name) = key.strip_prefix(peers::KEY_PREFIX) {
         if name != gateway.options.name {
@@ -300,7 +300,7 @@
 fn restore_suspects(gateway: &Gateway, changes: &[StoreChange]) {
     for change in changes {
         if let (StoreKey::Own(key), Some(value)) = (&change.subject, &change.value) {
-            crashes::restore_suspect(gateway, key, value);
+            stored_evidence::restore_suspect(gateway, key, value);
         }
     }
 }
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -11,8 +11,8 @@
     time::Timestamp,
 };
 use gooseberry_gateway::{
-    crashes::VerdictRecord,
     peers::{PeerDirectory, PeerRecord},
+    stored_evidence::{CrashRecord, SuspectRecord, VerdictRecord},
     updates::{
         format::{self, DatagramFormat, FormatError, ReceivedDatagram},
         PrefillEnd, ReachRecord, SendRecord, SendUpdate, SpeedSample, UpdateBundle, UpdateDatagram,
@@ -301,6 +301,16 @@
     let verdict = VerdictRecord { engines: vec![1, 2] };
     expect![[r#"{"engines":[1,2]}"#]].assert_eq(&serde_json::to_string(&verdict).expect("encodes"));
     assert!(serde_json::from_str::<VerdictRecord>(r#"{"engines":[1],"later":0}"#).is_ok());
+    let crashes = vec![CrashRecord { engine: u64::MAX, after_ms: 1500, is_trial: true }];
+    expect![[
+        r#"{"version":1,"crashes":[{"engine":18446744073709551615,"after_ms":1500,"is_trial":true}]}"#
+    ]]
+    .assert_eq(
+        &serde_json::to_string(&SuspectRecord { version: 1, crashes }).expect("encodes"),
+    );
+    assert!(
+        serde_json::from_str::<SuspectRecord>(r#"{"version":2,"crashes":[],"later":0}"#).is_ok()
+    );
 }
 
 /// The changes that a relay serves have no frame: a build that changes them has to name another path.
