--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -51,6 +51,18 @@
     soak(12013, 12, 4);
 }
 
+/// Guards against callers of daemons without links who are served far worse than others.
+#[test]
+fn seed_24007_serves_callers_of_daemons_without_links() {
+    soak(24007, 12, 4);
+}
+
+/// Guards against the same while the store loses its answers and its history.
+#[test]
+fn seed_24010_serves_callers_of_daemons_without_links() {
+    soak(24010, 12, 4);
+}
+
 #[test]
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
