Withdraw stored crashes of a request once it has completed

Callers of a sound request could be refused for 5 min with a verdict that isn't true: crashes of two servers under it stayed in the store for 10 min although it had completed since, so daemons that started counted them, and one more ordinary crash convicted it. Cause: stored the evidence against a request, but not what clears it. Change: the daemon that completes such a request, and the one that stored its crashes, write an empty history.

--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -503,6 +503,12 @@
         crashes
     }
 
+    /// Returns whether several engines have ended under a part since a request with it completed.
+    pub fn has_repeated_crashes(&self, part: PartFingerprint) -> bool {
+        let record = self.records.get(&part);
+        record.is_some_and(|record| record.crashes.len() >= REMEMBERED_CRASHES)
+    }
+
     /// Returns the crashes of a whole request, if there are several and no verdict on it.
     pub fn suspect_history(&self, part: PartFingerprint, now: Timestamp) -> Option<SuspectHistory> {
         let record = self.records.get(&part).filter(|_| part.is_request())?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,8 +71,11 @@
     pending_probes: HashSet<EngineIncarnation>,
     /// Verdicts from evidence of this daemon that aren't in the key-value service yet.
     verdict_changes: VerdictChanges,
-    /// Requests that have crashed a server of this daemon since their histories were last stored.
+    /// Requests whose histories in the key-value service may be out of date.
     unstored_suspects: HashSet<PartFingerprint>,
+    /// Requests that may have a history in the key-value service, which has to be withdrawn once their
+    /// crashes no longer count.
+    stored_suspects: HashSet<PartFingerprint>,
     origins: StreamOrigins,
     retries: HashMap<SmolStr, RetryCounter>,
     /// Returns of callers that were refused by the limits of a service's servers.
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -212,19 +212,28 @@
     }
 
     /// Takes the histories of the requests under suspicion that aren't in the key-value service yet, up
-    /// to a limit.
+    /// to a limit. A history without crashes withdraws the stored one.
     pub fn take_suspect_histories(&mut self, now: Timestamp) -> Vec<SuspectHistory> {
-        let parts = std::mem::take(&mut self.unstored_suspects);
-        let mut histories =
-            parts.into_iter().filter_map(|part| self.parts.suspect_history(part, now));
-        let taken = histories.by_ref().take(SUSPECT_STORE_LIMIT).collect();
-        self.unstored_suspects = histories.map(|history| history.part).collect();
-        taken
+        let is_cleared = |part: &&PartFingerprint| !self.parts.has_repeated_crashes(**part);
+        self.unstored_suspects.extend(self.stored_suspects.iter().filter(is_cleared));
+        let mut histories = Vec::new();
+        for part in std::mem::take(&mut self.unstored_suspects) {
+            if histories.len() == SUSPECT_STORE_LIMIT {
+                self.unstored_suspects.insert(part);
+            } else if let Some(history) = self.parts.suspect_history(part, now) {
+                self.stored_suspects.insert(part);
+                histories.push(history);
+            } else if !self.parts.has_repeated_crashes(part) && self.stored_suspects.remove(&part) {
+                histories.push(SuspectHistory { part, crashes: Vec::new() });
+            }
+        }
+        histories
     }
 
-    /// Returns a request whose history could not be stored, so that it is taken again.
+    /// Returns a request whose history could not be stored or withdrawn, so that it is taken again.
     pub fn return_suspect(&mut self, part: PartFingerprint) {
         self.unstored_suspects.insert(part);
+        self.stored_suspects.insert(part);
     }
 
     /// Applies what daemons before this one have stored of a request under suspicion.
@@ -279,6 +288,10 @@
             let parts = part_numbers(&blamed);
             self.outgoing.push_back(SendUpdate::PartsCompleted { parts });
         }
+        // The daemon that stored their crashes may have ended.
+        let is_repeated =
+            |part: &&PartFingerprint| part.is_request() && self.parts.has_repeated_crashes(**part);
+        self.stored_suspects.extend(blamed.iter().filter(is_repeated));
         // Most requests are never sent again, so there are no records of them until a crash.
         let is_recorded =
             |part: &&PartFingerprint| !part.is_request() || self.parts.is_known(**part);
--- a/crates/gateway/src/stored_evidence.rs
+++ b/crates/gateway/src/stored_evidence.rs
@@ -35,7 +35,7 @@
     pub engines: Vec<u64>,
 }
 
-/// Value of the key of a request under suspicion.
+/// Value of the key of a request under suspicion. Without crashes, a request with it has completed since.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
     pub version: u32,
@@ -161,6 +161,8 @@
     };
     let part = u64::from_str_radix(name, 16).map(PartFingerprint);
     match (part, serde_json::from_slice::<SuspectRecord>(value)) {
+        // The crashes were withdrawn.
+        (Ok(_), Ok(record)) if record.version == SUSPECT_FORMAT && record.crashes.is_empty() => {}
         (Ok(part), Ok(record)) if record.version == SUSPECT_FORMAT && part.is_request() => {
             let now = gateway.now();
             gateway.state.lock().restore_suspect(&record.history(part), now);
--- a/crates/gateway/tests/gateway/plain_crashes.rs
+++ b/crates/gateway/tests/gateway/plain_crashes.rs
@@ -288,3 +288,26 @@
     let crashes = test.record.crashes.lock().len();
     assert!(crashes <= CRASH_COUNT + LATE_SEND_LIMIT, "{crashes} servers crashed");
 }
+
+#[test]
+fn a_request_that_completed_after_its_crashes_is_not_suspected_by_daemons_that_start() {
+    let test = CrashTest::start(2, 0);
+    let parts = [PartFingerprint::of_request(7)];
+    crash_under(&test.daemons[0], 0..2, &parts);
+    let is_suspected = |daemon: &System| {
+        let (state, now) = (daemon.gateway.state.lock(), daemon.gateway.now());
+        state.parts.suspect_history(parts[0], now).is_some()
+    };
+    support::wait_for(|| is_suspected(&test.daemons[1]));
+    thread::sleep(KILL_DELAY);
+    let restarted = test.start_after_kill();
+    assert!(is_suspected(&restarted.daemons[0]), "the crashes are stored");
+    {
+        let (mut state, now) =
+            (test.daemons[1].gateway.state.lock(), test.daemons[1].gateway.now());
+        state.complete_parts(&parts, now);
+    }
+    thread::sleep(KILL_DELAY);
+    let restarted = test.start_after_kill();
+    assert!(!restarted.daemons.iter().any(is_suspected));
+}
