Say what a resume window is where its constants are

Cause: the comments on the two constants couldn't be understood without the type that uses them. Change: comments of core::serving::software only. Result: no behaviour changes; clippy passes.

--- a/crates/core/src/serving/software.rs
+++ b/crates/core/src/serving/software.rs
@@ -20,10 +20,11 @@
     time::Timestamp,
 };
 
-/// Least time after its begin for which a stream may be resumed.
+/// Shortest resume window. Callers whose deadlines exceed the timeout of a route may resume a stream later
+/// than that.
 const MIN_RESUME_WINDOW: Duration = Duration::from_secs(20);
-/// Time beyond the timeout of its route for which a stream may be resumed. Other daemons may know of
-/// changed servers and timeouts later than this one.
+/// Time that a resume window exceeds the timeout of a route by. Other daemons may hear of changed servers
+/// and timeouts later than this one.
 const RESUME_SLACK: Duration = Duration::from_secs(5);
 /// Most streams that are remembered; the oldest are forgotten first.
 const STREAM_LIMIT: usize = 32_768;
@@ -40,7 +41,7 @@
     }
 }
 
-/// Times after their begin for which the streams of each service may be resumed.
+/// Resume window of each service: the time after their begin for which its streams may be resumed.
 #[derive(Clone, Debug, Default)]
 struct ResumeWindows {
     by_service: HashMap<SmolStr, Duration>,
