Split the stored crashes of requests from the evidence on prompt parts

Cause: part_evidence.rs had grown to 630 lines with what outlasts a kill of all daemons. Change: that is in part_evidence/history.rs, moved without other changes.

--- a/crates/core/src/serving/part_evidence.rs
+++ b/crates/core/src/serving/part_evidence.rs
@@ -18,8 +18,11 @@
     time::Duration,
 };
 
+pub use crate::serving::part_evidence::history::{RepeatedCrash, SuspectHistory};
 use crate::{serving::prompt::PartFingerprint, time::Timestamp};
 
+mod history;
+
 /// Number of crashed engines from which a part without completed requests is under suspicion.
 const SUSPICION_ENGINES: usize = 3;
 /// Number of episodes from which such a part is convicted.
@@ -40,9 +43,6 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Retry-after of a request that another one's trial keeps waiting.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Number of crashed engines from which a whole request is remembered if all daemons are killed.
-/// Ordinary crashes rarely hit one twice.
-const REMEMBERED_CRASHES: usize = 2;
 /// Largest number of crashes that are kept for a part.
 const CRASH_LIMIT: usize = 12;
 /// Number of engines from which those without crashes are removed from the list of crashed ones.
@@ -209,23 +209,6 @@
     pub is_trial: bool,
 }
 
-/// One of the crashes since a whole request last completed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RepeatedCrash {
-    pub engine: EngineIncarnation,
-    /// Time since the first of these crashes.
-    pub after: Duration,
-    /// Whether the engine ended under the trial of the request.
-    pub is_trial: bool,
-}
-
-/// A whole request that is neither convicted nor proven, with its crashes in the order of time.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct SuspectHistory {
-    pub part: PartFingerprint,
-    pub crashes: Vec<RepeatedCrash>,
-}
-
 /// Parts whose conviction began or ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VerdictChanges {
@@ -503,50 +486,6 @@
         crashes
     }
 
-    /// Returns whether several engines have ended under a part since a request with it completed.
-    pub fn has_repeated_crashes(&self, part: PartFingerprint) -> bool {
-        let record = self.records.get(&part);
-        record.is_some_and(|record| record.crashes.len() >= REMEMBERED_CRASHES)
-    }
-
-    /// Returns the crashes of a whole request, if there are several and no verdict on it.
-    pub fn suspect_history(&self, part: PartFingerprint, now: Timestamp) -> Option<SuspectHistory> {
-        let record = self.records.get(&part).filter(|_| part.is_request())?;
-        if record.is_convicted || record.is_proven(now) {
-            return None;
-        }
-        let mut crashes = record.unexplained(&self.explained);
-        crashes.sort_unstable_by_key(|crash| crash.at);
-        let first_at = crashes.first()?.at;
-        let is_repeated = crashes.len() >= REMEMBERED_CRASHES;
-        is_repeated.then(|| SuspectHistory {
-            part,
-            crashes: crashes
-                .into_iter()
-                .map(|PartCrash { engine, at, is_trial }| RepeatedCrash {
-                    engine,
-                    after: at.since(first_at),
-                    is_trial,
-                })
-                .collect(),
-        })
-    }
-
-    /// Applies the crashes that daemons before this one have recorded for a whole request. The
-    /// last one counts as if it happened now.
-    pub fn restore_history(&mut self, history: &SuspectHistory, now: Timestamp) -> VerdictChanges {
-        let latest = history.crashes.iter().map(|crash| crash.after).max().unwrap_or_default();
-        let mut changes = VerdictChanges::default();
-        for crash in &history.crashes {
-            let at = now - latest.saturating_sub(crash.after);
-            let parts = [history.part];
-            let verdicts = self.record_crashes(crash.engine, &parts, at, crash.is_trial);
-            changes.convicted.extend(verdicts.convicted);
-            changes.acquitted.extend(verdicts.acquitted);
-        }
-        changes
-    }
-
     /// Returns the convictions, those with the latest crashes first.
     pub fn convictions(&self) -> Vec<PartConviction> {
         let convicted = self.records.iter().filter(|(_, record)| record.is_convicted);
