Show the unserved calls when callers of cut daemons are served worse

The violation CutCallers gave only counts, so that its cause had to be read from the logs of all daemons. It now has a line for each call that wasn't served, of all daemons: when it was sent, how long it took, and the response. No check changes.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -414,9 +414,13 @@
         is_counted && (from..cut.until).contains(&call.sent_at) && !is_disturbed(call)
     });
     let mut spans: BTreeMap<u128, SpanCount> = BTreeMap::new();
+    let mut unserved: Vec<&CallRecord> = Vec::new();
     for call in first_tries {
         let number = call.sent_at.duration_since(from).as_millis() / COMPARED_SPAN.as_millis();
         let span = spans.entry(number).or_default();
+        if !call.is_served() {
+            unserved.push(call);
+        }
         let (served, all) = if cuts().any(|(daemon, _)| daemon == call.daemon) {
             (&mut span.served, &mut span.all)
         } else {
@@ -435,11 +439,23 @@
         .sum();
     let is_served = 3.0 * served as f64 >= 2.0 * expected || all - served <= 10 + all / 50;
     let details = || {
-        format!("{served} of {all}, {expected:.0} at the shares of the other daemons: {spans:?}")
+        let unserved: String = unserved.iter().map(|call| describe_unserved(call, from)).collect();
+        format!(
+            "{served} of {all}, {expected:.0} at the shares of the other daemons: {spans:?}\n{unserved}"
+        )
     };
     (!is_served).then(|| InvariantViolation::CutCallers(details()))
 }
 
+/// Returns a line on a call that wasn't served: when it was sent after the start of the comparison,
+/// how long it took, and the response.
+fn describe_unserved(call: &CallRecord, from: Instant) -> String {
+    let sent = call.sent_at.duration_since(from).as_millis();
+    let took = (call.ended_at - call.sent_at).as_millis();
+    let CallRecord { id, kind, daemon, answer, .. } = call;
+    format!("  {id} ({kind}, daemon {daemon}) at {sent} ms, ended after {took} ms: {answer:?}\n")
+}
+
 /// Checks that requests are served again after the recovery limit.
 fn check_recovery(history: &SoakHistory) -> Option<InvariantViolation> {
     let since = history.faults_cleared_at? + RECOVERY_LIMIT;
