--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -76,11 +76,11 @@
             let runs = Arc::clone(&runs);
             ScriptedServer::start(move |request, stream| run(request, stream, stage, &runs))
         };
-        let stages: Vec<&str> =
-            STAGES.into_iter().chain(std::iter::repeat_n("", PLAIN_SERVERS)).collect();
-        let servers: Vec<_> = stages.iter().map(|stage| start(stage)).collect();
-        for (number, (server, stage)) in servers.iter().zip(&stages).enumerate() {
-            let service = if stage.is_empty() { "plain" } else { "model" };
+        let engines = STAGES.into_iter().map(|stage| ("model", stage));
+        let plain = std::iter::repeat_n(("plain", ""), PLAIN_SERVERS);
+        let kinds: Vec<_> = engines.chain(plain).chain([("other", "")]).collect();
+        let servers: Vec<_> = kinds.iter().map(|(_, stage)| start(stage)).collect();
+        for (number, (server, (service, stage))) in servers.iter().zip(&kinds).enumerate() {
             let entry = server_entry(service, server, stage, "ready");
             first.store.put_server(&format!("s{number}"), &entry);
         }
@@ -98,7 +98,7 @@
                 })
                 .collect();
             let daemon = first.join_view(&view, &format!("daemon-{}", number + 2));
-            daemon.wait(|state| state.fleet.iter().count() == stages.len());
+            daemon.wait(|state| state.fleet.iter().count() == kinds.len());
             test.links.push(proxies);
             test.daemons.push(daemon);
         }
@@ -519,3 +519,21 @@
         assert_eq!(status_code(&text), "200", "{path}: {text}");
     }
 }
+
+#[test]
+fn callers_of_a_daemon_without_links_are_served_after_their_route_moves_to_another_service() {
+    let test = CutTest::start(3);
+    test.set_links(&[0], ProxyState::Unreachable);
+    wait_until_cut(&test, 0);
+    let daemon = &test.daemons[0];
+    daemon.store.put_configuration(&gateway_mocks::configuration(2, "other"));
+    test.daemons.iter().for_each(|daemon| daemon.wait_version(2));
+    let mut statuses = Vec::new();
+    let moved_at = Instant::now();
+    while moved_at.elapsed() < Duration::from_secs(1) {
+        statuses.push(status_code(&daemon.send(&get_request("/plain/x", ""))).to_owned());
+        thread::sleep(CALL_INTERVAL);
+    }
+    let served = statuses.iter().filter(|status| *status == "200").count();
+    assert!(3 * served >= 2 * statuses.len(), "{served} served of {statuses:?}");
+}
