Record the faults of a soak until they really end

In its logs server s1-4 cuts streams for 4.8 s, where 1.8 s were planned: the thread that ends faults was late, and only the planned time was recorded. So the cut stream wasn't explained.

--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,6 @@
 //! The recorded events of a soak: requests of callers, executions at servers, and faults.
 
-use std::{collections::HashMap, time::Instant};
+use std::{collections::HashMap, ops::Range, time::Instant};
 
 use gooseberry_standins::gateway_mocks;
 
@@ -160,6 +160,15 @@
 }
 
 impl SoakHistory {
+    /// Extends recorded faults, other than momentary ones, to the time at which they really ended.
+    pub fn extend_intervals(&mut self, recorded: Range<usize>, ended_at: Instant) {
+        for interval in &mut self.fault_intervals[recorded] {
+            if interval.until > interval.from {
+                interval.until = interval.until.max(ended_at);
+            }
+        }
+    }
+
     /// Returns whether a fault of a matching scope was active between two times.
     pub fn had_fault(
         &self,
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -1,8 +1,9 @@
 //! The processes and stand-ins of a soak, and the injection of faults into them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     fs,
+    ops::Range,
     path::{Path, PathBuf},
     sync::Arc,
     thread,
@@ -144,15 +145,26 @@
             due.insert((at, 3 * faults.len() + 1), DueAction::CutLinks(links.clone()));
             due.insert((end, 3 * faults.len() + 2), DueAction::RestoreLinks(links));
         }
-        for ((at, _), action) in due {
+        // Indexes of the recorded intervals of each fault that has begun.
+        let mut intervals: HashMap<usize, Range<usize>> = HashMap::new();
+        for ((at, order), action) in due {
             while began.elapsed() < at {
                 self.restart_ended_daemons();
                 self.restart_crashed_servers();
                 thread::sleep(POLL_INTERVAL);
             }
             match action {
-                DueAction::Begin(fault) => self.begin(fault),
-                DueAction::End(fault) => self.end(fault),
+                DueAction::Begin(fault) => {
+                    let first = self.history.lock().fault_intervals.len();
+                    self.begin(fault);
+                    let end = self.history.lock().fault_intervals.len();
+                    intervals.insert(order / 3, first..end);
+                }
+                DueAction::End(fault) => {
+                    self.end(fault);
+                    let recorded = intervals.remove(&(order / 3)).unwrap_or_default();
+                    self.history.lock().extend_intervals(recorded, Instant::now());
+                }
                 DueAction::Replace(server) => self.replace(server),
                 DueAction::CutLinks(links) => {
                     for daemon in &links.daemons {
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -63,6 +63,12 @@
     soak(24010, 12, 4);
 }
 
+/// Guards against daemons that end by SIGTERM itself when they are stopped just after their start.
+#[test]
+fn seed_25024_stops_daemons_that_have_just_started() {
+    soak(25024, 12, 4);
+}
+
 #[test]
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
