--- a/crates/gateway/tests/gateway/cut_daemons.rs
+++ b/crates/gateway/tests/gateway/cut_daemons.rs
@@ -374,7 +374,7 @@
         let (mut state, now) = (gateway.state.lock(), gateway.now());
         let servers: Vec<_> =
             state.fleet.iter().map(|(_, server)| fleet::incarnation(&server.entry)).collect();
-        for server in servers.into_iter().skip(STAGES.len()) {
+        for server in servers.into_iter().skip(STAGES.len()).take(PLAIN_SERVERS) {
             state.record_doubt(server, &parts, DoubtfulEnd::Interrupted, false, now);
             state.confirm_crash(server, now);
         }
