Log the presence of a server at each send, and the age of the list

The incident's hypotheses differ in what a send rested on: an entry that was given up, an old list of a relay, or a server chosen earlier. The logs had the presence of an entry only when it was first found missing. Sends now log the presence of the server and the age of the list, the end of an outage logs which source ended it and how old its list is, and a relay says in a header how old its list is.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -90,6 +90,8 @@
     outage_ended_at: Option<Timestamp>,
     /// Time at which the last failed call began.
     last_failed_call_at: Timestamp,
+    /// Time up to which all changes of the entries are known.
+    listed_at: Option<Timestamp>,
 }
 
 impl StoreConnectivity {
@@ -109,6 +111,21 @@
         Some(now.since(outage_started_at))
     }
 
+    /// Records that all changes of the entries up to `at` have been received.
+    pub fn record_list(&mut self, at: Timestamp) {
+        self.listed_at = self.listed_at.max(Some(at));
+    }
+
+    /// Returns the time up to which all changes of the entries are known.
+    pub fn listed_at(&self) -> Option<Timestamp> {
+        self.listed_at
+    }
+
+    /// Returns the age of the list of entries, or none if there was no list yet.
+    pub fn list_age(&self, now: Timestamp) -> Option<Duration> {
+        self.listed_at.map(|at| now.since(at))
+    }
+
     /// Returns whether the service isn't responding.
     pub fn is_unreachable(&self) -> bool {
         self.outage_started_at.is_some()
--- a/crates/core/src/serving/watch_plan.rs
+++ b/crates/core/src/serving/watch_plan.rs
@@ -25,7 +25,8 @@
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Source of the changes of the key-value service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum WatchSource {
     /// The key-value service itself.
     Store,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -334,6 +334,8 @@
             route = %route.row.name,
             version = route.configuration.version,
             server = %server.entry.id,
+            presence = ?server.presence,
+            list_age_ms = state.list_age_ms(now),
             requests = server.requests(),
             tries = excluded.len(),
             blamable_parts = prompt::describe_parts(&self.blamable_parts),
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -17,7 +17,7 @@
     body::{self, ReadError, ResponseBody},
     client::{ClientConnection, SendError},
 };
-use http::{header, HeaderValue, Request, Response, StatusCode};
+use http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -31,9 +31,12 @@
 /// Time beyond the long poll after which a request to a relay times out.
 const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 /// Age of the service's last response up to which a relay serves its changes.
-const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2600);
+pub const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2600);
 /// Timeout of a connection to a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Header of a relay's response: the age of its list of changes, in milliseconds. Relays of builds
+/// before it don't send it.
+const LIST_AGE_HEADER: HeaderName = HeaderName::from_static("list-age-ms");
 /// Largest response of a relay, in bytes.
 const RESPONSE_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
@@ -72,6 +75,14 @@
     state: Mutex<LogState>,
 }
 
+/// Times of a response of the service itself.
+#[derive(Clone, Copy, Debug)]
+pub struct ListTimes {
+    pub responded_at: Timestamp,
+    /// Time of the call: the response has all changes up to then.
+    pub listed_at: Timestamp,
+}
+
 #[derive(Debug, Default)]
 struct LogState {
     changes: VecDeque<StoreChange>,
@@ -81,25 +92,31 @@
     revision: u64,
     /// Time of the last response of the service itself, rather than a relay, to this daemon.
     responded_at: Option<Timestamp>,
+    /// Time up to which the service itself has told this daemon of all changes.
+    listed_at: Option<Timestamp>,
     /// Senders of the requests that wait for a change.
     waiters: Vec<Sender<()>>,
 }
 
 impl ChangeLog {
     /// Clears the log after a read of all keys.
-    pub fn reset(&self, revision: u64, now: Timestamp) {
+    pub fn reset(&self, revision: u64, times: ListTimes) {
         let mut state = self.state.lock();
         state.changes.clear();
         state.oldest_revision = revision;
         state.revision = revision;
-        state.responded_at = Some(now);
+        state.responded_at = Some(times.responded_at);
+        state.listed_at = Some(times.listed_at);
         state.waiters.clear();
     }
 
-    /// Adds changes. `responded_at` is set if they came from the service itself.
-    pub fn extend(&self, update: &StoreUpdate, responded_at: Option<Timestamp>) {
+    /// Adds changes. `times` is set if they came from the service itself.
+    pub fn extend(&self, update: &StoreUpdate, times: Option<ListTimes>) {
         let mut state = self.state.lock();
-        state.responded_at = responded_at.or(state.responded_at);
+        if let Some(times) = times {
+            state.responded_at = Some(times.responded_at);
+            state.listed_at = Some(times.listed_at);
+        }
         state.changes.extend(update.changes.iter().cloned());
         while state.changes.len() > CHANGE_LIMIT {
             if let Some(change) = state.changes.pop_front() {
@@ -130,6 +147,11 @@
         Ok(StoreUpdate { changes: newer.cloned().collect(), revision: state.revision })
     }
 
+    /// Returns the time since which there may be changes that this log doesn't have.
+    fn list_age(&self, now: Timestamp) -> Option<Duration> {
+        self.state.lock().listed_at.map(|at| now.since(at))
+    }
+
     /// Returns a receiver whose channel is closed at the next change.
     fn subscribe(&self) -> Receiver<()> {
         let (sender, receiver) = async_channel::bounded(1);
@@ -181,7 +203,13 @@
         update = log.changes_after(revision, gateway.now());
     }
     match update.map(|update| postcard::to_stdvec(&update)) {
-        Ok(Ok(bytes)) => Response::new(ResponseBody::whole(bytes)),
+        Ok(Ok(bytes)) => {
+            let mut response = Response::new(ResponseBody::whole(bytes));
+            if let Some(age) = log.list_age(gateway.now()) {
+                response.headers_mut().insert(LIST_AGE_HEADER, (age.as_millis() as u64).into());
+            }
+            response
+        }
         Ok(Err(error)) => {
             tracing::warn!(%error, "changes can't be encoded");
             program::status_response(StatusCode::INTERNAL_SERVER_ERROR)
@@ -190,6 +218,14 @@
     }
 }
 
+/// The changes that a relay sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayUpdate {
+    pub update: StoreUpdate,
+    /// Age of the relay's list at its response, if it says so.
+    pub list_age: Option<Duration>,
+}
+
 /// Client that requests changes from a relay.
 #[derive(Debug, Default)]
 pub struct RelayClient {
@@ -209,7 +245,7 @@
         gateway: &Gateway,
         relay: SocketAddr,
         revision: u64,
-    ) -> Result<StoreUpdate, RelayError> {
+    ) -> Result<RelayUpdate, RelayError> {
         let pooled = self.connection.take();
         let pooled =
             pooled.filter(|connection| connection.address() == relay && connection.is_open());
@@ -219,23 +255,28 @@
                 None => ClientConnection::connect(relay, CONNECT_TIMEOUT).await?,
             };
             let answer = connection.send(request(revision)).await?;
-            let status = answer.status();
+            let (status, list_age) = (answer.status(), list_age(answer.headers()));
             let body = body::read_whole(answer.into_body(), RESPONSE_LIMIT_BYTES).await?;
-            Ok((connection, status, body))
+            Ok((connection, status, list_age, body))
         };
         let timeout = async {
             gateway.clock.sleep(POLL_TIMEOUT + RESPONSE_SLACK).await;
             Err(RelayError::TimedOut)
         };
-        let (connection, status, body) = work.or(timeout).await?;
+        let (connection, status, list_age, body) = work.or(timeout).await?;
         self.connection = Some(connection);
         if status != StatusCode::OK {
             return Err(RelayError::Status(status));
         }
-        Ok(postcard::from_bytes(&body)?)
+        Ok(RelayUpdate { update: postcard::from_bytes(&body)?, list_age })
     }
 }
 
+fn list_age(headers: &HeaderMap) -> Option<Duration> {
+    let age_ms = headers.get(LIST_AGE_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(age_ms))
+}
+
 fn request(revision: u64) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::default());
     let path = format!("/{revision}");
--- a/crates/gateway/src/prompt_call/decode.rs
+++ b/crates/gateway/src/prompt_call/decode.rs
@@ -124,6 +124,14 @@
     };
     let domain = &prefill_engine.domain;
     let key = decode_engines::choose(&state.fleet, &options.domains, &request, domain, now)?;
+    let server = state.fleet.server(key);
+    tracing::info!(
+        request = %call.head.request_id,
+        server = %server.entry.id,
+        presence = ?server.presence,
+        list_age_ms = state.list_age_ms(now),
+        "another decode engine chosen"
+    );
     if state.record_send(key, now) {
         call.gateway.wake_publisher();
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -145,6 +145,11 @@
         Some(presence)
     }
 
+    /// Returns the age of the list of servers, in milliseconds, or none if there was no list yet.
+    pub fn list_age_ms(&self, now: Timestamp) -> Option<u64> {
+        self.fleet.connectivity.list_age(now).map(|age| age.as_millis() as u64)
+    }
+
     /// Records that this daemon sends a stream that may be resumed to an engine, and queues the
     /// update for the other daemons.
     pub fn record_stream(&mut self, stream: StreamKey, software: SoftwareKey, now: Timestamp) {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -17,7 +17,7 @@
 use smol_str::SmolStr;
 
 use crate::{
-    changes::{ChangeLog, RelayClient},
+    changes::{self, ChangeLog, ListTimes, RelayClient, RelayUpdate},
     gateway::Gateway,
     leader::{self, LeaderKey},
     peers::{self, PeerDirectory, PeerRecord},
@@ -87,7 +87,7 @@
         let source = self.plan.source(relay.is_some(), now);
         let update = match (self.revision, relay, source) {
             (Some(revision), Some(relay), WatchSource::Relay) => {
-                self.watch_relay(relay, revision).await;
+                self.watch_relay(relay, revision, now).await;
                 return;
             }
             (Some(revision), _, _) => {
@@ -105,7 +105,7 @@
             Ok(update) => {
                 self.plan.store_responded();
                 let has_changes = !update.changes.is_empty();
-                self.apply_update(update, WatchSource::Store);
+                self.apply_update(update, WatchSource::Store, now);
                 if has_changes {
                     self.gateway.clock.sleep(BATCH_DELAY).await;
                 }
@@ -122,9 +122,12 @@
         }
     }
 
-    async fn watch_relay(&mut self, relay: SocketAddr, revision: u64) {
+    async fn watch_relay(&mut self, relay: SocketAddr, revision: u64, called_at: Timestamp) {
         let fault = match self.relay_client.watch(&self.gateway, relay, revision).await {
-            Ok(update) => return self.apply_update(update, WatchSource::Relay),
+            Ok(RelayUpdate { update, list_age }) => {
+                let listed_at = called_at - list_age.unwrap_or(changes::MAX_RESPONSE_AGE);
+                return self.apply_update(update, WatchSource::Relay, listed_at);
+            }
             Err(fault) => fault,
         };
         self.gateway.state.lock().versions.record_gap();
@@ -136,17 +139,19 @@
         }
     }
 
-    fn apply_update(&mut self, update: StoreUpdate, source: WatchSource) {
-        record_response(&self.gateway);
+    /// Applies an update that has all changes up to `listed_at`.
+    fn apply_update(&mut self, update: StoreUpdate, source: WatchSource, listed_at: Timestamp) {
+        record_response(&self.gateway, source, listed_at);
         let now = self.gateway.now();
+        let times = ListTimes { responded_at: now, listed_at };
         if self.revision.is_none() {
             self.gateway.state.lock().versions.record_gap();
             remove_missing_servers(&self.gateway, &update);
             remove_missing_keys(&self.keys, &update);
-            self.keys.changes.reset(update.revision, now);
+            self.keys.changes.reset(update.revision, times);
         } else {
-            let responded_at = (source == WatchSource::Store).then_some(now);
-            self.keys.changes.extend(&update, responded_at);
+            let times = (source == WatchSource::Store).then_some(times);
+            self.keys.changes.extend(&update, times);
         }
         // The keys may have been read from a replica that lags behind, so the revision never goes
         // back.
@@ -157,19 +162,23 @@
         for change in update.changes {
             apply(&self.gateway, &self.keys, change);
         }
-        self.gateway.state.lock().versions.record_complete(now);
+        let mut state = self.gateway.state.lock();
+        state.versions.record_complete(now);
+        state.fleet.connectivity.record_list(listed_at);
+        drop(state);
         update_readiness(&self.gateway);
     }
 }
 
 /// Records that the key-value service, or a relay in its place, responded.
-fn record_response(gateway: &Gateway) {
+fn record_response(gateway: &Gateway, source: WatchSource, listed_at: Timestamp) {
     gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
     let now = gateway.now();
     let mut state = gateway.state.lock();
     if state.fleet.connectivity.is_unreachable() {
         state.fleet.record_store_recovery(now);
-        tracing::info!("key-value service responds again");
+        let list_age_ms = now.since(listed_at).as_millis() as u64;
+        tracing::info!(%source, list_age_ms, "key-value service responds again");
     }
 }
 
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -14,7 +14,7 @@
     time::Timestamp,
 };
 use gooseberry_gateway::{
-    changes::ChangeLog,
+    changes::{ChangeLog, ListTimes},
     state::{GatewayState, PEER_TIMEOUT},
     updates::{PrefillEnd, SendUpdate, SpeedSample},
 };
@@ -26,6 +26,7 @@
 use http::StatusCode;
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
+const START_TIMES: ListTimes = ListTimes { responded_at: START, listed_at: START };
 
 fn state(daemon: u64) -> GatewayState {
     let mut state = GatewayState::new(daemon);
@@ -141,8 +142,11 @@
 #[test]
 fn a_relay_returns_all_changes_after_a_revision() {
     let log = ChangeLog::default();
-    log.reset(10, START);
-    log.extend(&StoreUpdate { changes: vec![change(11), change(12)], revision: 12 }, Some(START));
+    log.reset(10, START_TIMES);
+    log.extend(
+        &StoreUpdate { changes: vec![change(11), change(12)], revision: 12 },
+        Some(START_TIMES),
+    );
     let update = log.changes_after(11, START).expect("changes");
     assert_eq!(update, StoreUpdate { changes: vec![change(12)], revision: 12 });
 }
@@ -151,7 +155,7 @@
 fn a_relay_without_the_service_or_the_changes_reports_it() {
     let log = ChangeLog::default();
     assert_eq!(log.changes_after(0, START), Err(StatusCode::SERVICE_UNAVAILABLE));
-    log.reset(10, START);
+    log.reset(10, START_TIMES);
     assert_eq!(log.changes_after(9, START), Err(StatusCode::GONE));
     let later = START + Duration::from_secs(3);
     assert_eq!(log.changes_after(10, later), Err(StatusCode::SERVICE_UNAVAILABLE));
@@ -163,9 +167,9 @@
 #[test]
 fn old_changes_are_dropped_and_reported() {
     let log = ChangeLog::default();
-    log.reset(0, START);
+    log.reset(0, START_TIMES);
     let changes: Vec<_> = (1..=1000).map(change).collect();
-    log.extend(&StoreUpdate { changes, revision: 1000 }, Some(START));
+    log.extend(&StoreUpdate { changes, revision: 1000 }, Some(START_TIMES));
     assert_eq!(log.changes_after(5, START), Err(StatusCode::GONE));
     assert_eq!(log.changes_after(999, START).expect("changes").changes, vec![change(1000)]);
 }
