Add failing tests of entries that are used again after they were given up

Callers' requests reach servers that left long ago: each failed call that is followed by a response gives all missing entries another 2 s. Both tests fail on this code: usable 7 s after the end, and at 1500 + 600 ms.

--- /dev/null
+++ b/crates/core/tests/serving_presence.rs
@@ -0,0 +1,69 @@
+//! How long a server is used whose entry is missing.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    serving::{
+        directory::{EngineStage, ServerEntry},
+        fleet::ServerFleet,
+    },
+    time::Timestamp,
+};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// Time after the first response for which a missing entry may still come back.
+const REWRITE_MS: u64 = 2000;
+
+fn after(millis: u64) -> Timestamp {
+    START + Duration::from_millis(millis)
+}
+
+fn entry(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("valid address"),
+        domain: "a".into(),
+        slots: 6,
+        software: "v1".into(),
+        is_draining: false,
+        stage: EngineStage::Mixed,
+        started_at_ms: Some(1),
+    }
+}
+
+fn is_usable(fleet: &ServerFleet, now: Timestamp) -> bool {
+    fleet.server(fleet.key("one").expect("known server")).is_usable(now)
+}
+
+/// A fleet whose only entry is found missing after an outage that ends at 0 ms.
+fn fleet_with_lapsed_entry() -> ServerFleet {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one"));
+    fleet.connectivity.record_failure(START - Duration::from_millis(100));
+    fleet.record_store_recovery(START);
+    fleet.remove("one", START);
+    assert!(is_usable(&fleet, after(REWRITE_MS - 1)));
+    fleet
+}
+
+#[test]
+fn a_server_that_was_given_up_is_not_used_again_after_a_later_outage() {
+    let mut fleet = fleet_with_lapsed_entry();
+    assert!(!is_usable(&fleet, after(9000)));
+    fleet.connectivity.record_failure(after(9000));
+    fleet.record_store_recovery(after(9200));
+    assert!(!is_usable(&fleet, after(9300)));
+}
+
+#[test]
+fn failures_in_a_row_do_not_keep_a_server_in_use_whose_entry_is_missing() {
+    let mut fleet = fleet_with_lapsed_entry();
+    for number in 1..8 {
+        let failed_ms = number * 1500;
+        fleet.connectivity.record_failure(after(failed_ms));
+        fleet.record_store_recovery(after(failed_ms + 100));
+        let now = after(failed_ms + 600);
+        assert!(now < after(REWRITE_MS) || !is_usable(&fleet, now), "used at {failed_ms} + 600 ms");
+    }
+}
