Give up a missing entry once, whatever outages follow

Callers' requests reached servers 12 s after these had said that they leave. Cause: a server whose entry is found missing after an outage is used for 2 s, and each later outage, a cut watch or a lost response too, gave all such servers another 2 s, however long ago they had been given up. The class: a time limit that a later event extends. The time now runs from when the entry was first found missing; afterwards the server counts as gone, which is logged, and what ended with it is confirmed.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -287,19 +287,21 @@
         }
     }
 
-    /// Records that the key-value service responded. If this ends an outage, extends the expiry of
-    /// lapsed entries, so that their servers have time to write them again.
+    /// Records that the key-value service responded. The time for which a missing entry is used runs
+    /// from when it was first found missing, whatever outages follow.
     pub fn record_store_recovery(&mut self, now: Timestamp) {
-        if self.connectivity.record_success(now).is_none() {
-            return;
-        }
-        let presence = self.connectivity.missing_entry_presence(now);
-        for key in self.keys() {
-            let state = &mut self.servers[key];
-            if matches!(state.presence, ServerPresence::Lapsed { .. }) {
-                state.presence = presence;
-            }
+        self.connectivity.record_success(now);
+    }
+
+    /// Records the servers as gone whose entries didn't come back in time. Returns their keys.
+    pub fn give_up_missing(&mut self, now: Timestamp) -> Vec<EngineKey> {
+        let is_late = |state: &ServerState| matches!(state.presence, ServerPresence::Lapsed { until } if now >= until);
+        let late: Vec<EngineKey> =
+            self.iter().filter(|(_, state)| is_late(state)).map(|(key, _)| key).collect();
+        for key in &late {
+            self.servers[*key].presence = ServerPresence::Gone;
         }
+        late
     }
 
     /// Finds a server by its id.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -145,6 +145,17 @@
         Some(presence)
     }
 
+    /// Records the servers as gone whose entries didn't come back in time. Returns their ids.
+    pub fn give_up_missing(&mut self, now: Timestamp) -> Vec<SmolStr> {
+        let keys = self.fleet.give_up_missing(now);
+        let entries: Vec<ServerEntry> =
+            keys.into_iter().map(|key| self.fleet.server(key).entry.clone()).collect();
+        for entry in &entries {
+            self.confirm_crash(fleet::incarnation(entry), now);
+        }
+        entries.into_iter().map(|entry| entry.id).collect()
+    }
+
     /// Returns the age of the list of servers, in milliseconds, or none if there was no list yet.
     pub fn list_age_ms(&self, now: Timestamp) -> Option<u64> {
         self.fleet.connectivity.list_age(now).map(|age| age.as_millis() as u64)
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -82,6 +82,7 @@
 
     async fn step(&mut self) {
         let now = self.gateway.now();
+        give_up_missing(&self.gateway);
         // A daemon that has just started reads all keys from the service itself.
         let relay = self.relay(now).filter(|_| self.revision.is_some());
         let source = self.plan.source(relay.is_some(), now);
@@ -182,6 +183,13 @@
     }
 }
 
+fn give_up_missing(gateway: &Gateway) {
+    let given_up = gateway.state.lock().give_up_missing(gateway.now());
+    for id in given_up {
+        tracing::info!(server = %id, "server entry didn't come back; giving up the server");
+    }
+}
+
 fn record_error(gateway: &Gateway, fault: &StoreError, called_at: Timestamp) {
     gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
     if matches!(fault, StoreError::Compacted(_)) {
