Keep what a server said of itself until it starts again

A request could reach a server that had said in a response that it leaves: its entry was missing and an older write of it came back, which counted as a start and cleared all that was known of the server.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -183,7 +183,8 @@
 #[strum(serialize_all = "kebab-case")]
 pub enum EntryEffect {
     Added,
-    /// The server has a new start time or address, or was gone before.
+    /// The server has a new start time or address, or was gone before and doesn't state when it
+    /// started.
     Restarted,
     /// The server started draining.
     Draining,
@@ -248,13 +249,17 @@
         };
         let state = &mut self.servers[key];
         // A write from before it was draining may be carried out later.
-        entry.is_draining |= state.entry.is_draining && state.entry.is_same_start(&entry);
+        let is_same_start = state.entry.is_same_start(&entry);
+        entry.is_draining |= state.entry.is_draining && is_same_start;
         let was_gone = state.presence == ServerPresence::Gone;
         let old = std::mem::replace(&mut state.entry, entry);
         state.group_speed = group_speed;
         state.presence = ServerPresence::Present;
         let entry = &state.entry;
-        if was_gone || old.started_at_ms != entry.started_at_ms || old.address != entry.address {
+        // What a server has said stays true until it starts again, although its entry was missing.
+        let has_restarted =
+            old.started_at_ms != entry.started_at_ms || old.address != entry.address;
+        if has_restarted || (was_gone && !is_same_start) {
             state.restart();
             state.request_limit.set_share(self.daemon_share, Timestamp::default());
             return EntryEffect::Restarted;
--- a/crates/core/tests/serving_presence.rs
+++ b/crates/core/tests/serving_presence.rs
@@ -67,3 +67,17 @@
         assert!(now < after(REWRITE_MS) || !is_usable(&fleet, now), "used at {failed_ms} + 600 ms");
     }
 }
+
+#[test]
+fn a_server_that_said_it_leaves_gets_no_requests_when_its_entry_returns() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(entry("one"));
+    let key = fleet.key("one").expect("known server");
+    fleet.server_mut(key).is_leaving = true;
+    fleet.remove("one", START);
+    fleet.put(entry("one"));
+    assert!(!is_usable(&fleet, START));
+    fleet.remove("one", START);
+    fleet.put(ServerEntry { started_at_ms: Some(2), ..entry("one") });
+    assert!(is_usable(&fleet, START));
+}
