Send nothing to a decode engine that is gone after the prefill

A request reached an engine whose entry had been removed while another engine ran its prefill, if no other decode engine was left. Cause: the last resort looked at what the engine says of itself, not at its entry, so an engine that leaves without saying so was tried. no_request_goes_to_a_decode_engine_that_is_gone_after_the_prefill failed with one request and passes; the caller gets 503 and may come back.

--- a/crates/gateway/src/prompt_call/decode.rs
+++ b/crates/gateway/src/prompt_call/decode.rs
@@ -71,13 +71,14 @@
     }
 }
 
-/// Returns whether an engine may be tried although it isn't usable: not if it leaves or has asked for
-/// quiet.
+/// Returns whether an engine may be tried although it isn't usable: not if it leaves, is gone or has
+/// asked for quiet.
 fn may_be_sent(call: &Call, key: EngineKey) -> bool {
     let gateway = &call.gateway;
     let state = gateway.state.lock();
     let server = state.fleet.server(key);
-    !server.is_departing() && !server.is_quiet(gateway.now())
+    let now = gateway.now();
+    server.presence.is_usable(now) && !server.is_departing() && !server.is_quiet(now)
 }
 
 /// Returns the engine if it is still usable for decode.
--- a/crates/gateway/tests/gateway/leaving.rs
+++ b/crates/gateway/tests/gateway/leaving.rs
@@ -186,3 +186,31 @@
     assert!(support::is_complete_response(&text), "{text}");
     assert!(text.matches("data: a").count() > 10, "{text}");
 }
+
+#[test]
+fn no_request_goes_to_a_decode_engine_that_is_gone_after_the_prefill() {
+    let system = System::start();
+    system.configure(1);
+    system.wait_version(1);
+    let store = system.store.clone();
+    let gateway = Arc::clone(&system.gateway);
+    let prefill = ScriptedServer::start(move |request, stream| {
+        if request.is_prefill() {
+            store.remove_server("decode");
+            support::wait_for(|| {
+                let state = gateway.state.lock();
+                let server = state.fleet.server(state.fleet.key("decode").expect("known server"));
+                !server.is_usable(gateway.now())
+            });
+        }
+        gateway_mocks::write_prefill_response(request, stream)
+    });
+    let decode = LeavingServer::start(LeavingAnswer::Success);
+    system.register("prefill", "model", &prefill, "prefill");
+    system.register("decode", "model", &decode.server, "decode");
+    let prompt = "X-Model: m\r\nX-Token-Usage: 9000,5\r\nX-Prompt-Prefix: aa:300,bb:8700\r\n";
+    let text = system.send(&get_request("/chat/x", prompt));
+    assert_eq!(prefill.received().iter().filter(|request| request.is_prefill()).count(), 1);
+    assert_eq!(decode.requests(), 0, "{text}");
+    assert_eq!(status_code(&text), "503");
+}
