--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -339,6 +339,16 @@
         self.tables.lock().write(key, Some(STANDARD.encode(value.to_string())), 0);
     }
 
+    /// Writes bytes that may be no JSON, as another writer does.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        self.tables.lock().write(key, Some(STANDARD.encode(value)), 0);
+    }
+
+    /// Writes an item whose value isn't base64, so that the responses that hold it are odd themselves.
+    pub fn put_unencoded(&self, key: &str, value: &str) {
+        self.tables.lock().write(key, Some(value.to_owned()), 0);
+    }
+
     /// Writes the operators' configuration.
     pub fn put_configuration(&self, configuration: &Value) {
         self.put("op/config", configuration);
