End the use of a server at once whose entry can't be decoded

After an outage, such a server was used for up to 2 s more (200 instead of 503 in the test): an entry that can't be decoded was treated as a missing one, which may come back. It exists and names no server to use. an_odd_value_of_a_server_in_use_ends_its_use_at_once_also_after_an_outage failed before.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -292,6 +292,16 @@
         }
     }
 
+    /// Records that an entry names no server to use. Returns whether the server was present until now,
+    /// or its entry missing.
+    pub fn reject(&mut self, id: &str) -> bool {
+        let Some(key) = self.key(id) else {
+            return false;
+        };
+        let old = std::mem::replace(&mut self.servers[key].presence, ServerPresence::Gone);
+        old != ServerPresence::Gone
+    }
+
     /// Records that the key-value service responded. The time for which a missing entry is used runs
     /// from when it was first found missing, whatever outages follow.
     pub fn record_store_recovery(&mut self, now: Timestamp) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -135,16 +135,30 @@
     /// Records that a server's entry is missing. Returns the server's new presence if it changed.
     pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
         let presence = self.fleet.remove(id, now)?;
-        if let Some(key) = self.fleet.key(id) {
-            let entry = &self.fleet.server(key).entry;
-            self.versions.record_departure(entry, now);
-            if presence == ServerPresence::Gone {
-                self.confirm_crash(fleet::incarnation(entry), now);
-            }
-        }
+        self.record_departure(id, now);
         Some(presence)
     }
 
+    /// Records that a server's entry names no server to use. Returns whether that is news.
+    pub fn reject_server(&mut self, id: &str, now: Timestamp) -> bool {
+        let is_news = self.fleet.reject(id);
+        if is_news {
+            self.record_departure(id, now);
+        }
+        is_news
+    }
+
+    fn record_departure(&mut self, id: &str, now: Timestamp) {
+        let Some(key) = self.fleet.key(id) else {
+            return;
+        };
+        let server = self.fleet.server(key);
+        self.versions.record_departure(&server.entry, now);
+        if server.presence == ServerPresence::Gone {
+            self.confirm_crash(fleet::incarnation(&server.entry), now);
+        }
+    }
+
     /// Records the servers as gone whose entries didn't come back in time. Returns their ids.
     pub fn give_up_missing(&mut self, now: Timestamp) -> Vec<SmolStr> {
         let keys = self.fleet.give_up_missing(now);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -284,9 +284,8 @@
             }
         }
         Err(fault) => {
-            tracing::warn!(server = %id, revision, %fault, "server entry can't be decoded; removing the server");
-            // An entry that can't be decoded doesn't describe a usable server.
-            remove_server(gateway, id, revision);
+            let was_used = gateway.state.lock().reject_server(id, gateway.now());
+            tracing::warn!(server = %id, revision, %fault, was_used, "server entry can't be decoded; it names no server to use");
         }
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limit_world;
 mod news;
+mod odd_entries;
 mod outages;
 mod plain_crashes;
 mod poison_parts;
