Don't end an outage with a list of a relay that is older than it

A daemon that was cut off and heard a relay that was cut off too went from failing to responding and back, up to 2.6 s after the relay's cut: the time at which an outage ended, from which missing entries count, was that of an old list.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -104,11 +104,15 @@
         is_first
     }
 
-    /// Records a response. Returns the length of the outage that it ends, if there was one.
-    pub fn record_success(&mut self, now: Timestamp) -> Option<Duration> {
-        let outage_started_at = self.outage_started_at.take()?;
-        self.outage_ended_at = Some(now);
-        Some(now.since(outage_started_at))
+    /// Records a response that has all changes up to `listed_at`. Returns whether it ends an outage. The
+    /// list of a relay that is cut off too may be older than the outage and doesn't end it.
+    pub fn record_success(&mut self, listed_at: Timestamp, now: Timestamp) -> bool {
+        let ends = self.outage_started_at.is_some_and(|started_at| listed_at >= started_at);
+        if ends {
+            self.outage_started_at = None;
+            self.outage_ended_at = Some(now);
+        }
+        ends
     }
 
     /// Records that all changes of the entries up to `at` have been received.
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -302,10 +302,11 @@
         old != ServerPresence::Gone
     }
 
-    /// Records that the key-value service responded. The time for which a missing entry is used runs
+    /// Records a response of the key-value service, or of a relay, that has all changes up to
+    /// `listed_at`. Returns whether it ends an outage. The time for which a missing entry is used runs
     /// from when it was first found missing, whatever outages follow.
-    pub fn record_store_recovery(&mut self, now: Timestamp) {
-        self.connectivity.record_success(now);
+    pub fn record_store_response(&mut self, listed_at: Timestamp, now: Timestamp) -> bool {
+        self.connectivity.record_success(listed_at, now)
     }
 
     /// Records the servers as gone whose entries didn't come back in time. Returns their keys.
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -107,7 +107,7 @@
     for called_ms in [0, 1500, 3500] {
         fleet.connectivity.record_failure(after(called_ms));
     }
-    fleet.record_store_recovery(after(4000));
+    fleet.record_store_response(after(4000), after(4000));
     fleet.remove("back", after(4001));
     fleet.remove("dead", after(4001));
     let usable = |fleet: &ServerFleet, id: &str, now| {
@@ -135,7 +135,7 @@
         let delay = plan.store_failed(false, after(failed_ms));
         attempt_ms = failed_ms + delay.as_millis() as u64;
     }
-    fleet.record_store_recovery(after(attempt_ms));
+    fleet.record_store_response(after(attempt_ms), after(attempt_ms));
     fleet.remove("one", after(attempt_ms));
     let server = fleet.server(fleet.key("one").expect("known server"));
     assert!(!server.is_usable(after(HEALED_MS + STABLE_MS)), "first heard at {attempt_ms} ms");
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -175,9 +175,8 @@
 fn record_response(gateway: &Gateway, source: WatchSource, listed_at: Timestamp) {
     gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
     let now = gateway.now();
-    let mut state = gateway.state.lock();
-    if state.fleet.connectivity.is_unreachable() {
-        state.fleet.record_store_recovery(now);
+    let ends_outage = gateway.state.lock().fleet.record_store_response(listed_at, now);
+    if ends_outage {
         let list_age_ms = now.since(listed_at).as_millis() as u64;
         tracing::info!(%source, list_age_ms, "key-value service responds again");
     }
