Bound how old a member's list may be by what its relay knows

A relay whose own link was cut served its list for 2.6 s and held a member's request for 1.2 s more, so that the member used a list of 3.8 s, of the 4 s that a server may still get requests. And a member that returned from a cut called the service up to 4.18 s later if its relay stopped responding, though it counts as in touch after 4 s: a request to the relay may take 1.7 s.

--- a/crates/core/src/serving/watch_plan.rs
+++ b/crates/core/src/serving/watch_plan.rs
@@ -21,6 +21,13 @@
 /// service again. In deployments that need relays, `stable-ms` is 4 s.
 const PROBE_DELAY: Duration = Duration::from_millis(1000);
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(1500);
+/// Longest time for which a relay holds a request until there are changes (long poll).
+const RELAY_WAIT: Duration = Duration::from_millis(1200);
+/// The same for a daemon whose own last call to the service failed: it has to know soon whether the relay
+/// responds, and what has changed.
+const FAILING_RELAY_WAIT: Duration = Duration::from_millis(250);
+/// Time beyond the wait after which a request to a relay times out.
+const RELAY_SLACK: Duration = Duration::from_millis(500);
 /// Delay before a relay that failed is called again.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -43,6 +50,14 @@
     Compacted,
 }
 
+/// How long a request to a relay may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RelayCall {
+    /// Time for which the relay is to hold the request until there are changes.
+    pub wait: Duration,
+    pub timeout: Duration,
+}
+
 /// Decides which source a daemon calls next, and when.
 #[derive(Clone, Copy, Debug)]
 pub struct WatchPlan {
@@ -74,6 +89,18 @@
         }
     }
 
+    /// Returns how long the next request to the relay may take. `is_failing` states whether the last
+    /// call to the service itself failed; then a relay that doesn't respond mustn't delay the next one.
+    pub fn relay_call(&self, is_failing: bool, now: Timestamp) -> RelayCall {
+        if !is_failing {
+            return RelayCall { wait: RELAY_WAIT, timeout: RELAY_WAIT + RELAY_SLACK };
+        }
+        // Relays of builds before `wait` hold each request for the longest time.
+        let until_probe = self.probe_at.since(now).min(RELAY_WAIT + RELAY_SLACK);
+        let timeout = until_probe.max(FAILING_RELAY_WAIT + RELAY_SLACK);
+        RelayCall { wait: FAILING_RELAY_WAIT, timeout }
+    }
+
     /// Records that a relay failed. Returns the delay before it is called again, or none if the
     /// service is to be called.
     pub fn relay_failed(&mut self, failure: RelayFailure, now: Timestamp) -> Option<Duration> {
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -11,13 +11,16 @@
 use async_std::net::TcpListener;
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use gooseberry_core::{serving::watch_plan::RelayFailure, time::Timestamp};
+use gooseberry_core::{
+    serving::watch_plan::{RelayCall, RelayFailure},
+    time::Timestamp,
+};
 use gooseberry_platform::store::{StoreChange, StoreUpdate};
 use gooseberry_transport::{
     body::{self, ReadError, ResponseBody},
     client::{ClientConnection, SendError},
 };
-use http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
@@ -26,10 +29,8 @@
 
 /// Number of changes that are kept for members that lag behind.
 const CHANGE_LIMIT: usize = 512;
-/// Time for which a member's request waits for a change (long poll).
+/// Longest time for which a member's request waits for a change (long poll).
 const POLL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Time beyond the long poll after which a request to a relay times out.
-const RESPONSE_SLACK: Duration = Duration::from_millis(500);
 /// Age of the service's last response up to which a relay serves its changes.
 pub const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2600);
 /// Timeout of a connection to a relay.
@@ -137,7 +138,7 @@
     /// Returns the HTTP status for the member if this daemon can't serve the changes.
     pub fn changes_after(&self, revision: u64, now: Timestamp) -> Result<StoreUpdate, StatusCode> {
         let state = self.state.lock();
-        if state.responded_at.is_none_or(|at| now.since(at) > MAX_RESPONSE_AGE) {
+        if state.responded_at.is_none_or(|at| now.since(at) >= MAX_RESPONSE_AGE) {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         if revision < state.oldest_revision {
@@ -147,6 +148,14 @@
         Ok(StoreUpdate { changes: newer.cloned().collect(), revision: state.revision })
     }
 
+    /// Returns for how long a member's request may wait for changes: no longer than the list counts as
+    /// current.
+    pub fn poll_timeout(&self, wanted: Duration, now: Timestamp) -> Duration {
+        let responded_at = self.state.lock().responded_at;
+        let time_left = responded_at.map(|at| (at + MAX_RESPONSE_AGE).since(now));
+        wanted.min(POLL_TIMEOUT).min(time_left.unwrap_or_default())
+    }
+
     /// Returns the time since which there may be changes that this log doesn't have.
     fn list_age(&self, now: Timestamp) -> Option<Duration> {
         self.state.lock().listed_at.map(|at| now.since(at))
@@ -199,7 +208,8 @@
     if matches!(&update, Ok(update) if update.revision <= revision) {
         // The result doesn't matter: the log is read again whether a change arrived or the wait
         // timed out.
-        let _ = gateway.clock.timeout(POLL_TIMEOUT, changed.recv()).await;
+        let timeout = log.poll_timeout(wanted_wait(request.uri()), gateway.now());
+        let _ = gateway.clock.timeout(timeout, changed.recv()).await;
         update = log.changes_after(revision, gateway.now());
     }
     match update.map(|update| postcard::to_stdvec(&update)) {
@@ -245,6 +255,7 @@
         gateway: &Gateway,
         relay: SocketAddr,
         revision: u64,
+        call: RelayCall,
     ) -> Result<RelayUpdate, RelayError> {
         let pooled = self.connection.take();
         let pooled =
@@ -254,13 +265,13 @@
                 Some(connection) => connection,
                 None => ClientConnection::connect(relay, CONNECT_TIMEOUT).await?,
             };
-            let answer = connection.send(request(revision)).await?;
+            let answer = connection.send(request(revision, call.wait)).await?;
             let (status, list_age) = (answer.status(), list_age(answer.headers()));
             let body = body::read_whole(answer.into_body(), RESPONSE_LIMIT_BYTES).await?;
             Ok((connection, status, list_age, body))
         };
         let timeout = async {
-            gateway.clock.sleep(POLL_TIMEOUT + RESPONSE_SLACK).await;
+            gateway.clock.sleep(call.timeout).await;
             Err(RelayError::TimedOut)
         };
         let (connection, status, list_age, body) = work.or(timeout).await?;
@@ -277,9 +288,16 @@
     Some(Duration::from_millis(age_ms))
 }
 
-fn request(revision: u64) -> Request<Full<Bytes>> {
+/// Returns the time for which a member wants its request to wait. Members of builds before `wait-ms`
+/// don't state it.
+fn wanted_wait(uri: &Uri) -> Duration {
+    let wait_ms = uri.query().and_then(|query| query.strip_prefix("wait-ms="));
+    wait_ms.and_then(|text| text.parse().ok()).map_or(POLL_TIMEOUT, Duration::from_millis)
+}
+
+fn request(revision: u64, wait: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::default());
-    let path = format!("/{revision}");
+    let path = format!("/{revision}?wait-ms={}", wait.as_millis());
     *request.uri_mut() = path.parse().unwrap_or_else(|_| http::Uri::from_static("/"));
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("relay"));
     request
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -124,7 +124,9 @@
     }
 
     async fn watch_relay(&mut self, relay: SocketAddr, revision: u64, called_at: Timestamp) {
-        let fault = match self.relay_client.watch(&self.gateway, relay, revision).await {
+        let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
+        let call = self.plan.relay_call(is_failing, called_at);
+        let fault = match self.relay_client.watch(&self.gateway, relay, revision, call).await {
             Ok(RelayUpdate { update, list_age }) => {
                 let listed_at = called_at - list_age.unwrap_or(changes::MAX_RESPONSE_AGE);
                 return self.apply_update(update, WatchSource::Relay, listed_at);
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -14,7 +14,7 @@
     time::Timestamp,
 };
 use gooseberry_gateway::{
-    changes::{ChangeLog, ListTimes},
+    changes::{ChangeLog, ListTimes, MAX_RESPONSE_AGE},
     state::{GatewayState, PEER_TIMEOUT},
     updates::{PrefillEnd, SendUpdate, SpeedSample},
 };
@@ -164,6 +164,20 @@
     assert_eq!(log.changes_after(10, later), Err(StatusCode::SERVICE_UNAVAILABLE));
 }
 
+#[test]
+fn a_relay_that_is_cut_off_holds_no_request_beyond_the_time_for_which_its_list_counts() {
+    let log = ChangeLog::default();
+    log.reset(10, START_TIMES);
+    let longest = Duration::from_millis(1200);
+    for sent_ms in (0..4000).step_by(100) {
+        let now = START + Duration::from_millis(sent_ms);
+        let waited = log.poll_timeout(longest, now);
+        let list_age = (now + waited).since(START);
+        assert!(waited.is_zero() || list_age <= MAX_RESPONSE_AGE, "held until {list_age:?}");
+    }
+    assert_eq!(log.poll_timeout(longest, START), longest);
+}
+
 #[test]
 fn old_changes_are_dropped_and_reported() {
     let log = ChangeLog::default();
