Look at the current list before a version counts as the only one

Cause: it is known since when the list is complete, not up to when. Daemons that were asked answered from their old lists as well. Both now read the changes since their list from the key-value service first; if it doesn't respond, or another version has joined, only records count, and the caller is told to come back otherwise. a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_the_old_one, a_daemon_that_has_lost_the_store_does_not_take_its_version_for_the_only_one and a_daemon_that_is_asked_does_not_take_its_old_list_for_the_current_one failed with 200 and pass. a_new_daemon_asks_for_the_only_version_that_a_service_has_had moved from the updates to a test over sockets, since the answer now needs the store; what it checked of the updates is kept beside it.

--- a/crates/core/src/serving/software.rs
+++ b/crates/core/src/serving/software.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// Returns whether a version remains the only one of a service with these entries, which servers have
+/// written since the list was last read.
+pub fn remains_sole_version(software: SoftwareKey, service: &str, newer: &[ServerEntry]) -> bool {
+    newer
+        .iter()
+        .filter(|entry| entry.service == service)
+        .all(|entry| SoftwareKey::of(entry) == software)
+}
+
 /// The versions that a service has had recently, as far as this daemon has seen all of them.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
@@ -162,7 +171,8 @@
     }
 
     /// Returns the version that began each stream of a service that may still be resumed, if only
-    /// one version can have done so.
+    /// one version can have done so as far as the list goes. Streams that began after the list was
+    /// read may have another one, see [`remains_sole_version`].
     pub fn sole_version(
         &self,
         service: &str,
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -2,7 +2,14 @@
 
 use std::time::Duration;
 
-use gooseberry_core::serving::software::{SoftwareKey, StreamKey};
+use gooseberry_core::serving::{
+    directory::ServerEntry,
+    software::{self, SoftwareKey, StreamKey},
+};
+use gooseberry_platform::{
+    servers,
+    store::{StoreChange, StoreClient, StoreKey},
+};
 
 use crate::{
     call::{Call, CallRoute},
@@ -10,8 +17,10 @@
 };
 
 /// Longest wait for the responses of other daemons: twice the delay of 16 ms between regions and
-/// back, and the batching of the question.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(60);
+/// back, the batching of the question, and their own call to the key-value service.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Timeout of the call that tells whether a service still has only one version. The caller waits for it.
+const LIST_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two looks for a response.
 const CHECK_INTERVAL: Duration = Duration::from_millis(4);
 
@@ -58,11 +67,10 @@
     if let Some(software) = recorded() {
         return (Some(software), OriginSource::Record);
     }
-    let asked_at = gateway.now();
-    let sole_version = gateway.state.lock().sole_software(service, asked_at);
-    if sole_version.is_some() {
-        return (sole_version, OriginSource::SoleVersion);
+    if let Some(software) = current_sole_version(gateway, service).await {
+        return (Some(software), OriginSource::SoleVersion);
     }
+    let asked_at = gateway.now();
     gateway.state.lock().ask_origin(stream, service);
     gateway.wake_publisher();
     while gateway.now().since(asked_at) < RESPONSE_TIMEOUT {
@@ -73,3 +81,40 @@
     }
     (None, OriginSource::Unknown)
 }
+
+/// Returns the version that began all streams of a service up to now, if it was a single one.
+///
+/// An engine of another version may have joined since this daemon's list was read, and streams may have
+/// begun there at other daemons. So the changes since then are read from the key-value service, and in
+/// doubt there is no version.
+pub async fn current_sole_version(gateway: &Gateway, service: &str) -> Option<SoftwareKey> {
+    let (software, revision) = {
+        let state = gateway.state.lock();
+        (state.sole_software(service, gateway.now())?, state.listed_revision)
+    };
+    let mut client = StoreClient::new(gateway.options.store);
+    let update = match client.watch(revision, Duration::ZERO, LIST_TIMEOUT).await {
+        Ok(update) => update,
+        Err(fault) => {
+            gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
+            tracing::info!(%service, %fault, "can't tell whether a service still has one version");
+            return None;
+        }
+    };
+    gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
+    let newer: Vec<ServerEntry> = update.changes.iter().filter_map(changed_entry).collect();
+    if !software::remains_sole_version(software, service, &newer) {
+        tracing::info!(%service, revision, "a service has had another version since the list was read");
+        return None;
+    }
+    // Changes may have been missed meanwhile.
+    let is_unchanged = gateway.state.lock().sole_software(service, gateway.now()) == Some(software);
+    is_unchanged.then_some(software)
+}
+
+fn changed_entry(change: &StoreChange) -> Option<ServerEntry> {
+    match (&change.subject, &change.value) {
+        (StoreKey::Server(id), Some(text)) => servers::decode(id, text).ok(),
+        _ => None,
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
         backoff::RetryBackoff,
         part_evidence::VerdictChanges,
         relays::{self, RelayCandidate, RelayPlan},
+        software::{SoftwareKey, StreamKey},
     },
     time::Timestamp,
 };
@@ -29,7 +30,7 @@
 
 use crate::{
     gateway::Gateway,
-    reach,
+    origin, reach,
     settings::GatewayOptions,
     stored_evidence,
     updates::{
@@ -544,15 +545,42 @@
                 task::spawn(reach::answer(Arc::clone(&self.gateway), service.clone()));
             }
         }
-        let responses: Vec<_> = {
+        let mut responses = Vec::new();
+        let mut unrecorded: HashMap<SmolStr, Vec<StreamKey>> = HashMap::new();
+        {
             let state = self.gateway.state.lock();
-            let updates = datagram.bundles.iter().map(|bundle| bundle.updates.as_slice());
-            updates.flat_map(|updates| state.origin_responses(updates, now)).collect()
-        };
-        if responses.is_empty() {
+            for bundle in &datagram.bundles {
+                responses.extend(state.origin_responses(&bundle.updates));
+                for (stream, service) in state.unrecorded_origins(&bundle.updates, now) {
+                    unrecorded.entry(service).or_default().push(stream);
+                }
+            }
+        }
+        let Some(target) = self.peers.target(&datagram.sender) else {
             return;
+        };
+        if !responses.is_empty() {
+            self.send(vec![self.bundle(responses)], &[target]).await;
+        }
+        for (service, streams) in unrecorded {
+            task::spawn(self.clone().respond_sole_version(service, streams, target));
         }
-        if let Some(target) = self.peers.target(&datagram.sender) {
+    }
+
+    /// Tells another daemon the version that began streams of a service, if there was only one.
+    async fn respond_sole_version(
+        self,
+        service: SmolStr,
+        streams: Vec<StreamKey>,
+        target: UpdateTarget,
+    ) {
+        let sole_version = origin::current_sole_version(&self.gateway, &service).await;
+        let Some(SoftwareKey(software)) = sole_version else {
+            return;
+        };
+        let response = |stream: &StreamKey| SendUpdate::StreamSent { stream: stream.0, software };
+        for streams in streams.chunks(BATCH_LIMIT) {
+            let responses = streams.iter().map(response).collect();
             self.send(vec![self.bundle(responses)], &[target]).await;
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -77,6 +77,8 @@
     /// crashes no longer count.
     stored_suspects: HashSet<PartFingerprint>,
     origins: StreamOrigins,
+    /// Revision of the key-value service up to which all changes of the entries have been applied.
+    pub listed_revision: u64,
     retries: HashMap<SmolStr, RetryCounter>,
     /// Returns of callers that were refused by the limits of a service's servers.
     returns: HashMap<SmolStr, ReturnQueue>,
@@ -188,7 +190,8 @@
         self.origins.software(stream)
     }
 
-    /// Returns the version that began all recent streams of a service, if it was a single one.
+    /// Returns the version that began all streams of a service up to the last list, if it was a single
+    /// one.
     pub fn sole_software(&self, service: &str, now: Timestamp) -> Option<SoftwareKey> {
         self.versions.sole_version(service, &self.fleet, now)
     }
@@ -199,19 +202,37 @@
         self.outgoing.push_back(SendUpdate::OriginAsked { stream: stream.0, service });
     }
 
-    /// Returns the responses to the questions among another daemon's updates.
-    pub fn origin_responses(&self, updates: &[SendUpdate], now: Timestamp) -> Vec<SendUpdate> {
+    /// Returns the responses from records to the questions among another daemon's updates.
+    pub fn origin_responses(&self, updates: &[SendUpdate]) -> Vec<SendUpdate> {
         let respond = |update: &SendUpdate| {
-            let SendUpdate::OriginAsked { stream, service } = update else {
+            let SendUpdate::OriginAsked { stream, .. } = update else {
                 return None;
             };
-            let recorded = self.origins.software(StreamKey(*stream));
-            let software = recorded.or_else(|| self.sole_software(service, now))?.0;
+            let software = self.origins.software(StreamKey(*stream))?.0;
             Some(SendUpdate::StreamSent { stream: *stream, software })
         };
         updates.iter().filter_map(respond).collect()
     }
 
+    /// Returns the streams, with their services, that another daemon's updates ask for, of which this
+    /// one has no record, although it may know the only version of the service.
+    pub fn unrecorded_origins(
+        &self,
+        updates: &[SendUpdate],
+        now: Timestamp,
+    ) -> Vec<(StreamKey, SmolStr)> {
+        let unrecorded = |update: &SendUpdate| {
+            let SendUpdate::OriginAsked { stream, service } = update else {
+                return None;
+            };
+            let stream = StreamKey(*stream);
+            let is_unrecorded = self.origins.software(stream).is_none();
+            let may_know = is_unrecorded && self.sole_software(service, now).is_some();
+            may_know.then(|| (stream, service.into()))
+        };
+        updates.iter().filter_map(unrecorded).collect()
+    }
+
     /// Counts a caller's request to a service.
     pub fn record_request(&mut self, service: &SmolStr, window: Duration, now: Timestamp) {
         self.retries.entry(service.clone()).or_default().record_request(window, now);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -167,6 +167,7 @@
         }
         let mut state = self.gateway.state.lock();
         state.versions.record_complete(now);
+        state.listed_revision = self.revision.unwrap_or(0);
         state.fleet.connectivity.record_list(listed_at);
         drop(state);
         update_readiness(&self.gateway);
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -208,7 +208,7 @@
     second.ask_origin(stream, "model");
     second.ask_origin(StreamKey::of("unknown-to-both"), "model");
     let questions = second.take_updates();
-    let responses = first.origin_responses(&questions, START);
+    let responses = first.origin_responses(&questions);
     assert_eq!(responses.len(), 1);
     second.apply_updates(1, &responses, START);
     assert_eq!(second.stream_software(stream), Some(SoftwareKey(7)));
@@ -217,19 +217,19 @@
 }
 
 #[test]
-fn a_new_daemon_asks_for_the_only_version_that_a_service_has_had() {
+fn a_daemon_that_is_asked_looks_for_the_only_version_of_streams_without_a_record() {
     let (mut old, mut new) = (state(1), state(2));
     old.versions.record_complete(START);
     let now = START + Duration::from_secs(30);
     new.versions.record_complete(now);
-    assert_eq!(new.sole_software("model", now), None);
-    let stream = StreamKey::of("begun-by-a-third");
-    new.ask_origin(stream, "model");
-    let responses = old.origin_responses(&new.take_updates(), now);
-    new.apply_updates(1, &responses, now);
-    let key = old.fleet.key("one").expect("known server");
-    let software = SoftwareKey::of(&old.fleet.server(key).entry);
-    assert_eq!(new.stream_software(stream), Some(software));
+    let (recorded, unrecorded) = (StreamKey::of("recorded"), StreamKey::of("unrecorded"));
+    old.record_stream(recorded, SoftwareKey(7), now);
+    new.ask_origin(recorded, "model");
+    new.ask_origin(unrecorded, "model");
+    let questions = new.take_updates();
+    assert_eq!(old.unrecorded_origins(&questions, now), [(unrecorded, "model".into())]);
+    assert_eq!(old.origin_responses(&questions).len(), 1);
+    assert!(new.unrecorded_origins(&questions, now).is_empty(), "a new daemon has no history");
 }
 
 /// Applies a configuration in which streams that may be resumed last up to a minute.
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -1,7 +1,9 @@
 //! Streams that callers take up again while engines of several software versions serve: a stream
 //! must not hold events of two versions.
 
-use gooseberry_standins::gateway_mocks;
+use std::time::Duration;
+
+use gooseberry_standins::gateway_mocks::{self, StoreBehaviour};
 use serde_json::json;
 
 use crate::support::{get_request, status_code, write_response, ScriptedServer, System};
@@ -164,3 +166,90 @@
     }
     assert_eq!(new.received().len(), 1 + RESUMES);
 }
+
+/// Makes the history of a daemon's list as long as if it had started a minute ago.
+fn lengthen_history(system: &System) {
+    let started_at = system.gateway.now() - Duration::from_secs(60);
+    let mut state = system.gateway.state.lock();
+    state.versions.record_gap();
+    state.versions.record_complete(started_at);
+}
+
+/// Starts a daemon with an old engine. It doesn't look at its list for some 300 ms, as after each change.
+fn start_before_next_look(engine: &ScriptedServer) -> System {
+    let system = start();
+    system.register_version("old", engine, "v1");
+    lengthen_history(&system);
+    std::thread::sleep(Duration::from_millis(400));
+    system.configure(2);
+    system.wait_version(2);
+    system
+}
+
+fn new_entry(server: &ScriptedServer) -> serde_json::Value {
+    let mut entry = crate::support::server_entry("model", server, "decode", "ready");
+    entry["version"] = "v2".into();
+    entry
+}
+
+#[test]
+fn a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_the_old_one() {
+    let (old, new) = (engine(), engine());
+    let system = start_before_next_look(&old);
+    system.store.put_server("new", &new_entry(&new));
+    let text = resume(&system, "begun-elsewhere", 0);
+    assert_eq!(status_code(&text), "503", "{text}");
+    assert_eq!((old.received().len(), new.received().len()), (0, 0));
+}
+
+#[test]
+fn a_daemon_that_has_lost_the_store_does_not_take_its_version_for_the_only_one() {
+    let (old, new) = (engine(), engine());
+    let system = start_before_next_look(&old);
+    system.store.set_behaviour(StoreBehaviour::Unavailable);
+    system.store.put_server("new", &new_entry(&new));
+    assert_eq!(status_code(&resume(&system, "begun-elsewhere", 0)), "503");
+    assert_eq!((old.received().len(), new.received().len()), (0, 0));
+}
+
+#[test]
+fn a_daemon_that_is_asked_does_not_take_its_old_list_for_the_current_one() {
+    let (old, new) = (engine(), engine());
+    let asked = start();
+    asked.register_version("old", &old, "v1");
+    let started = asked.join("daemon-2");
+    started.wait(|state| state.fleet.key("old").is_some());
+    for daemon in [&asked, &started] {
+        daemon.wait(|state| state.live_peers(daemon.gateway.now()) == 1);
+    }
+    lengthen_history(&asked);
+    std::thread::sleep(Duration::from_millis(400));
+    asked.configure(2);
+    asked.wait_version(2);
+    asked.store.put_server("new", &new_entry(&new));
+    assert_eq!(status_code(&resume(&started, "begun-elsewhere", 0)), "503");
+    assert_eq!((old.received().len(), new.received().len()), (0, 0));
+}
+
+#[test]
+fn a_stream_goes_on_at_the_only_version_that_its_service_has_had() {
+    let old = engine();
+    let system = start_before_next_look(&old);
+    assert_eq!(status_code(&resume(&system, "begun-elsewhere", 0)), "200");
+    assert_eq!(old.received().len(), 1);
+}
+
+#[test]
+fn a_new_daemon_asks_for_the_only_version_that_a_service_has_had() {
+    let old = engine();
+    let asked = start();
+    asked.register_version("old", &old, "v1");
+    let started = asked.join("daemon-2");
+    started.wait(|state| state.fleet.key("old").is_some());
+    for daemon in [&asked, &started] {
+        daemon.wait(|state| state.live_peers(daemon.gateway.now()) == 1);
+    }
+    assert_eq!(status_code(&resume(&started, "begun-elsewhere", 0)), "503");
+    lengthen_history(&asked);
+    assert_eq!(status_code(&resume(&started, "begun-elsewhere", 1)), "200");
+}
