Take a response on a kept connection for that of the request it names alone

Callers were told 'not run, come back' for requests that an engine ran (REFUSED), or such a request ran at a second engine (TWICE): a faulty engine wrote an earlier refusal once more on a kept connection. A 421 was taken before ids were compared, a refusal or a prefill's response without an id was taken for that of the request, and what such a response says of its server was recorded. And a request that is sent again keeps its id, so that the refusal of its first send counted for the second one. On a kept connection a response without the request's id now belongs to no request. A request that was refused is sent again on a new connection only. Reports, orders and releases have no id, and get connections of their own.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,6 +84,8 @@
     has_run: AtomicBool,
     /// Whether a server may have got the request, or its prefill.
     has_arrived: AtomicBool,
+    /// Whether a server has refused the request, or its prefill.
+    is_refused: AtomicBool,
 }
 
 impl ExecutionState {
@@ -107,6 +109,17 @@
         self.has_arrived.store(true, Ordering::Relaxed);
     }
 
+    /// Records why the server of a send didn't run the request.
+    pub fn record_reason(&self, reason: NotRunReason) {
+        match reason {
+            NotRunReason::Rejected | NotRunReason::Misdirected => {
+                self.record_arrival();
+                self.is_refused.store(true, Ordering::Relaxed);
+            }
+            NotRunReason::Unreachable => {}
+        }
+    }
+
     fn may_have_run(&self) -> bool {
         self.is_sent.load(Ordering::Relaxed) || self.has_run.load(Ordering::Relaxed)
     }
@@ -246,9 +259,9 @@
         granted
     }
 
-    /// Returns which connections a request of this kind may use.
-    pub fn connection_choice(kind: RouteKind) -> ConnectionChoice {
-        if kind.is_idempotent() {
+    /// Returns which connections a send of the request may use that may be repeated or not.
+    pub fn connection_choice(&self, may_repeat: bool) -> ConnectionChoice {
+        if may_repeat && !self.execution.is_refused.load(Ordering::Relaxed) {
             ConnectionChoice::Pooled
         } else {
             ConnectionChoice::New
@@ -362,7 +375,7 @@
             fetch_from: None,
             last_event: self.head.last_event.as_deref(),
         };
-        let choice = Self::connection_choice(route.row.kind);
+        let choice = self.connection_choice(route.row.kind.is_idempotent());
         self.execution.record_send();
         let work = async {
             let sent = send::send(
@@ -382,9 +395,7 @@
                 SendOutcome::NotRun(reason) => {
                     let id = &self.head.request_id;
                     tracing::info!(request = %id, server = %target.id, %reason, "request not run by server");
-                    if reason != NotRunReason::Unreachable {
-                        self.execution.record_arrival();
-                    }
+                    self.execution.record_reason(reason);
                     PlainAttempt::NotRun
                 }
                 SendOutcome::Unknown(_) => {
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     gateway::Gateway,
-    send::{self, ConnectionChoice, SendTarget},
+    send::{self, SendTarget},
 };
 
 /// Key in the key-value service whose value is the name of the leader.
@@ -204,8 +204,7 @@
         if renewed.elapsed() > MAX_RENEWAL_AGE {
             return Ok(());
         }
-        let exchange =
-            send::exchange_own(gateway, &target, || engine::order(&order), ConnectionChoice::New);
+        let exchange = send::exchange_own(gateway, &target, || engine::order(&order));
         let outcome = match gateway.clock.timeout(CALL_TIMEOUT, exchange).await {
             Ok(Ok((response, _))) => response.status(),
             Ok(Err(fault)) => {
@@ -240,7 +239,7 @@
 /// respond.
 async fn accepted_orders(gateway: &Gateway, target: &SendTarget) -> Option<u64> {
     let work = async {
-        let exchange = send::exchange_own(gateway, target, engine::report, ConnectionChoice::New);
+        let exchange = send::exchange_own(gateway, target, engine::report);
         let (response, _connection) = exchange.await.ok()?;
         let limit = send::CONTROL_RESPONSE_LIMIT_BYTES;
         let body = body::read_whole(response.into_body(), limit).await.ok()?;
--- a/crates/gateway/src/prefill_guard.rs
+++ b/crates/gateway/src/prefill_guard.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     gateway::Gateway,
-    send::{self, ConnectionChoice, SendTarget},
+    send::{self, SendTarget},
     state::GatewayState,
     updates::{PrefillEnd, SpeedSample},
 };
@@ -137,11 +137,8 @@
 async fn release(gateway: &Gateway, target: &SendTarget, handle: &CacheHandle) {
     let request = || engine::release(handle);
     let work = async {
-        let choice = ConnectionChoice::Pooled;
-        let (response, connection) = send::exchange_own(gateway, target, request, choice).await?;
-        let idle = engine::idle_limit(response.headers());
+        let (response, _connection) = send::exchange_own(gateway, target, request).await?;
         body::read_whole(response.into_body(), send::CONTROL_RESPONSE_LIMIT_BYTES).await?;
-        send::return_connection(gateway, target.key, connection, idle).await;
         Ok::<_, ReleaseError>(())
     };
     let released = gateway.clock.timeout(RELEASE_TIMEOUT, work).await;
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -24,7 +24,7 @@
     call::{self, Call, CallRoute},
     crashes, origin,
     prefill_guard::{ExportGuard, PrefillGuard},
-    send::{self, ConnectionChoice, NotRunReason, SendOutcome, SendTarget},
+    send::{self, NotRunReason, SendOutcome, SendTarget},
     stream,
 };
 
@@ -301,7 +301,7 @@
     let gateway = &call.gateway;
     let send_options = send_options(call, route, target, SendPhase::Prefill, fetch_from);
     let id = &call.head.request_id;
-    let choice = ConnectionChoice::Pooled;
+    let choice = call.connection_choice(true);
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
     record_arrival(call, &sent);
@@ -364,7 +364,7 @@
     let gateway = &call.gateway;
     let send_options = send_options(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
-    let choice = Call::connection_choice(route.row.kind);
+    let choice = call.connection_choice(route.row.kind.is_idempotent());
     call.execution.record_send();
     if route.row.kind == RouteKind::ResumableStream && !call.head.is_resumption {
         let stream = StreamKey::of(&call.head.request_id);
@@ -396,8 +396,9 @@
 }
 
 fn record_arrival(call: &Call, sent: &SendOutcome) {
-    if !matches!(sent, SendOutcome::NotRun(NotRunReason::Unreachable)) {
-        call.execution.record_arrival();
+    match sent {
+        SendOutcome::NotRun(reason) => call.execution.record_reason(*reason),
+        SendOutcome::Responded(_) | SendOutcome::Unknown(_) => call.execution.record_arrival(),
     }
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,7 +10,9 @@
     },
     time::Timestamp,
 };
-use gooseberry_platform::engine::{self, LimitStatement, ResponseClass, SendOptions};
+use gooseberry_platform::engine::{
+    self, ConnectionUse, LimitStatement, ResponseClass, SendOptions,
+};
 use gooseberry_transport::client::{ClientConnection, SendError};
 use http::{request, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -112,7 +114,8 @@
     /// A pooled connection, if there is one.
     Pooled,
     /// A new connection. A request that may run only once isn't sent on a pooled connection, which
-    /// may have become unresponsive.
+    /// may have become unresponsive. Nor is one that a server has refused before: the refusal may
+    /// arrive again, and bears the same id. A request without an id needs one of its own.
     New,
 }
 
@@ -127,9 +130,10 @@
     request_id: &str,
 ) -> SendOutcome {
     let guard = InFlightGuard::new(gateway, target.key);
+    let sent_at = gateway.now();
     let sent =
         exchange(gateway, target, || engine::encode(caller, body, send_options), choice).await;
-    let (response, connection) = match sent {
+    let Exchange { response, connection, connection_use } = match sent {
         Ok(sent) => sent,
         Err(fault) if fault.is_unsent() => {
             record_unreachable(gateway, target, &fault);
@@ -148,7 +152,13 @@
             );
         }
     };
-    let class = engine::classify_response(&response, request_id);
+    let class = engine::classify_response(&response, request_id, connection_use);
+    match class {
+        ResponseClass::Own | ResponseClass::NotRun | ResponseClass::Unsigned => {
+            record_statements(gateway, target, &response, sent_at);
+        }
+        ResponseClass::Foreign | ResponseClass::Misdirected => {}
+    }
     let outcome = match class {
         ResponseClass::Own => {
             SendOutcome::Responded(Box::new(SendResponse { response, connection, guard }))
@@ -184,29 +194,19 @@
 }
 
 /// Sends a request of this system itself, which counts against the server's request limit but isn't
-/// kept back by it.
+/// kept back by it. It has no id, so its response is known only by its connection, which carries no
+/// other request and is closed when it is dropped.
 pub async fn exchange_own(
     gateway: &Gateway,
     target: &SendTarget,
     request: impl Fn() -> Request<Full<Bytes>>,
-    choice: ConnectionChoice,
 ) -> Result<(Response<Incoming>, ClientConnection), SendError> {
     if gateway.state.lock().record_send(target.key, gateway.now()) {
         gateway.wake_publisher();
     }
-    exchange(gateway, target, request, choice).await
-}
-
-/// Sends a request on a pooled connection if `choice` allows it and there is one, otherwise on a
-/// new connection. A new one is also used if the pooled one was closed before a byte was sent.
-pub async fn exchange(
-    gateway: &Gateway,
-    target: &SendTarget,
-    request: impl Fn() -> Request<Full<Bytes>>,
-    choice: ConnectionChoice,
-) -> Result<(Response<Incoming>, ClientConnection), SendError> {
     let sent_at = gateway.now();
-    let (response, connection) = exchange_unrecorded(gateway, target, request, choice).await?;
+    let Exchange { response, connection, .. } =
+        exchange(gateway, target, request, ConnectionChoice::New).await?;
     // A misdirected response comes from another server.
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         record_statements(gateway, target, &response, sent_at);
@@ -214,12 +214,21 @@
     Ok((response, connection))
 }
 
-async fn exchange_unrecorded(
+/// The head of a response, which isn't known to be that of the request.
+struct Exchange {
+    response: Response<Incoming>,
+    connection: ClientConnection,
+    connection_use: ConnectionUse,
+}
+
+/// Sends a request on a pooled connection if `choice` allows it and there is one, otherwise on a
+/// new connection. A new one is also used if the pooled one was closed before a byte was sent.
+async fn exchange(
     gateway: &Gateway,
     target: &SendTarget,
     request: impl Fn() -> Request<Full<Bytes>>,
     choice: ConnectionChoice,
-) -> Result<(Response<Incoming>, ClientConnection), SendError> {
+) -> Result<Exchange, SendError> {
     let pooled = match choice {
         ConnectionChoice::Pooled => gateway.connections.take(target.address, gateway.instant()),
         ConnectionChoice::New => None,
@@ -227,12 +236,15 @@
     if let Some(mut connection) = pooled {
         match connection.send(request()).await {
             Err(fault) if fault.is_unsent() => {}
-            sent => return sent.map(|response| (response, connection)),
+            sent => {
+                let connection_use = ConnectionUse::Kept;
+                return sent.map(|response| Exchange { response, connection, connection_use });
+            }
         }
     }
     let mut connection = connect(gateway, target).await?;
     let response = connection.send(request()).await?;
-    Ok((response, connection))
+    Ok(Exchange { response, connection, connection_use: ConnectionUse::First })
 }
 
 /// Connects to a server, and records whether it can be reached.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod poison_world;
 mod promises;
 mod quiet;
+mod repeated_refusals;
 mod server_limits;
 mod support;
 mod truncation;
