--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -134,6 +134,12 @@
         self.fleet.put(entry)
     }
 
+    /// Returns whether the entry of a known server is missing.
+    pub fn is_entry_missing(&self, id: &str) -> bool {
+        let key = self.fleet.key(id);
+        key.is_some_and(|key| self.fleet.server(key).presence != ServerPresence::Present)
+    }
+
     /// Records that a server's entry is missing. Returns the server's new presence if it changed.
     pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
         let presence = self.fleet.remove(id, now)?;
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -280,7 +280,13 @@
             let (stage, is_draining) = (entry.stage, entry.is_draining);
             let software = entry.software.clone();
             let now = gateway.now();
-            let effect = gateway.state.lock().put_server(entry, now);
+            let mut state = gateway.state.lock();
+            let was_missing = state.is_entry_missing(id);
+            let effect = state.put_server(entry, now);
+            drop(state);
+            if was_missing {
+                tracing::info!(server = %id, revision, %effect, "server entry came back");
+            }
             if effect != EntryEffect::Unchanged {
                 tracing::info!(server = %id, revision, %effect, %stage, %software, is_draining, "server entry updated");
             }
