Send again on a new connection only where the same server refused

A refused request went to each further server on a new connection, though only the server that refused it can write its refusal again. Also: one constant for the longest wait of a request to a relay, and plainer words in comments.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -120,11 +120,6 @@
         self.listed_at = self.listed_at.max(Some(at));
     }
 
-    /// Returns the time up to which all changes of the entries are known.
-    pub fn listed_at(&self) -> Option<Timestamp> {
-        self.listed_at
-    }
-
     /// Returns the age of the list of entries, or none if there was no list yet.
     pub fn list_age(&self, now: Timestamp) -> Option<Duration> {
         self.listed_at.map(|at| now.since(at))
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -292,8 +292,7 @@
         }
     }
 
-    /// Records that an entry names no server to use. Returns whether the server was present until now,
-    /// or its entry missing.
+    /// Records that an entry names no server to use. Returns whether the server wasn't gone before.
     pub fn reject(&mut self, id: &str) -> bool {
         let Some(key) = self.key(id) else {
             return false;
@@ -311,7 +310,10 @@
 
     /// Records the servers as gone whose entries didn't come back in time. Returns their keys.
     pub fn give_up_missing(&mut self, now: Timestamp) -> Vec<EngineKey> {
-        let is_late = |state: &ServerState| matches!(state.presence, ServerPresence::Lapsed { until } if now >= until);
+        let is_late = |state: &ServerState| match state.presence {
+            ServerPresence::Lapsed { until } => now >= until,
+            ServerPresence::Present | ServerPresence::Gone => false,
+        };
         let late: Vec<EngineKey> =
             self.iter().filter(|(_, state)| is_late(state)).map(|(key, _)| key).collect();
         for key in &late {
--- a/crates/core/src/serving/watch_plan.rs
+++ b/crates/core/src/serving/watch_plan.rs
@@ -22,7 +22,7 @@
 const PROBE_DELAY: Duration = Duration::from_millis(1000);
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(1500);
 /// Longest time for which a relay holds a request until there are changes (long poll).
-const RELAY_WAIT: Duration = Duration::from_millis(1200);
+pub const RELAY_WAIT: Duration = Duration::from_millis(1200);
 /// The same for a daemon whose own last call to the service failed: it has to know soon whether the relay
 /// responds, and what has changed.
 const FAILING_RELAY_WAIT: Duration = Duration::from_millis(250);
@@ -95,7 +95,7 @@
         if !is_failing {
             return RelayCall { wait: RELAY_WAIT, timeout: RELAY_WAIT + RELAY_SLACK };
         }
-        // Relays of builds before `wait` hold each request for the longest time.
+        // Relays of builds that don't know `wait` hold each request for the longest time.
         let until_probe = self.probe_at.since(now).min(RELAY_WAIT + RELAY_SLACK);
         let timeout = until_probe.max(FAILING_RELAY_WAIT + RELAY_SLACK);
         RelayCall { wait: FAILING_RELAY_WAIT, timeout }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,8 +84,8 @@
     has_run: AtomicBool,
     /// Whether a server may have got the request, or its prefill.
     has_arrived: AtomicBool,
-    /// Whether a server has refused the request, or its prefill.
-    is_refused: AtomicBool,
+    /// Servers that have refused the request, or its prefill.
+    refusals: Mutex<Vec<EngineKey>>,
 }
 
 impl ExecutionState {
@@ -109,12 +109,12 @@
         self.has_arrived.store(true, Ordering::Relaxed);
     }
 
-    /// Records why the server of a send didn't run the request.
-    pub fn record_reason(&self, reason: NotRunReason) {
+    /// Records why a server didn't run the request.
+    pub fn record_reason(&self, server: EngineKey, reason: NotRunReason) {
         match reason {
             NotRunReason::Rejected | NotRunReason::Misdirected => {
                 self.record_arrival();
-                self.is_refused.store(true, Ordering::Relaxed);
+                self.refusals.lock().push(server);
             }
             NotRunReason::Unreachable => {}
         }
@@ -259,9 +259,10 @@
         granted
     }
 
-    /// Returns which connections a send of the request may use that may be repeated or not.
-    pub fn connection_choice(&self, may_repeat: bool) -> ConnectionChoice {
-        if may_repeat && !self.execution.is_refused.load(Ordering::Relaxed) {
+    /// Returns which connections a send of the request to a server may use. `may_repeat` states whether
+    /// what is sent may run more than once.
+    pub fn connection_choice(&self, server: EngineKey, may_repeat: bool) -> ConnectionChoice {
+        if may_repeat && !self.execution.refusals.lock().contains(&server) {
             ConnectionChoice::Pooled
         } else {
             ConnectionChoice::New
@@ -375,7 +376,7 @@
             fetch_from: None,
             last_event: self.head.last_event.as_deref(),
         };
-        let choice = self.connection_choice(route.row.kind.is_idempotent());
+        let choice = self.connection_choice(target.key, route.row.kind.is_idempotent());
         self.execution.record_send();
         let work = async {
             let sent = send::send(
@@ -395,7 +396,7 @@
                 SendOutcome::NotRun(reason) => {
                     let id = &self.head.request_id;
                     tracing::info!(request = %id, server = %target.id, %reason, "request not run by server");
-                    self.execution.record_reason(reason);
+                    self.execution.record_reason(target.key, reason);
                     PlainAttempt::NotRun
                 }
                 SendOutcome::Unknown(_) => {
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use gooseberry_core::{
-    serving::watch_plan::{RelayCall, RelayFailure},
+    serving::watch_plan::{RelayCall, RelayFailure, RELAY_WAIT},
     time::Timestamp,
 };
 use gooseberry_platform::store::{StoreChange, StoreUpdate};
@@ -29,14 +29,12 @@
 
 /// Number of changes that are kept for members that lag behind.
 const CHANGE_LIMIT: usize = 512;
-/// Longest time for which a member's request waits for a change (long poll).
-const POLL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Age of the service's last response up to which a relay serves its changes.
 pub const MAX_RESPONSE_AGE: Duration = Duration::from_millis(2600);
 /// Timeout of a connection to a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Header of a relay's response: the age of its list of changes, in milliseconds. Relays of builds
-/// before it don't send it.
+/// Header of a relay's response: the age of its list of changes, in milliseconds. Relays of earlier
+/// builds don't send it.
 const LIST_AGE_HEADER: HeaderName = HeaderName::from_static("list-age-ms");
 /// Largest response of a relay, in bytes.
 const RESPONSE_LIMIT_BYTES: usize = 32 * 1024 * 1024;
@@ -153,7 +151,7 @@
     pub fn poll_timeout(&self, wanted: Duration, now: Timestamp) -> Duration {
         let responded_at = self.state.lock().responded_at;
         let time_left = responded_at.map(|at| (at + MAX_RESPONSE_AGE).since(now));
-        wanted.min(POLL_TIMEOUT).min(time_left.unwrap_or_default())
+        wanted.min(RELAY_WAIT).min(time_left.unwrap_or_default())
     }
 
     /// Returns the time since which there may be changes that this log doesn't have.
@@ -288,11 +286,11 @@
     Some(Duration::from_millis(age_ms))
 }
 
-/// Returns the time for which a member wants its request to wait. Members of builds before `wait-ms`
-/// don't state it.
+/// Returns the time for which a member wants its request to wait. Members of earlier builds don't state
+/// it.
 fn wanted_wait(uri: &Uri) -> Duration {
     let wait_ms = uri.query().and_then(|query| query.strip_prefix("wait-ms="));
-    wait_ms.and_then(|text| text.parse().ok()).map_or(POLL_TIMEOUT, Duration::from_millis)
+    wait_ms.and_then(|text| text.parse().ok()).map_or(RELAY_WAIT, Duration::from_millis)
 }
 
 fn request(revision: u64, wait: Duration) -> Request<Full<Bytes>> {
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -301,10 +301,10 @@
     let gateway = &call.gateway;
     let send_options = send_options(call, route, target, SendPhase::Prefill, fetch_from);
     let id = &call.head.request_id;
-    let choice = call.connection_choice(true);
+    let choice = call.connection_choice(target.key, true);
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
-    record_arrival(call, &sent);
+    record_arrival(call, target, &sent);
     let answer = match sent {
         SendOutcome::Responded(answer) => *answer,
         SendOutcome::NotRun(reason) => {
@@ -364,7 +364,7 @@
     let gateway = &call.gateway;
     let send_options = send_options(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
-    let choice = call.connection_choice(route.row.kind.is_idempotent());
+    let choice = call.connection_choice(target.key, route.row.kind.is_idempotent());
     call.execution.record_send();
     if route.row.kind == RouteKind::ResumableStream && !call.head.is_resumption {
         let stream = StreamKey::of(&call.head.request_id);
@@ -373,7 +373,7 @@
     }
     let sent =
         send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
-    record_arrival(call, &sent);
+    record_arrival(call, target, &sent);
     match sent {
         SendOutcome::Responded(answer) => {
             if answer.response.status().is_server_error() {
@@ -395,9 +395,9 @@
     }
 }
 
-fn record_arrival(call: &Call, sent: &SendOutcome) {
+fn record_arrival(call: &Call, target: &SendTarget, sent: &SendOutcome) {
     match sent {
-        SendOutcome::NotRun(reason) => call.execution.record_reason(*reason),
+        SendOutcome::NotRun(reason) => call.execution.record_reason(target.key, *reason),
         SendOutcome::Responded(_) | SendOutcome::Unknown(_) => call.execution.record_arrival(),
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -114,8 +114,9 @@
     /// A pooled connection, if there is one.
     Pooled,
     /// A new connection. A request that may run only once isn't sent on a pooled connection, which
-    /// may have become unresponsive. Nor is one that a server has refused before: the refusal may
-    /// arrive again, and bears the same id. A request without an id needs one of its own.
+    /// may have become unresponsive. Nor is one that this server has refused before: the refusal may
+    /// arrive again, with the same id. The response to a request without an id is known only by its
+    /// connection.
     New,
 }
 
@@ -193,9 +194,8 @@
     outcome
 }
 
-/// Sends a request of this system itself, which counts against the server's request limit but isn't
-/// kept back by it. It has no id, so its response is known only by its connection, which carries no
-/// other request and is closed when it is dropped.
+/// Sends a request of this system itself on a new connection, which isn't pooled afterwards. It counts
+/// against the server's request limit but isn't kept back by it.
 pub async fn exchange_own(
     gateway: &Gateway,
     target: &SendTarget,
