Soak two outages in a row around a server that leaves and serves on

The scenario outages has nothing but such pairs of outages, of the store and of single daemons, and the new check counts what a daemon sends to a server after it has read a list without it, whatever happens to the store later.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -43,6 +43,8 @@
 
 /// Time after which a server that has told a daemon that it leaves gets no request from it.
 const NOTICE_LIMIT: Duration = Duration::from_millis(2500);
+/// Time without a fault of a daemon and of the store in which the daemon reads the list of servers.
+const READ_DURATION: Duration = Duration::from_millis(2500);
 /// Time after a server asked for quiet from which its requests are counted, and how many it may get.
 const QUIET_GRACE: Duration = Duration::from_millis(500);
 const QUIET_REQUEST_LIMIT: usize = 2;
@@ -66,6 +68,8 @@
     LostAnswer(String),
     /// A server got a request too long after its entry was set to draining.
     SentAfterLeaving(String),
+    /// A server got a request from a daemon that had read a list without it.
+    SentAfterRemoval(String),
     /// The old service executed a request too long after the configuration changed.
     OldConfiguration(String),
     /// Poison requests still reached servers long after they had crashed several.
@@ -94,6 +98,7 @@
     }
     violations.extend(check_versions(history));
     violations.extend(check_draining(history));
+    violations.extend(check_removed(history));
     for (kind, crashes) in CONVICTING_CRASHES {
         violations.extend(check_poison(history, kind, crashes));
     }
@@ -242,6 +247,52 @@
     Some(InvariantViolation::SentAfterLeaving(late.server.clone()))
 }
 
+/// Checks that no server got a request from a daemon long after this daemon had read a list without the
+/// server, whatever happened to the store since.
+fn check_removed(history: &SoakHistory) -> Option<InvariantViolation> {
+    let calls: HashMap<&str, &CallRecord> =
+        history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let late = history.arrivals.iter().find(|arrival| {
+        let removed_at = history.removed_at.get(&arrival.server);
+        let (Some(removed_at), Some(call)) = (removed_at, calls.get(arrival.id.as_str())) else {
+            return false;
+        };
+        // Daemons that start anew have to read the list again, and those without links hand requests
+        // to others.
+        let is_excused = |scope| match scope {
+            FaultScope::Daemon(daemon) | FaultScope::DaemonRestart(daemon) => daemon == call.daemon,
+            FaultScope::DaemonLinks(_) => true,
+            FaultScope::StoreConnection(_)
+            | FaultScope::Store
+            | FaultScope::Servers
+            | FaultScope::ServerConnection(_) => false,
+        };
+        read_without_fault(history, call.daemon, *removed_at).is_some_and(|read_at| {
+            call.sent_at > read_at + NOTICE_LIMIT
+                && !history.had_fault(read_at, arrival.at, is_excused)
+        })
+    })?;
+    let details = format!("{} got {} although its entry was removed", late.server, late.id);
+    Some(InvariantViolation::SentAfterRemoval(details))
+}
+
+/// Returns the first time after another by which a daemon has surely read the list of servers.
+fn read_without_fault(history: &SoakHistory, daemon: usize, since: Instant) -> Option<Instant> {
+    let is_affected = |scope| match scope {
+        FaultScope::Daemon(affected)
+        | FaultScope::DaemonRestart(affected)
+        | FaultScope::StoreConnection(affected) => affected == daemon,
+        FaultScope::Store => true,
+        FaultScope::Servers | FaultScope::ServerConnection(_) | FaultScope::DaemonLinks(_) => false,
+    };
+    let faults = history.fault_intervals.iter().filter(|interval| is_affected(interval.scope));
+    let ends = faults.map(|interval| interval.until + Duration::from_millis(1));
+    let mut starts: Vec<Instant> = ends.chain([since]).filter(|start| *start >= since).collect();
+    starts.sort_unstable();
+    let mut spans = starts.into_iter().map(|start| (start, start + READ_DURATION));
+    spans.find(|(start, end)| !history.had_fault(*start, *end, is_affected)).map(|(_, end)| end)
+}
+
 /// Checks that no server got a request from a daemon long after it had told this daemon that it
 /// leaves, whether or not the daemon reaches the store.
 fn check_notices(history: &SoakHistory) -> Option<InvariantViolation> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -152,6 +152,8 @@
     pub crashes: Vec<(PoisonKind, Instant)>,
     /// Time at which each server's entry in the store was set to draining.
     pub draining_since: HashMap<String, Instant>,
+    /// Time at which the entry of each server was removed that serves on.
+    pub removed_at: HashMap<String, Instant>,
     /// Times at which the route of plain calls changed, with the new service.
     pub route_changes: Vec<(Instant, &'static str)>,
     pub fault_intervals: Vec<FaultInterval>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,6 +24,28 @@
     /// Period in which faults begin.
     pub fault_period: Duration,
     pub daemons: usize,
+    pub scenario: SoakScenario,
+}
+
+/// The kinds of faults that a soak has.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumString,
+    strum::VariantNames,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SoakScenario {
+    /// All kinds, which overlap.
+    #[default]
+    Mixed,
+    /// Two outages of the store in a row around each server that leaves and serves on.
+    Outages,
 }
 
 /// Result of a soak.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf, process::ExitCode, time::Duration};
 
 use bpaf::Bpaf;
-use gooseberry_soak::SoakOptions;
+use gooseberry_soak::{SoakOptions, SoakScenario};
 
 /// Runs gateways as processes, injects faults and checks invariants
 #[derive(Clone, Debug, Bpaf)]
@@ -21,6 +21,9 @@
     /// Number of daemons; more than twelve use relays
     #[bpaf(long, argument("COUNT"), fallback(4), display_fallback)]
     daemons: usize,
+    /// Kinds of faults: mixed, or outages around servers that leave and serve on
+    #[bpaf(long, argument("SCENARIO"), fallback(SoakScenario::Mixed), display_fallback)]
+    scenario: SoakScenario,
     /// Folder for the logs of seeds that fail
     #[bpaf(long, argument("FOLDER"), fallback(PathBuf::from("target/soak")))]
     logs: PathBuf,
@@ -31,7 +34,8 @@
     let mut failed = 0;
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let period = Duration::from_secs(arguments.seconds);
-        let options = SoakOptions { seed, fault_period: period, daemons: arguments.daemons };
+        let (daemons, scenario) = (arguments.daemons, arguments.scenario);
+        let options = SoakOptions { seed, fault_period: period, daemons, scenario };
         let folder = tempfile::tempdir()?;
         let report = gooseberry_soak::run(options, folder.path());
         println!(
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,7 +9,7 @@
 };
 use rand_chacha::ChaCha8Rng;
 
-use crate::SoakOptions;
+use crate::{SoakOptions, SoakScenario};
 
 /// Shortest and longest time between the starts of two faults.
 const FAULT_INTERVAL_MS: (u64, u64) = (150, 1200);
@@ -34,6 +34,16 @@
 const LINK_CUT_MS: (u64, u64) = (5000, 9000);
 /// Share of the seeds in which daemons lose their links.
 const LINK_CUT_SHARE: f64 = 0.5;
+/// Shortest and longest duration of the first of two outages around a server that leaves.
+const FIRST_OUTAGE_MS: (u64, u64) = (1000, 1500);
+/// Shortest and longest time from its end to the next outage, and duration of that one.
+const OUTAGE_GAP_MS: (u64, u64) = (4000, 4800);
+const NEXT_OUTAGE_MS: (u64, u64) = (300, 800);
+/// Time after both in which requests show whether the server is used again.
+const OUTAGE_PAUSE: Duration = Duration::from_millis(2500);
+/// Time into the first outage at which the server leaves, and time for which it serves on.
+const LEAVE_DELAY: Duration = Duration::from_millis(300);
+const SERVE_ON_DURATION: Duration = Duration::from_secs(10);
 /// Number of engines of the model service.
 pub const ENGINE_COUNT: usize = 4;
 /// Number of servers of each of the two plain services.
@@ -82,6 +92,9 @@
     /// The server's entry is set to draining, is removed later and is replaced
     /// by one with another id.
     DrainServer(usize),
+    /// The server's entry is removed, and the server serves on. At the end it is replaced by one with
+    /// another id.
+    LeaveSilently(usize),
     /// The route of plain calls changes to the other plain service.
     MoveRoute,
 }
@@ -125,7 +138,8 @@
         daemons,
         state: *states.choose(&mut rng).expect("the list of states isn't empty"),
     };
-    rng.random_bool(LINK_CUT_SHARE).then_some(plan)
+    let is_planned = rng.random_bool(LINK_CUT_SHARE) && options.scenario == SoakScenario::Mixed;
+    is_planned.then_some(plan)
 }
 
 /// Requests that crash their servers.
@@ -145,7 +159,7 @@
         plan_poison_of(PoisonKind::SharedPart, seed),
         plan_poison_of(PoisonKind::SameRequest, seed.wrapping_add(1)),
     ];
-    plans.into_iter().flatten()
+    plans.into_iter().flatten().filter(move |_| options.scenario == SoakScenario::Mixed)
 }
 
 fn plan_poison_of(kind: PoisonKind, seed: u64) -> Option<PoisonPlan> {
@@ -181,6 +195,15 @@
 
 /// Returns the faults of a seed, ordered by start. Faults may overlap.
 pub fn plan(options: SoakOptions) -> Vec<PlannedFault> {
+    let mut faults = match options.scenario {
+        SoakScenario::Mixed => plan_mixed(options),
+        SoakScenario::Outages => plan_outages(options),
+    };
+    faults.sort_by_key(|planned| planned.at);
+    faults
+}
+
+fn plan_mixed(options: SoakOptions) -> Vec<PlannedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
     let mut faults = Vec::new();
     let mut at = Duration::from_millis(500);
@@ -191,7 +214,6 @@
         at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS.0..FAULT_INTERVAL_MS.1));
     }
     faults.extend(plan_cut_streams(options));
-    faults.sort_by_key(|planned| planned.at);
     faults
 }
 
@@ -211,6 +233,37 @@
     faults
 }
 
+/// Returns pairs of outages, one after the other, each around a server that leaves and serves on.
+fn plan_outages(options: SoakOptions) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < options.fault_period {
+        let mut outage = |at, (shortest, longest): (u64, u64)| {
+            let daemon = rng.random_range(0..options.daemons);
+            let kinds = [
+                SoakFault::StoreRefuses,
+                SoakFault::StoreLosesAnswers,
+                SoakFault::CutStore(daemon),
+            ];
+            let fault = *kinds.choose(&mut rng).expect("the list of faults isn't empty");
+            let length = Duration::from_millis(rng.random_range(shortest..longest));
+            PlannedFault { at, length, fault }
+        };
+        let first = outage(at, FIRST_OUTAGE_MS);
+        let gap = Duration::from_millis(OUTAGE_GAP_MS.0);
+        let next = outage(at + first.length + gap, NEXT_OUTAGE_MS);
+        let server = rng.random_range(0..ENGINE_COUNT + 2 * SERVERS_PER_PLAIN_SERVICE);
+        let fault = SoakFault::LeaveSilently(server);
+        faults.push(first);
+        faults.push(PlannedFault { at: at + LEAVE_DELAY, length: SERVE_ON_DURATION, fault });
+        let delay = Duration::from_millis(rng.random_range(0..OUTAGE_GAP_MS.1 - OUTAGE_GAP_MS.0));
+        faults.push(PlannedFault { at: next.at + delay, ..next });
+        at = next.at + delay + next.length + OUTAGE_PAUSE;
+    }
+    faults
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, daemons: usize) -> SoakFault {
     let daemon = rng.random_range(0..daemons);
     let server = rng.random_range(0..ENGINE_COUNT + 2 * SERVERS_PER_PLAIN_SERVICE);
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -364,6 +364,11 @@
                 let id = self.servers[server].id.clone();
                 self.history.lock().draining_since.entry(id).or_insert_with(Instant::now);
             }
+            SoakFault::LeaveSilently(server) => {
+                let id = self.servers[server].id.clone();
+                self.store.remove_server(&id);
+                self.history.lock().removed_at.entry(id).or_insert_with(Instant::now);
+            }
             SoakFault::MoveRoute => {
                 let service = if self.version % 2 == 1 { "other" } else { "plain" };
                 self.put_configuration(service);
@@ -391,6 +396,7 @@
             | SoakFault::CutStreams(server) => {
                 *self.servers[server].behaviour.lock() = ServerBehaviour::Normal;
             }
+            SoakFault::LeaveSilently(server) => self.replace(server),
             SoakFault::KillDaemon(_)
             | SoakFault::KillAll
             | SoakFault::StopDaemon(_)
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use gooseberry_soak::SoakOptions;
+use gooseberry_soak::{SoakOptions, SoakScenario};
 
 fn soak(seed: u64, seconds: u64, daemons: usize) {
+    soak_in(SoakScenario::Mixed, seed, seconds, daemons);
+}
+
+fn soak_in(scenario: SoakScenario, seed: u64, seconds: u64, daemons: usize) {
     let folder = tempfile::tempdir().expect("a temporary folder can be created");
-    let options = SoakOptions { seed, fault_period: Duration::from_secs(seconds), daemons };
+    let fault_period = Duration::from_secs(seconds);
+    let options = SoakOptions { seed, fault_period, daemons, scenario };
     let report = gooseberry_soak::run(options, folder.path());
     assert!(report.served > 0, "no request was served: {report:?}");
     assert!(report.violations.is_empty(), "{:#?} after {:#?}", report.violations, report.faults);
@@ -69,6 +74,12 @@
     soak(25024, 12, 4);
 }
 
+/// Guards against requests to servers whose entries were given up after an outage, once another follows.
+#[test]
+fn outages_in_a_row_return_no_server_that_left() {
+    soak_in(SoakScenario::Outages, 2, 2, 4);
+}
+
 #[test]
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
