--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -163,7 +163,7 @@
             return gateway_mocks::write_text(stream, &format!("{head}\r\n{notices}\r\n"));
         }
         if request.expected_server().is_some_and(|id| id != self.name) {
-            return gateway_mocks::write_misdirected(stream);
+            return gateway_mocks::write_misdirected(request, stream);
         }
         self.record_arrival(request);
         let poison = poison_kind(request);
@@ -172,11 +172,11 @@
             self.history.lock().poison_arrivals.push(PoisonArrival { kind, id, at });
         }
         if self.behaviour == ServerBehaviour::Rejecting {
-            return gateway_mocks::write_rejection(stream, &notices);
+            return gateway_mocks::write_rejection(request, stream, &notices);
         }
         if self.behaviour == ServerBehaviour::AskingForQuiet {
             let quiet = format!("Retry-After: {}\r\n", QUIET_DURATION.as_secs_f64());
-            return gateway_mocks::write_rejection(stream, &(notices + &quiet));
+            return gateway_mocks::write_rejection(request, stream, &(notices + &quiet));
         }
         if request.is_prefill() {
             thread::sleep(CALL_DURATION);
