Keep soak seed 27039

A seed that failed stays in the tests: it failed once with SentDuringQuiet on, because the stand-ins' refusals didn't repeat the request's id.

--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -74,6 +74,12 @@
     soak(25024, 12, 4);
 }
 
+/// Guards against stand-ins whose refusals don't repeat the id of the request, so that none counts.
+#[test]
+fn seed_27039_counts_refusals_on_kept_connections() {
+    soak(27039, 12, 4);
+}
+
 /// Guards against requests to servers whose entries were given up after an outage, once another follows.
 #[test]
 fn outages_in_a_row_return_no_server_that_left() {
