--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -80,6 +80,18 @@
     soak(27039, 12, 4);
 }
 
+/// Guards against the same as seed 25024, after all daemons were killed.
+#[test]
+fn seed_28008_stops_daemons_that_have_just_started() {
+    soak(28008, 12, 4);
+}
+
+/// Guards against callers of daemons without links who are refused after their route has moved.
+#[test]
+fn seed_28014_serves_callers_of_daemons_without_links_whose_route_moves() {
+    soak(28014, 12, 4);
+}
+
 /// Guards against requests to servers whose entries were given up after an outage, once another follows.
 #[test]
 fn outages_in_a_row_return_no_server_that_left() {
