Show that a request to a server with an odd id was lost

The new test leaves no other server; with the check taken out its caller gets no response and the task panics, with it 503.

--- a/crates/gateway/tests/gateway/odd_entries.rs
+++ b/crates/gateway/tests/gateway/odd_entries.rs
@@ -15,7 +15,7 @@
 /// Nesting that overflows the stack of a parser without a limit.
 const NESTING: usize = 100_000;
 
-/// Ids that can't be sent in a header.
+/// Ids that name no server: they are empty or can't be sent in a header.
 const ODD_IDS: [&str; 4] = ["", "two\nlines", "\u{7f}", "nul\0"];
 
 fn server() -> ScriptedServer {
@@ -102,6 +102,22 @@
     check_follows(&system, "sound");
 }
 
+#[test]
+fn no_request_is_lost_at_a_server_whose_id_cannot_be_sent_in_a_header() {
+    for id in ODD_IDS {
+        let (system, sound) = start();
+        let odd = server();
+        system.store.put_server(id, &server_entry("plain", &odd, "", "ready"));
+        system.store.remove_server("sound");
+        system.configure(2);
+        system.wait_version(2);
+        for path in ["/plain/x", "/order/x"] {
+            assert_eq!(status_code(&system.send(&get_request(path, ""))), "503", "{id:?}");
+        }
+        assert!(odd.received().is_empty() && sound.received().is_empty(), "{id:?}");
+    }
+}
+
 #[test]
 fn a_daemon_starts_with_odd_entries_in_the_store() {
     let (system, _server) = start();
