review: a lower fencing token after the store's drill

Shows that an engine gets an order with a lower fencing token after one with a higher token (rule ONE): the token is the revision of the leader's key, and revisions go back when the store comes back from a copy. How: six gateways as processes, two engines, the store away for 0.4 s and back from a copy 5 to 6 s old, then a load that makes the new leader order the same engine.

--- a/review/kit/src/cases.rs
+++ b/review/kit/src/cases.rs
@@ -2,12 +2,14 @@
 
 use crate::world::{Verdict, World};
 
+mod fence_after_drill;
 mod missed_configuration;
 
 /// Finds a case by name.
 pub fn find(name: &str) -> Option<fn(&World) -> Verdict> {
     Some(match name {
         "missed-configuration" => missed_configuration::run,
+        "fence-after-drill" => fence_after_drill::run,
         _ => return None,
     })
 }
