review: streams of two software versions after an outage of the store

Shows that streams which clients take up while the store is down go on at engines of another software version (rule ORDER): the version in the last entry counts, however old the entry is. How: three gateways as processes, four engines, of which two start again with the next version in turn, the store answering 503 for 4.3 s meanwhile.

--- a/review/kit/src/cases.rs
+++ b/review/kit/src/cases.rs
@@ -4,12 +4,14 @@
 
 mod fence_after_drill;
 mod missed_configuration;
+mod resumed_in_outage;
 
 /// Finds a case by name.
 pub fn find(name: &str) -> Option<fn(&World) -> Verdict> {
     Some(match name {
         "missed-configuration" => missed_configuration::run,
         "fence-after-drill" => fence_after_drill::run,
+        "resumed-in-outage" => resumed_in_outage::run,
         _ => return None,
     })
 }
