review: streams that a stopping gateway accepts and cuts

Shows that a gateway passes streams on that arrive 3.0 to 3.6 s after its SIGTERM, and cuts them before the end of the grace period (rule LOST): it accepts them if 4 s are left, although their deadline allows 8 s. How: the site's six gateways as processes, two of the three of a zone stopped in turn four times, new connections as the platform gives them, streams of 4.5 s.

--- a/review/kit/src/cases.rs
+++ b/review/kit/src/cases.rs
@@ -5,6 +5,7 @@
 mod fence_after_drill;
 mod missed_configuration;
 mod resumed_in_outage;
+mod stream_at_shutdown;
 
 /// Finds a case by name.
 pub fn find(name: &str) -> Option<fn(&World) -> Verdict> {
@@ -12,6 +13,7 @@
         "missed-configuration" => missed_configuration::run,
         "fence-after-drill" => fence_after_drill::run,
         "resumed-in-outage" => resumed_in_outage::run,
+        "stream-at-shutdown" => stream_at_shutdown::run,
         _ => return None,
     })
 }
