gateway: read all keys again when the store's era changes

Cause: a watch went on from the last revision that the daemon knew. The store had come back from a copy and had given out that revision again, so the changes up to it never arrived. Store-Era wasn't read. Ruled out: a lost 410; the store sends none once it has passed the revision.

Change: each response is matched against the newest era that the process knows, which all clients of the store share. What rests on an earlier era (the watch's revision, relays' changes, the question for a sole version, leases) is dropped; responses of an earlier era are ignored. Registrations are written again at once. Relays and members state their era in a header, and the body of a relay's response keeps its bytes, so builds before this one understand it. StoreUpdate is no longer what is sent; its golden bytes are those of RelayMessage now, and the test of them is otherwise unchanged.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -30,4 +30,5 @@
 pub mod software;
 pub mod stage_demand;
 pub mod stages;
+pub mod store_era;
 pub mod watch_plan;
--- a/crates/core/src/serving/watch_plan.rs
+++ b/crates/core/src/serving/watch_plan.rs
@@ -46,7 +46,7 @@
 pub enum RelayFailure {
     /// It is unreachable or has no connection to the service.
     Unreachable,
-    /// It no longer keeps changes as old as this daemon needs.
+    /// It doesn't have the changes that this daemon needs: they are too old, or of another era.
     Compacted,
 }
 
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -12,7 +12,10 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use gooseberry_core::{
-    serving::watch_plan::{RelayCall, RelayFailure, RELAY_WAIT},
+    serving::{
+        store_era::{EraError, StoreRevision},
+        watch_plan::{RelayCall, RelayFailure, RELAY_WAIT},
+    },
     time::Timestamp,
 };
 use gooseberry_platform::store::{StoreChange, StoreUpdate};
@@ -24,6 +27,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 
 use crate::{forward, gateway::Gateway, program};
 
@@ -36,6 +40,9 @@
 /// Header of a relay's response: the age of its list of changes, in milliseconds. Relays of earlier
 /// builds don't send it.
 const LIST_AGE_HEADER: HeaderName = HeaderName::from_static("list-age-ms");
+/// Header of a member's request and of a relay's response: the era of the key-value service in which
+/// the revisions were given out. Earlier builds don't send it.
+const ERA_HEADER: HeaderName = HeaderName::from_static("list-era");
 /// Largest response of a relay, in bytes.
 const RESPONSE_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
@@ -52,13 +59,21 @@
     Status(StatusCode),
     #[error("the relay's response can't be decoded: {0}")]
     Malformed(#[from] postcard::Error),
+    #[error(transparent)]
+    Era(#[from] EraError),
+    #[error(
+        "the relay doesn't state the era of its changes, and the key-value service has changed it"
+    )]
+    UnknownEra,
 }
 
 impl RelayError {
-    /// Returns whether the relay is unreachable or no longer keeps the requested changes.
+    /// Returns whether the relay is unreachable or doesn't have the requested changes.
     pub fn failure(&self) -> RelayFailure {
         match self {
-            Self::Status(StatusCode::GONE) => RelayFailure::Compacted,
+            Self::Status(StatusCode::GONE) | Self::Era(_) | Self::UnknownEra => {
+                RelayFailure::Compacted
+            }
             Self::Send(_)
             | Self::Read(_)
             | Self::TimedOut
@@ -85,10 +100,10 @@
 #[derive(Debug, Default)]
 struct LogState {
     changes: VecDeque<StoreChange>,
-    /// Revision after which all changes are kept.
+    /// Number of the revision after which all changes are kept.
     oldest_revision: u64,
     /// Revision up to which all changes are known.
-    revision: u64,
+    revision: StoreRevision,
     /// Time of the last response of the service itself, rather than a relay, to this daemon.
     responded_at: Option<Timestamp>,
     /// Time up to which the service itself has told this daemon of all changes.
@@ -99,10 +114,10 @@
 
 impl ChangeLog {
     /// Clears the log after a read of all keys.
-    pub fn reset(&self, revision: u64, times: ListTimes) {
+    pub fn reset(&self, revision: StoreRevision, times: ListTimes) {
         let mut state = self.state.lock();
         state.changes.clear();
-        state.oldest_revision = revision;
+        state.oldest_revision = revision.number;
         state.revision = revision;
         state.responded_at = Some(times.responded_at);
         state.listed_at = Some(times.listed_at);
@@ -129,20 +144,27 @@
         }
     }
 
-    /// Returns the changes after a revision.
+    /// Returns the changes after a revision. `newest_era` is that of the service as far as this daemon
+    /// knows.
     ///
     /// # Errors
     ///
     /// Returns the HTTP status for the member if this daemon can't serve the changes.
-    pub fn changes_after(&self, revision: u64, now: Timestamp) -> Result<StoreUpdate, StatusCode> {
+    pub fn changes_after(
+        &self,
+        revision: StoreRevision,
+        newest_era: u64,
+        now: Timestamp,
+    ) -> Result<StoreUpdate, StatusCode> {
         let state = self.state.lock();
-        if state.responded_at.is_none_or(|at| now.since(at) >= MAX_RESPONSE_AGE) {
+        let is_current = state.revision.era >= newest_era.max(revision.era);
+        if !is_current || state.responded_at.is_none_or(|at| now.since(at) >= MAX_RESPONSE_AGE) {
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        if revision < state.oldest_revision {
+        if revision.era < state.revision.era || revision.number < state.oldest_revision {
             return Err(StatusCode::GONE);
         }
-        let newer = state.changes.iter().filter(|change| change.revision > revision);
+        let newer = state.changes.iter().filter(|change| change.revision > revision.number);
         Ok(StoreUpdate { changes: newer.cloned().collect(), revision: state.revision })
     }
 
@@ -154,6 +176,11 @@
         wanted.min(RELAY_WAIT).min(time_left.unwrap_or_default())
     }
 
+    /// Returns the era of the log's revisions.
+    fn era(&self) -> u64 {
+        self.state.lock().revision.era
+    }
+
     /// Returns the time since which there may be changes that this log doesn't have.
     fn list_age(&self, now: Timestamp) -> Option<Duration> {
         self.state.lock().listed_at.map(|at| now.since(at))
@@ -198,31 +225,49 @@
     log: &ChangeLog,
     request: &Request<Incoming>,
 ) -> Response<ResponseBody> {
-    let Ok(revision) = request.uri().path().trim_start_matches('/').parse() else {
+    let Ok(number) = request.uri().path().trim_start_matches('/').parse() else {
         return program::status_response(StatusCode::NOT_FOUND);
     };
+    // A member that doesn't state the era knows of none.
+    let stated = stated_era(request.headers());
+    let revision = StoreRevision { era: stated.unwrap_or_else(|| log.era()), number };
     let changed = log.subscribe();
-    let mut update = log.changes_after(revision, gateway.now());
+    let mut update = log.changes_after(revision, gateway.store.newest_era(), gateway.now());
     if matches!(&update, Ok(update) if update.revision <= revision) {
         // The result doesn't matter: the log is read again whether a change arrived or the wait
         // timed out.
         let timeout = log.poll_timeout(wanted_wait(request.uri()), gateway.now());
         let _ = gateway.clock.timeout(timeout, changed.recv()).await;
-        update = log.changes_after(revision, gateway.now());
+        update = log.changes_after(revision, gateway.store.newest_era(), gateway.now());
     }
-    match update.map(|update| postcard::to_stdvec(&update)) {
-        Ok(Ok(bytes)) => {
-            let mut response = Response::new(ResponseBody::whole(bytes));
-            if let Some(age) = log.list_age(gateway.now()) {
-                response.headers_mut().insert(LIST_AGE_HEADER, (age.as_millis() as u64).into());
-            }
-            response
-        }
+    let era = update.as_ref().map_or(gateway.store.newest_era(), |update| update.revision.era);
+    let mut response = match update.map(|update| postcard::to_stdvec(&RelayMessage::from(update))) {
+        Ok(Ok(bytes)) => Response::new(ResponseBody::whole(bytes)),
         Ok(Err(error)) => {
             tracing::warn!(%error, "changes can't be encoded");
             program::status_response(StatusCode::INTERNAL_SERVER_ERROR)
         }
         Err(status) => program::status_response(status),
+    };
+    let headers = response.headers_mut();
+    headers.insert(ERA_HEADER, era.into());
+    if let Some(age) = log.list_age(gateway.now()) {
+        headers.insert(LIST_AGE_HEADER, (age.as_millis() as u64).into());
+    }
+    response
+}
+
+/// Body of a relay's response. Other builds read it too, so it doesn't change; the era of its revisions
+/// is in a header.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayMessage {
+    pub changes: Vec<StoreChange>,
+    pub revision: u64,
+}
+
+impl From<StoreUpdate> for RelayMessage {
+    fn from(update: StoreUpdate) -> Self {
+        Self { changes: update.changes, revision: update.revision.number }
     }
 }
 
@@ -252,7 +297,7 @@
         &mut self,
         gateway: &Gateway,
         relay: SocketAddr,
-        revision: u64,
+        revision: StoreRevision,
         call: RelayCall,
     ) -> Result<RelayUpdate, RelayError> {
         let pooled = self.connection.take();
@@ -264,23 +309,35 @@
                 None => ClientConnection::connect(relay, CONNECT_TIMEOUT).await?,
             };
             let answer = connection.send(request(revision, call.wait)).await?;
-            let (status, list_age) = (answer.status(), list_age(answer.headers()));
-            let body = body::read_whole(answer.into_body(), RESPONSE_LIMIT_BYTES).await?;
-            Ok((connection, status, list_age, body))
+            let (head, body) = answer.into_parts();
+            let body = body::read_whole(body, RESPONSE_LIMIT_BYTES).await?;
+            Ok((connection, head, body))
         };
         let timeout = async {
             gateway.clock.sleep(call.timeout).await;
             Err(RelayError::TimedOut)
         };
-        let (connection, status, list_age, body) = work.or(timeout).await?;
+        let (connection, head, body) = work.or(timeout).await?;
         self.connection = Some(connection);
-        if status != StatusCode::OK {
-            return Err(RelayError::Status(status));
+        let era = match stated_era(&head.headers) {
+            Some(era) => gateway.store.record_era(Some(era), Some(revision.era))?,
+            // A relay of an earlier build may go on in an era that has ended.
+            None if gateway.store.has_changed_era() => return Err(RelayError::UnknownEra),
+            None => revision.era,
+        };
+        if head.status != StatusCode::OK {
+            return Err(RelayError::Status(head.status));
         }
-        Ok(RelayUpdate { update: postcard::from_bytes(&body)?, list_age })
+        let RelayMessage { changes, revision: number } = postcard::from_bytes(&body)?;
+        let update = StoreUpdate { changes, revision: StoreRevision { era, number } };
+        Ok(RelayUpdate { update, list_age: list_age(&head.headers) })
     }
 }
 
+fn stated_era(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ERA_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 fn list_age(headers: &HeaderMap) -> Option<Duration> {
     let age_ms = headers.get(LIST_AGE_HEADER)?.to_str().ok()?.parse().ok()?;
     Some(Duration::from_millis(age_ms))
@@ -293,10 +350,11 @@
     wait_ms.and_then(|text| text.parse().ok()).map_or(RELAY_WAIT, Duration::from_millis)
 }
 
-fn request(revision: u64, wait: Duration) -> Request<Full<Bytes>> {
+fn request(revision: StoreRevision, wait: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::default());
-    let path = format!("/{revision}?wait-ms={}", wait.as_millis());
+    let path = format!("/{}?wait-ms={}", revision.number, wait.as_millis());
     *request.uri_mut() = path.parse().unwrap_or_else(|_| http::Uri::from_static("/"));
     request.headers_mut().insert(header::HOST, HeaderValue::from_static("relay"));
+    request.headers_mut().insert(ERA_HEADER, revision.era.into());
     request
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use async_channel::{Receiver, Sender};
 use gooseberry_core::time::Timestamp;
 use gooseberry_edges::clock::Clock;
+use gooseberry_platform::store::StoreEndpoint;
 use gooseberry_transport::{pool::ConnectionPool, server::HttpServer};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
@@ -35,6 +36,8 @@
     /// The current limits, which a reload changes.
     pub limits: Mutex<GatewayLimits>,
     pub clock: Clock,
+    /// The key-value service, with its newest era.
+    pub store: StoreEndpoint,
     pub state: Mutex<GatewayState>,
     pub connections: ConnectionPool,
     pub metrics: GatewayMetrics,
@@ -72,6 +75,7 @@
         let daemon = xxh3::xxh3_64_with_seed(options.name.as_bytes(), incarnation);
         Self {
             limits: Mutex::new(options.limits),
+            store: StoreEndpoint::new(options.store),
             options,
             clock,
             state: Mutex::new(GatewayState::new(daemon)),
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -21,7 +21,7 @@
 };
 use gooseberry_platform::{
     engine::{self, StageOrder},
-    store::{StoreClient, StoreError, StorePut},
+    store::{PutCondition, StoreClient, StoreError, StoreLease, StorePut},
 };
 use gooseberry_transport::body;
 use http::StatusCode;
@@ -79,7 +79,7 @@
 /// Acquires the leader key whenever it is free, and gives orders while holding it.
 pub async fn run(gateway: Arc<Gateway>, leader_key: Arc<LeaderKey>) {
     let spread = Duration::from_millis(gateway.daemon % ACQUIRE_SPREAD_MS);
-    let mut client = StoreClient::new(gateway.options.store);
+    let mut client = gateway.store.client();
     loop {
         gateway.clock.sleep(RENEW_INTERVAL + spread).await;
         let is_cut = gateway.state.lock().is_cut_from_engines();
@@ -97,8 +97,8 @@
 /// State of this daemon while it is the leader.
 struct LeaderTerm<'a> {
     gateway: &'a Gateway,
-    /// Id of the lease of the leader key.
-    lease: u64,
+    /// Lease of the leader key.
+    lease: StoreLease,
     /// Fencing token of the orders.
     fence: u64,
     /// Time since which a change to a stage has been planned for an engine of a failure domain.
@@ -112,13 +112,14 @@
 async fn lead(gateway: &Gateway, client: &mut StoreClient) -> Result<(), StoreError> {
     let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
     let name = gateway.options.name.as_bytes();
-    let put = StorePut { key: KEY, value: name, lease: lease.id, expected: Some(0) };
-    let fence = client.put(&put, CALL_TIMEOUT).await?;
+    let put =
+        StorePut { key: KEY, value: name, lease: Some(lease), condition: PutCondition::Missing };
+    let fence = client.put(&put, CALL_TIMEOUT).await?.number;
     tracing::info!(fence, "became leader");
     let acquired_at = gateway.now();
     let mut term = LeaderTerm {
         gateway,
-        lease: lease.id,
+        lease,
         fence,
         planned: HashMap::new(),
         demand: HashMap::new(),
@@ -130,7 +131,7 @@
             tracing::info!("cut off from engines; giving up leadership");
             return Ok(());
         }
-        client.renew_lease(lease.id, CALL_TIMEOUT).await?;
+        client.renew_lease(lease, CALL_TIMEOUT).await?;
         let due = term.due();
         if gateway.now().since(acquired_at) >= TAKEOVER_WAIT {
             for change in due {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub retries: IntCounterVec,
     /// Calls to the key-value service by outcome. Successful calls to a relay count as well.
     pub store_calls: IntCounterVec,
+    /// Times at which the key-value service was found to have come back from a copy.
+    pub era_changes: IntCounter,
     /// Datagrams to and from other daemons, and those that can't be decoded.
     pub datagrams: IntCounterVec,
     /// Updates of daemons of other builds that this one doesn't know, by the newest format that the
@@ -100,6 +102,9 @@
         registry.register(Box::new(quiet_requests.clone()))?;
         let cuts = IntCounter::new("cuts_total", "Cuts from the servers of a service")?;
         registry.register(Box::new(cuts.clone()))?;
+        let era_changes =
+            IntCounter::new("store_era_changes_total", "Returns of the store from a copy")?;
+        registry.register(Box::new(era_changes.clone()))?;
         let taken_over = IntCounter::new("taken_over_total", "Requests taken over")?;
         registry.register(Box::new(taken_over.clone()))?;
         let leaving_servers =
@@ -110,6 +115,7 @@
             held_back,
             quiet_requests,
             cuts,
+            era_changes,
             taken_over,
             forwards: counters("forwards_total", "Requests handed to other daemons", &["outcome"])?,
             requests: counters("requests_total", "Ended requests", &["route", "outcome"])?,
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -8,7 +8,7 @@
 };
 use gooseberry_platform::{
     servers,
-    store::{StoreChange, StoreClient, StoreKey},
+    store::{StoreChange, StoreKey},
 };
 
 use crate::{
@@ -92,7 +92,7 @@
         let state = gateway.state.lock();
         (state.sole_software(service, gateway.now())?, state.listed_revision)
     };
-    let mut client = StoreClient::new(gateway.options.store);
+    let mut client = gateway.store.client();
     let update = match client.watch(revision, Duration::ZERO, LIST_TIMEOUT).await {
         Ok(update) => update,
         Err(fault) => {
@@ -104,7 +104,7 @@
     gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
     let newer: Vec<ServerEntry> = update.changes.iter().filter_map(changed_entry).collect();
     if !software::remains_sole_version(software, service, &newer) {
-        tracing::info!(%service, revision, "a service has had another version since the list was read");
+        tracing::info!(%service, %revision, "a service has had another version since the list was read");
         return None;
     }
     // Changes may have been missed meanwhile.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,10 +19,11 @@
         part_evidence::VerdictChanges,
         relays::{self, RelayCandidate, RelayPlan},
         software::{SoftwareKey, StreamKey},
+        store_era::EraError,
     },
     time::Timestamp,
 };
-use gooseberry_platform::store::{StoreClient, StoreError, StorePut};
+use gooseberry_platform::store::{PutCondition, StoreClient, StoreError, StoreLease, StorePut};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -303,7 +304,7 @@
 
 /// Registers this daemon's address and keeps it registered.
 pub async fn register(gateway: Arc<Gateway>) {
-    let mut client = StoreClient::new(gateway.options.store);
+    let mut client = gateway.store.client();
     let mut backoff = RetryBackoff::new(RETRY_DELAY, MAX_RETRY_DELAY, gateway.daemon);
     let mut lease = None;
     loop {
@@ -313,7 +314,7 @@
         };
         gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
         tracing::info!(%fault, "address registration or its renewal failed; retrying");
-        if matches!(fault, StoreError::NoLease) {
+        if matches!(fault, StoreError::NoLease | StoreError::Era(EraError::Ended { .. })) {
             lease = None;
         } else {
             gateway.clock.sleep(backoff.next_delay()).await;
@@ -324,7 +325,7 @@
 async fn keep_registered(
     gateway: &Gateway,
     client: &mut StoreClient,
-    registered: &mut Option<u64>,
+    registered: &mut Option<StoreLease>,
     backoff: &mut RetryBackoff,
 ) -> Result<std::convert::Infallible, StoreError> {
     let options = &gateway.options;
@@ -332,24 +333,32 @@
         // The lease may still be valid after an outage.
         Some(lease) => lease,
         None => {
-            let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?.id;
+            let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
             let key = format!("{KEY_PREFIX}{}", options.name);
             let value = serde_json::to_vec(&PeerRecord::own(gateway))?;
-            let put = StorePut { key: &key, value: &value, lease, expected: None };
+            let condition = PutCondition::None;
+            let put = StorePut { key: &key, value: &value, lease: Some(lease), condition };
             client.put(&put, CALL_TIMEOUT).await?;
             *registered = Some(lease);
             backoff.reset();
-            gateway.clock.sleep(RENEW_INTERVAL).await;
+            wait_for_renewal(gateway, lease).await;
             lease
         }
     };
     loop {
         client.renew_lease(lease, CALL_TIMEOUT).await?;
         backoff.reset();
-        gateway.clock.sleep(RENEW_INTERVAL).await;
+        wait_for_renewal(gateway, lease).await;
     }
 }
 
+/// Waits until a lease is to be renewed. A new era of the key-value service ends the wait: the
+/// registration may be gone, and the other daemons need it within seconds.
+async fn wait_for_renewal(gateway: &Gateway, lease: StoreLease) {
+    // The next call tells which of both ended the wait.
+    let _ = gateway.clock.timeout(RENEW_INTERVAL, gateway.store.era_ended(lease.era)).await;
+}
+
 /// State that the tasks for the exchange of updates share.
 #[derive(Clone)]
 struct UpdateExchange {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
         relays,
         request_limit::ReturnQueue,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
+        store_era::StoreRevision,
     },
     time::Timestamp,
 };
@@ -78,7 +79,7 @@
     stored_suspects: HashSet<PartFingerprint>,
     origins: StreamOrigins,
     /// Revision of the key-value service up to which all changes of the entries have been applied.
-    pub listed_revision: u64,
+    pub listed_revision: StoreRevision,
     retries: HashMap<SmolStr, RetryCounter>,
     /// Returns of callers that were refused by the limits of a service's servers.
     returns: HashMap<SmolStr, ReturnQueue>,
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 use gooseberry_core::{
     serving::{
         fleet::EntryEffect,
+        store_era::{EraError, StoreRevision},
         watch_plan::{WatchPlan, WatchSource},
     },
     time::Timestamp,
@@ -48,7 +49,7 @@
 /// Watches the key-value service for as long as the process runs.
 pub async fn run(gateway: Arc<Gateway>, keys: GatewayKeys) {
     let mut watcher = StoreWatcher {
-        client: StoreClient::new(gateway.options.store),
+        client: gateway.store.client(),
         relay_client: RelayClient::default(),
         revision: None,
         has_read: false,
@@ -67,7 +68,7 @@
     client: StoreClient,
     relay_client: RelayClient,
     /// Revision up to which all changes are known.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     /// Whether this process has read all keys before.
     has_read: bool,
     plan: WatchPlan,
@@ -83,6 +84,7 @@
     async fn step(&mut self) {
         let now = self.gateway.now();
         give_up_missing(&self.gateway);
+        self.end_era(now);
         // A daemon that has just started reads all keys from the service itself.
         let relay = self.relay(now).filter(|_| self.revision.is_some());
         let source = self.plan.source(relay.is_some(), now);
@@ -112,6 +114,9 @@
                 }
             }
             Err(fault) => {
+                if matches!(fault, StoreError::Era(EraError::Ended { .. })) {
+                    return self.end_era(now);
+                }
                 record_error(&self.gateway, &fault, now);
                 if matches!(fault, StoreError::Compacted(_)) {
                     self.revision = None;
@@ -123,7 +128,36 @@
         }
     }
 
-    async fn watch_relay(&mut self, relay: SocketAddr, revision: u64, called_at: Timestamp) {
+    /// Drops what is known of an era of the key-value service that has ended, so that all keys are read
+    /// again. Servers whose entries are missing then have time to write them again, as after an outage.
+    fn end_era(&mut self, now: Timestamp) {
+        let newest = self.gateway.store.newest_era();
+        let Some(revision) = self.revision.filter(|revision| revision.era < newest) else {
+            return;
+        };
+        self.revision = None;
+        let peers = self.keys.peers.count();
+        let mut state = self.gateway.state.lock();
+        state.versions.record_gap();
+        state.fleet.connectivity.record_failure(now);
+        let servers = state.fleet.iter().count();
+        drop(state);
+        self.gateway.metrics.era_changes.inc();
+        tracing::warn!(
+            era = newest,
+            %revision,
+            servers,
+            peers,
+            "key-value service has come back from a copy; reading all keys again"
+        );
+    }
+
+    async fn watch_relay(
+        &mut self,
+        relay: SocketAddr,
+        revision: StoreRevision,
+        called_at: Timestamp,
+    ) {
         let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
         let call = self.plan.relay_call(is_failing, called_at);
         let fault = match self.relay_client.watch(&self.gateway, relay, revision, call).await {
@@ -158,7 +192,7 @@
         }
         // The keys may have been read from a replica that lags behind, so the revision never goes
         // back.
-        self.revision = Some(update.revision.max(self.revision.unwrap_or(0)));
+        self.revision = self.revision.max(Some(update.revision));
         if !std::mem::replace(&mut self.has_read, true) {
             restore_suspects(&self.gateway, &update.changes);
         }
@@ -167,7 +201,7 @@
         }
         let mut state = self.gateway.state.lock();
         state.versions.record_complete(now);
-        state.listed_revision = self.revision.unwrap_or(0);
+        state.listed_revision = self.revision.unwrap_or_default();
         state.fleet.connectivity.record_list(listed_at);
         drop(state);
         update_readiness(&self.gateway);
@@ -226,7 +260,7 @@
         state.fleet.iter().map(|(_, server)| server.entry.id.clone()).collect()
     };
     for id in known.iter().filter(|id| !listed.contains(id)) {
-        remove_server(gateway, id, update.revision);
+        remove_server(gateway, id, update.revision.number);
     }
 }
 
--- a/crates/gateway/src/stored_evidence.rs
+++ b/crates/gateway/src/stored_evidence.rs
@@ -9,7 +9,7 @@
     },
     prompt::PartFingerprint,
 };
-use gooseberry_platform::store::{StoreClient, StoreError, StorePut};
+use gooseberry_platform::store::{PutCondition, StoreClient, StoreError, StorePut};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -74,7 +74,7 @@
 /// Writes verdicts to the key-value service, where daemons that start later read them. Those that
 /// can't be written are returned to the state after a delay.
 pub async fn publish_verdicts(gateway: &Gateway, changes: VerdictChanges) {
-    let mut client = StoreClient::new(gateway.options.store);
+    let mut client = gateway.store.client();
     let mut failed = VerdictChanges::default();
     for conviction in changes.convicted {
         let engines = conviction.engines.iter().map(|engine| engine.0).collect();
@@ -117,15 +117,15 @@
 }
 
 async fn write(client: &mut StoreClient, key: &str, value: &[u8]) -> Result<(), StoreError> {
-    let lease = client.grant_lease(EVIDENCE_TTL, CALL_TIMEOUT).await?.id;
-    let put = StorePut { key, value, lease, expected: None };
+    let lease = Some(client.grant_lease(EVIDENCE_TTL, CALL_TIMEOUT).await?);
+    let put = StorePut { key, value, lease, condition: PutCondition::None };
     client.put(&put, CALL_TIMEOUT).await.map(|_| ())
 }
 
 /// Writes the crashes of requests under suspicion to the key-value service. Those that can't be written
 /// are returned to the state after a delay.
 pub async fn publish_suspects(gateway: &Gateway, histories: Vec<SuspectHistory>) {
-    let mut client = StoreClient::new(gateway.options.store);
+    let mut client = gateway.store.client();
     let mut failed = Vec::new();
     for history in histories {
         let part = history.part;
--- a/crates/gateway/tests/gateway/endless.rs
+++ b/crates/gateway/tests/gateway/endless.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_platform::store::StoreClient;
+use gooseberry_platform::store::StoreEndpoint;
 use gooseberry_standins::gateway_mocks::{self, ReceivedRequest};
 
 use crate::support::{self, get_request, status_code, write_text, ScriptedServer, System};
@@ -188,7 +188,7 @@
     for number in 0..endless_responses("").len() {
         let record: Arc<EndlessRecord> = Arc::default();
         let address = serve_endless(Arc::clone(&record), number);
-        let mut client = StoreClient::new(address);
+        let mut client = StoreEndpoint::new(address).client();
         let read = async_std::task::block_on(client.read_all(Duration::from_secs(2)));
         assert!(read.is_err());
         drop(client);
@@ -202,7 +202,7 @@
     let server = ScriptedServer::start(move |request, stream| {
         gateway_mocks::write_response(request, stream, page)
     });
-    let mut client = StoreClient::new(server.address);
+    let mut client = StoreEndpoint::new(server.address).client();
     let read = async_std::task::block_on(client.read_all(Duration::from_secs(2)));
     assert!(read.is_err() && server.received().len() <= 2, "{} calls", server.received().len());
 }
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -11,6 +11,7 @@
     time::Timestamp,
 };
 use gooseberry_gateway::{
+    changes::RelayMessage,
     peers::{PeerDirectory, PeerRecord},
     stored_evidence::{CrashRecord, SuspectRecord, VerdictRecord},
     updates::{
@@ -18,7 +19,7 @@
         PrefillEnd, ReachRecord, SendRecord, SendUpdate, SpeedSample, UpdateBundle, UpdateDatagram,
     },
 };
-use gooseberry_platform::store::{StoreChange, StoreKey, StoreUpdate};
+use gooseberry_platform::store::{StoreChange, StoreKey};
 use proptest::prelude::*;
 use strum::EnumCount;
 
@@ -317,7 +318,7 @@
 #[test]
 fn the_changes_of_a_relay_never_change() {
     let change = |subject, value| StoreChange { subject, revision: 300, value };
-    let update = StoreUpdate {
+    let message = RelayMessage {
         changes: vec![
             change(StoreKey::Configuration, Some(vec![1, 2])),
             change(StoreKey::Server("i-1".into()), None),
@@ -327,7 +328,7 @@
         revision: 301,
     };
     expect!["0400ac02010201020103692d31ac0200020b6461656d6f6e732f6f6e65ac02010003ac0200ad02"]
-        .assert_eq(&hex(&postcard::to_stdvec(&update).expect("encodes")));
+        .assert_eq(&hex(&postcard::to_stdvec(&message).expect("encodes")));
 }
 
 /// Daemons compare these hashes with those of others.
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod promises;
 mod quiet;
 mod repeated_refusals;
+mod restored_store;
 mod server_limits;
 mod support;
 mod truncation;
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -10,6 +10,7 @@
         part_evidence::EngineIncarnation,
         prompt::{PartFingerprint, PromptShape},
         software::{SoftwareKey, StreamKey},
+        store_era::StoreRevision,
     },
     time::Timestamp,
 };
@@ -25,6 +26,8 @@
 use gooseberry_standins::gateway_mocks;
 use http::StatusCode;
 
+/// Era of the key-value service.
+const ERA: u64 = 3;
 const START: Timestamp = Timestamp::from_millis(1_000_000);
 const START_TIMES: ListTimes = ListTimes { responded_at: START, listed_at: START };
 
@@ -139,35 +142,39 @@
     StoreChange { subject: StoreKey::Other, revision, value: None }
 }
 
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(ERA, number)
+}
+
 #[test]
 fn a_relay_returns_all_changes_after_a_revision() {
     let log = ChangeLog::default();
-    log.reset(10, START_TIMES);
+    log.reset(revision(10), START_TIMES);
     log.extend(
-        &StoreUpdate { changes: vec![change(11), change(12)], revision: 12 },
+        &StoreUpdate { changes: vec![change(11), change(12)], revision: revision(12) },
         Some(START_TIMES),
     );
-    let update = log.changes_after(11, START).expect("changes");
-    assert_eq!(update, StoreUpdate { changes: vec![change(12)], revision: 12 });
+    let update = log.changes_after(revision(11), ERA, START).expect("changes");
+    assert_eq!(update, StoreUpdate { changes: vec![change(12)], revision: revision(12) });
 }
 
 #[test]
 fn a_relay_without_the_service_or_the_changes_reports_it() {
     let log = ChangeLog::default();
-    assert_eq!(log.changes_after(0, START), Err(StatusCode::SERVICE_UNAVAILABLE));
-    log.reset(10, START_TIMES);
-    assert_eq!(log.changes_after(9, START), Err(StatusCode::GONE));
+    assert_eq!(log.changes_after(revision(0), ERA, START), Err(StatusCode::SERVICE_UNAVAILABLE));
+    log.reset(revision(10), START_TIMES);
+    assert_eq!(log.changes_after(revision(9), ERA, START), Err(StatusCode::GONE));
     let later = START + Duration::from_secs(3);
-    assert_eq!(log.changes_after(10, later), Err(StatusCode::SERVICE_UNAVAILABLE));
+    assert_eq!(log.changes_after(revision(10), ERA, later), Err(StatusCode::SERVICE_UNAVAILABLE));
     // Changes from another relay don't prove a connection to the service.
-    log.extend(&StoreUpdate { changes: vec![change(11)], revision: 11 }, None);
-    assert_eq!(log.changes_after(10, later), Err(StatusCode::SERVICE_UNAVAILABLE));
+    log.extend(&StoreUpdate { changes: vec![change(11)], revision: revision(11) }, None);
+    assert_eq!(log.changes_after(revision(10), ERA, later), Err(StatusCode::SERVICE_UNAVAILABLE));
 }
 
 #[test]
 fn a_relay_that_is_cut_off_holds_no_request_beyond_the_time_for_which_its_list_counts() {
     let log = ChangeLog::default();
-    log.reset(10, START_TIMES);
+    log.reset(revision(10), START_TIMES);
     let longest = Duration::from_millis(1200);
     for sent_ms in (0..4000).step_by(100) {
         let now = START + Duration::from_millis(sent_ms);
@@ -181,11 +188,33 @@
 #[test]
 fn old_changes_are_dropped_and_reported() {
     let log = ChangeLog::default();
-    log.reset(0, START_TIMES);
+    log.reset(revision(0), START_TIMES);
     let changes: Vec<_> = (1..=1000).map(change).collect();
-    log.extend(&StoreUpdate { changes, revision: 1000 }, Some(START_TIMES));
-    assert_eq!(log.changes_after(5, START), Err(StatusCode::GONE));
-    assert_eq!(log.changes_after(999, START).expect("changes").changes, vec![change(1000)]);
+    log.extend(&StoreUpdate { changes, revision: revision(1000) }, Some(START_TIMES));
+    assert_eq!(log.changes_after(revision(5), ERA, START), Err(StatusCode::GONE));
+    assert_eq!(
+        log.changes_after(revision(999), ERA, START).expect("changes").changes,
+        vec![change(1000)]
+    );
+}
+
+/// Guards against a relay that tells members of another era that nothing has changed.
+#[test]
+fn a_relay_serves_no_changes_of_another_era_than_its_own() {
+    let log = ChangeLog::default();
+    log.reset(revision(10), START_TIMES);
+    log.extend(
+        &StoreUpdate { changes: vec![change(11)], revision: revision(11) },
+        Some(START_TIMES),
+    );
+    let (earlier, later) = (StoreRevision::new(ERA - 1, 11), StoreRevision::new(ERA + 1, 11));
+    assert_eq!(log.changes_after(earlier, ERA, START), Err(StatusCode::GONE));
+    assert_eq!(log.changes_after(later, ERA, START), Err(StatusCode::SERVICE_UNAVAILABLE));
+    // The relay knows of a newer era and hasn't read its keys yet.
+    let known = log.changes_after(revision(11), ERA + 1, START);
+    assert_eq!(known, Err(StatusCode::SERVICE_UNAVAILABLE));
+    log.reset(StoreRevision::new(ERA + 1, 5), START_TIMES);
+    assert_eq!(log.changes_after(revision(11), ERA + 1, START), Err(StatusCode::GONE));
 }
 
 #[test]
--- a/crates/gateway/tests/gateway/odd_entries.rs
+++ b/crates/gateway/tests/gateway/odd_entries.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
-use gooseberry_gateway::changes::{ChangeLog, ListTimes};
-use gooseberry_platform::store::{StoreChange, StoreClient, StoreKey, StoreUpdate};
+use gooseberry_core::serving::store_era::StoreRevision;
+use gooseberry_gateway::changes::{ChangeLog, ListTimes, RelayMessage};
+use gooseberry_platform::store::{StoreChange, StoreEndpoint, StoreKey, StoreUpdate};
 use gooseberry_standins::gateway_mocks::{self, StandinStore, StoreBehaviour};
 use serde_json::json;
 
@@ -185,13 +186,19 @@
     };
     let expected =
         vec![change("large", 7, b""), change("nested", 7, b""), change("sound", 6, b"{}")];
-    let mut client = StoreClient::new(store.address);
+    let mut client = StoreEndpoint::new(store.address).client();
     let limit = Duration::from_secs(5);
     async_std::task::block_on(async {
         let read = client.read_all(limit).await.expect("the keys are read");
-        assert_eq!(read, StoreUpdate { changes: expected.clone(), revision: 7 });
-        let watched = client.watch(1, Duration::ZERO, limit).await.expect("the watch goes on");
-        assert_eq!(watched, StoreUpdate { changes: expected, revision: 7 });
+        assert_eq!(
+            read,
+            StoreUpdate { changes: expected.clone(), revision: StoreRevision::new(0, 7) }
+        );
+        let watched = client
+            .watch(StoreRevision::new(0, 1), Duration::ZERO, limit)
+            .await
+            .expect("the watch goes on");
+        assert_eq!(watched, StoreUpdate { changes: expected, revision: StoreRevision::new(0, 7) });
     });
 }
 
@@ -200,7 +207,7 @@
     let log = ChangeLog::default();
     let now = gooseberry_core::time::Timestamp::from_millis(1_000_000);
     let times = ListTimes { responded_at: now, listed_at: now };
-    log.reset(1, times);
+    log.reset(StoreRevision::new(0, 1), times);
     let changes: Vec<_> = odd_values()
         .into_iter()
         .enumerate()
@@ -210,14 +217,16 @@
             value: Some(value),
         })
         .collect();
-    let update = StoreUpdate { revision: 1 + changes.len() as u64, changes };
+    let update = StoreUpdate { revision: StoreRevision::new(0, 1 + changes.len() as u64), changes };
     log.extend(&update, Some(times));
-    let passed_on = log.changes_after(1, now).expect("the relay has the changes");
+    let passed_on =
+        log.changes_after(StoreRevision::new(0, 1), 0, now).expect("the relay has the changes");
     assert_eq!(passed_on, update);
-    let bytes = postcard::to_stdvec(&passed_on).expect("changes can be encoded");
+    let bytes =
+        postcard::to_stdvec(&RelayMessage::from(passed_on)).expect("changes can be encoded");
     assert_eq!(
-        postcard::from_bytes::<StoreUpdate>(&bytes).expect("changes can be decoded"),
-        update
+        postcard::from_bytes::<RelayMessage>(&bytes).expect("changes can be decoded"),
+        RelayMessage::from(update)
     );
 }
 
--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -218,14 +218,14 @@
     DroppingResponses,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct StoreItem {
     value: Option<String>,
     revision: u64,
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct StoreTables {
     items: BTreeMap<String, StoreItem>,
     revision: u64,
@@ -234,6 +234,16 @@
     /// TTL and end of each lease, by its id.
     leases: BTreeMap<u64, (Duration, Instant)>,
     behaviour: StoreBehaviour,
+    /// Number of the era, which rises each time the store comes back from a copy. A store without one
+    /// doesn't state it.
+    era: Option<u64>,
+}
+
+/// A copy of a store's items and leases.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    tables: StoreTables,
+    taken_at: Instant,
 }
 
 impl StoreTables {
@@ -312,7 +322,10 @@
 
     fn serve(&self, mut stream: TcpStream) {
         while let Some(request) = read_request(&mut stream) {
-            let behaviour = self.tables.lock().behaviour;
+            let (behaviour, era) = {
+                let tables = self.tables.lock();
+                (tables.behaviour, tables.era)
+            };
             let (status, body) = match behaviour {
                 StoreBehaviour::Unavailable => (503, Value::Null),
                 StoreBehaviour::Slow(delay) => {
@@ -323,11 +336,14 @@
                     self.respond(&request)
                 }
             };
-            if behaviour == StoreBehaviour::DroppingResponses {
+            // A call that waited while the store came back from a copy gets no response.
+            if behaviour == StoreBehaviour::DroppingResponses || self.tables.lock().era != era {
                 return;
             }
             let text = body.to_string();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", text.len());
+            let era = era.map(|era| format!("Store-Era: {era}\r\n")).unwrap_or_default();
+            let head =
+                format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {}\r\n\r\n", text.len());
             if !write_text(&mut stream, &(head + &text)) {
                 return;
             }
@@ -339,6 +355,30 @@
         self.tables.lock().behaviour = behaviour;
     }
 
+    /// States an era in all responses from now on.
+    pub fn state_era(&self, era: u64) {
+        self.tables.lock().era = Some(era);
+    }
+
+    /// Returns a copy of all items and leases.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { tables: self.tables.lock().clone(), taken_at: Instant::now() }
+    }
+
+    /// Comes back from a copy: what was written since is gone, revisions and ids of leases are given out
+    /// again, and the era rises by one. Leases of the copy have the time left that they had then.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let age = copy.taken_at.elapsed();
+        let mut tables = self.tables.lock();
+        let (era, behaviour) = (tables.era, tables.behaviour);
+        *tables = copy.tables.clone();
+        for (_, end) in tables.leases.values_mut() {
+            *end += age;
+        }
+        tables.behaviour = behaviour;
+        tables.era = Some(era.unwrap_or_default() + 1);
+    }
+
     /// Removes all history, so that a watch from an earlier revision gets 410.
     pub fn compact(&self) {
         let mut tables = self.tables.lock();
@@ -387,6 +427,11 @@
         tables.compacted_revision = tables.revision;
     }
 
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.tables.lock().revision
+    }
+
     /// Returns all keys.
     pub fn keys(&self) -> Vec<String> {
         let tables = self.tables.lock();
@@ -447,8 +492,8 @@
             {
                 let mut tables = self.tables.lock();
                 tables.expire_leases();
-                if after < tables.compacted_revision {
-                    return (410, json!({"error": "compacted"}));
+                if after < tables.compacted_revision || after > tables.revision {
+                    return (410, json!({"error": "no such history"}));
                 }
                 if tables.revision > after || Instant::now() >= end {
                     let newer = tables.items.iter().filter(|(_, item)| item.revision > after);
@@ -485,6 +530,9 @@
             let value = put["value"].as_str().unwrap().to_owned();
             revision = tables.write(put["key"].as_str().unwrap(), Some(value), lease);
         }
+        for key in body["remove"].as_array().into_iter().flatten() {
+            revision = tables.write(key.as_str().unwrap(), None, 0);
+        }
         (200, json!({"revision": revision}))
     }
 
