gateway: let fencing tokens rise across eras of the store

Cause: the token was the revision of the leader key, and the store gives out revisions again. Ruled out: a leader of the old era that goes on; it fails its renewal, and the second order came from the new one.

Change: the token is made of era and revision. In the first era it is the revision alone, as in the builds before, which lead in turn with this one while daemons are replaced; the first leader stores which era that is, every daemon remembers it, and the earliest one counts. A key that was written in a later era than its lease is removed, since another daemon may hold its lease.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod distance;
 pub mod event_stream;
+pub mod fencing;
 pub mod fleet;
 pub mod health;
 pub mod part_evidence;
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -1,8 +1,9 @@
 //! Elects the leader, the only daemon that orders engines to change their stage.
 //!
-//! The leader is the daemon that holds the leader key. The revision of the key is the fencing token
-//! of the orders. Not all engines check it, so a new leader waits until no order of the previous
-//! one can be in flight, and a leader renews its lease right before each order.
+//! The leader is the daemon that holds the leader key. The fencing token of its orders follows from
+//! the revision of the key, see [`gooseberry_core::serving::fencing`]. Not all engines check it, so a new
+//! leader waits until no order of the previous one can be in flight, and a leader renews its lease right
+//! before each order.
 
 use std::{
     collections::HashMap,
@@ -14,8 +15,10 @@
     arena::EngineKey,
     serving::{
         directory::EngineStage,
+        fencing::FirstEra,
         stage_demand::StageDemand,
         stages::{self, OrderState, StageChange},
+        store_era::StoreRevision,
     },
     time::Timestamp,
 };
@@ -26,6 +29,7 @@
 use gooseberry_transport::body;
 use http::StatusCode;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::{
@@ -36,6 +40,11 @@
 /// Key in the key-value service whose value is the name of the leader.
 pub const KEY: &str = "steward";
 
+/// Key in the key-value service with the first era of the fencing tokens, a [`FirstEraRecord`].
+pub const FIRST_ERA_KEY: &str = "fencing-first-era";
+
+/// Format of its value.
+const FIRST_ERA_FORMAT: u32 = 1;
 /// Time to live of the leader key without renewal.
 const LEASE_TTL: Duration = Duration::from_secs(4);
 /// Time between renewals.
@@ -59,10 +68,18 @@
 /// leader key.
 const ACQUIRE_SPREAD_MS: u64 = 400;
 
-/// Holder of the leader key, as of the last change of the watch.
+/// Value of the key with the first era. Other builds read it too, so fields are only added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FirstEraRecord {
+    pub version: u32,
+    pub first_era: u64,
+}
+
+/// Holder of the leader key and first era of the fencing tokens, as of the last change of the watch.
 #[derive(Debug, Default)]
 pub struct LeaderKey {
     holder: Mutex<Option<String>>,
+    first_era: Mutex<FirstEra>,
 }
 
 impl LeaderKey {
@@ -71,11 +88,40 @@
         *self.holder.lock() = holder;
     }
 
+    /// Records the first era that the key-value service keeps. Returns the era that is to be written in
+    /// its place if an earlier one is known.
+    pub fn set_first_era(&self, stored: Option<u64>) -> Option<u64> {
+        self.first_era.lock().record_stored(stored)
+    }
+
     fn is_free(&self) -> bool {
         self.holder.lock().is_none()
     }
 }
 
+/// Writes an earlier first era than the one that the key-value service keeps. If that fails, the next
+/// daemon that knows it writes it.
+pub async fn correct_first_era(gateway: &Gateway, first_era: u64) {
+    let mut client = gateway.store.client();
+    match write_first_era(&mut client, first_era, PutCondition::None).await {
+        Ok(()) => tracing::info!(first_era, "first era of the fencing tokens corrected"),
+        Err(fault) => {
+            tracing::info!(%fault, first_era, "first era of the fencing tokens not corrected");
+        }
+    }
+}
+
+async fn write_first_era(
+    client: &mut StoreClient,
+    first_era: u64,
+    condition: PutCondition,
+) -> Result<(), StoreError> {
+    let record = FirstEraRecord { version: FIRST_ERA_FORMAT, first_era };
+    let value = serde_json::to_vec(&record)?;
+    let put = StorePut { key: FIRST_ERA_KEY, value: &value, lease: None, condition };
+    client.put(&put, CALL_TIMEOUT).await.map(|_| ())
+}
+
 /// Acquires the leader key whenever it is free, and gives orders while holding it.
 pub async fn run(gateway: Arc<Gateway>, leader_key: Arc<LeaderKey>) {
     let spread = Duration::from_millis(gateway.daemon % ACQUIRE_SPREAD_MS);
@@ -86,7 +132,7 @@
         if is_cut || !gateway.is_ready() || !leader_key.is_free() {
             continue;
         }
-        match lead(&gateway, &mut client).await {
+        match lead(&gateway, &leader_key, &mut client).await {
             Ok(()) => {}
             Err(StoreError::Conflict) => tracing::debug!("another daemon is the leader"),
             Err(fault) => tracing::info!(%fault, "leadership lost or not acquired"),
@@ -97,10 +143,11 @@
 /// State of this daemon while it is the leader.
 struct LeaderTerm<'a> {
     gateway: &'a Gateway,
+    leader_key: &'a LeaderKey,
     /// Lease of the leader key.
     lease: StoreLease,
-    /// Fencing token of the orders.
-    fence: u64,
+    /// Revision of the leader key.
+    revision: StoreRevision,
     /// Time since which a change to a stage has been planned for an engine of a failure domain.
     planned: HashMap<(SmolStr, EngineStage), Timestamp>,
     /// Load of each service that this daemon has observed as the leader.
@@ -109,18 +156,28 @@
     recent_orders: HashMap<EngineKey, (OrderState, Timestamp)>,
 }
 
-async fn lead(gateway: &Gateway, client: &mut StoreClient) -> Result<(), StoreError> {
+async fn lead(
+    gateway: &Gateway,
+    leader_key: &LeaderKey,
+    client: &mut StoreClient,
+) -> Result<(), StoreError> {
     let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
     let name = gateway.options.name.as_bytes();
     let put =
         StorePut { key: KEY, value: name, lease: Some(lease), condition: PutCondition::Missing };
-    let fence = client.put(&put, CALL_TIMEOUT).await?.number;
-    tracing::info!(fence, "became leader");
+    let revision = client.put(&put, CALL_TIMEOUT).await?;
+    if revision.era != lease.era {
+        // The key may belong to a lease of another daemon, which would keep it.
+        tracing::info!(%revision, "key-value service came back from a copy during the election");
+        return client.remove(KEY, revision, CALL_TIMEOUT).await;
+    }
+    tracing::info!(%revision, "became leader");
     let acquired_at = gateway.now();
     let mut term = LeaderTerm {
         gateway,
+        leader_key,
         lease,
-        fence,
+        revision,
         planned: HashMap::new(),
         demand: HashMap::new(),
         recent_orders: HashMap::new(),
@@ -132,6 +189,7 @@
             return Ok(());
         }
         client.renew_lease(lease, CALL_TIMEOUT).await?;
+        term.store_first_era(client).await?;
         let due = term.due();
         if gateway.now().since(acquired_at) >= TAKEOVER_WAIT {
             for change in due {
@@ -143,6 +201,28 @@
 }
 
 impl LeaderTerm<'_> {
+    /// Writes the first era of the fencing tokens if the key-value service doesn't keep it.
+    async fn store_first_era(&self, client: &mut StoreClient) -> Result<(), StoreError> {
+        let (unstored, is_known) = {
+            let first_era = self.leader_key.first_era.lock();
+            (first_era.unstored(self.revision.era), first_era.is_known())
+        };
+        let Some(first_era) = unstored else {
+            return Ok(());
+        };
+        let condition = if is_known { PutCondition::None } else { PutCondition::Missing };
+        match write_first_era(client, first_era, condition).await {
+            Ok(()) => {
+                self.leader_key.set_first_era(Some(first_era));
+                tracing::info!(first_era, "first era of the fencing tokens stored");
+                Ok(())
+            }
+            // Another daemon has written it, as the watch will tell.
+            Err(StoreError::Conflict) => Ok(()),
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Returns the changes that have been planned for long enough.
     fn due(&mut self) -> Vec<StageChange> {
         let now = self.gateway.now();
@@ -187,6 +267,10 @@
         if is_quiet {
             return Ok(());
         }
+        let Some(fence) = self.leader_key.first_era.lock().token(self.revision) else {
+            tracing::info!(server = %target.id, "no order yet: the first era of the fencing tokens isn't stored");
+            return Ok(());
+        };
         let pending = OrderState::Pending(change.stage);
         self.recent_orders.insert(change.engine, (pending, gateway.now()));
         let Some(orders) = accepted_orders(gateway, &target).await else {
@@ -199,7 +283,7 @@
             server_id: &target.id,
             stage: change.stage,
             holder: &gateway.options.name,
-            fence: self.fence,
+            fence,
             expected_orders: orders,
         };
         if renewed.elapsed() > MAX_RENEWAL_AGE {
@@ -220,7 +304,7 @@
         tracing::info!(
             server = %target.id,
             stage = %change.stage,
-            fence = self.fence,
+            fence,
             orders,
             status = outcome.as_u16(),
             "stage change ordered"
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
+use async_std::task;
 use gooseberry_core::{
     serving::{
         fleet::EntryEffect,
@@ -20,7 +21,7 @@
 use crate::{
     changes::{self, ChangeLog, ListTimes, RelayClient, RelayUpdate},
     gateway::Gateway,
-    leader::{self, LeaderKey},
+    leader::{self, FirstEraRecord, LeaderKey},
     peers::{self, PeerDirectory, PeerRecord},
     stored_evidence,
 };
@@ -274,11 +275,14 @@
     if !listed.contains(leader::KEY) {
         keys.leader.set_holder(None);
     }
+    if !listed.contains(leader::FIRST_ERA_KEY) {
+        keys.leader.set_first_era(None);
+    }
     let listed_peers = listed.iter().filter_map(|key| key.strip_prefix(peers::KEY_PREFIX));
     keys.peers.retain(&listed_peers.collect());
 }
 
-fn apply(gateway: &Gateway, keys: &GatewayKeys, change: StoreChange) {
+fn apply(gateway: &Arc<Gateway>, keys: &GatewayKeys, change: StoreChange) {
     let revision = change.revision;
     match (change.subject, change.value) {
         (StoreKey::Configuration, Some(text)) => put_configuration(gateway, &text, revision),
@@ -340,9 +344,16 @@
     }
 }
 
-fn apply_own_key(gateway: &Gateway, keys: &GatewayKeys, key: &SmolStr, value: Option<Vec<u8>>) {
+fn apply_own_key(
+    gateway: &Arc<Gateway>,
+    keys: &GatewayKeys,
+    key: &SmolStr,
+    value: Option<Vec<u8>>,
+) {
     if key == leader::KEY {
         keys.leader.set_holder(value.map(|name| String::from_utf8_lossy(&name).into_owned()));
+    } else if key == leader::FIRST_ERA_KEY {
+        put_first_era(gateway, &keys.leader, value);
     } else if let Some(part) = key.strip_prefix(stored_evidence::VERDICT_PREFIX) {
         // A verdict whose lease has expired stays in force until its sentence ends.
         if let Some(value) = value {
@@ -355,6 +366,21 @@
     }
 }
 
+fn put_first_era(gateway: &Arc<Gateway>, leader_key: &LeaderKey, value: Option<Vec<u8>>) {
+    let record = value.map(|value| serde_json::from_slice::<FirstEraRecord>(&value)).transpose();
+    let stored = match record {
+        Ok(record) => record.map(|record| record.first_era),
+        Err(error) => {
+            tracing::warn!(%error, "first era of the fencing tokens can't be decoded");
+            None
+        }
+    };
+    if let Some(earlier) = leader_key.set_first_era(stored) {
+        let gateway = Arc::clone(gateway);
+        task::spawn(async move { leader::correct_first_era(&gateway, earlier).await });
+    }
+}
+
 fn restore_suspects(gateway: &Gateway, changes: &[StoreChange]) {
     for change in changes {
         if let (StoreKey::Own(key), Some(value)) = (&change.subject, &change.value) {
--- a/crates/gateway/tests/gateway/restored_store.rs
+++ b/crates/gateway/tests/gateway/restored_store.rs
@@ -1,9 +1,14 @@
 //! A key-value service that comes back from a copy.
 
+use std::sync::Arc;
+
 use gooseberry_standins::gateway_mocks::{self, StoreCopy};
-use serde_json::json;
+use parking_lot::Mutex;
+use serde_json::{json, Value};
 
-use crate::support::{get_request, server_entry, write_response, ScriptedServer, System};
+use crate::support::{
+    self, get_request, server_entry, write_response, write_text, ScriptedServer, System,
+};
 
 /// Brings the store back from a copy, and has the operator and the servers write until the store has
 /// given out again all revisions that the gateway knows.
@@ -43,3 +48,50 @@
     system.wait_version(2);
     assert!(system.send(&get_request("/plain/x", "")).ends_with("new"));
 }
+
+/// An engine that records the fencing tokens of its orders, and never carries one out.
+fn recording_engine(fences: &Arc<Mutex<Vec<u64>>>) -> ScriptedServer {
+    let fences = Arc::clone(fences);
+    ScriptedServer::start(move |request, stream| {
+        let report = json!({
+            "stage": "decode", "models": [], "busy": false, "sequence": 0, "queued": 0, "active": 0,
+            "kv-used": 0, "kv-total": 100_000, "kv-handles": 0,
+        });
+        if request.path().ends_with("/order") {
+            let order: Value = serde_json::from_str(&request.body).expect("an order in JSON");
+            fences.lock().push(order["fence"].as_u64().expect("a fencing token"));
+            return write_text(stream, "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n");
+        }
+        write_response(request, stream, &report.to_string())
+    })
+}
+
+/// Guards against a leader whose fencing token is a revision that the store has given out again: engines
+/// can't tell its orders from those of the leader before the drill.
+#[test]
+fn fencing_tokens_rise_after_the_store_came_back_from_a_copy() {
+    let system = System::start();
+    system.store.state_era(1);
+    let copy = system.store.copy();
+    system.configure(1);
+    let fences = Arc::default();
+    let engines = [recording_engine(&fences), recording_engine(&fences)];
+    let register = || {
+        for (id, engine) in ["one", "two"].iter().zip(&engines) {
+            system.store.put_server(id, &server_entry("model", engine, "decode", "ready"));
+        }
+    };
+    for _ in 0..5 {
+        register();
+    }
+    support::wait_for(|| !fences.lock().is_empty());
+    let first = fences.lock().clone();
+    // The leader key is gone, with the lease that has its id in the new era.
+    system.store.restore(&copy);
+    system.configure(1);
+    register();
+    support::wait_for(|| fences.lock().len() > first.len());
+    let fences = fences.lock();
+    assert!(fences.is_sorted(), "fencing tokens in the order of the orders: {fences:?}");
+    assert!(fences.last() > fences.first(), "one token in two eras: {fences:?}");
+}
