gateway: accept late requests in a shutdown only if their deadline allows it

Cause: the bounds, 4 s for streams and 1.5 s for calls, were taken from traces of the deployments at hand; the requests state their own. Ruled out: the exit comes no earlier than grace_s less the reserve.

Change: a request is accepted if its deadline or its route's timeout comes before the exit. In the 2.6 s before the load balancer knows of the stop it is also accepted if all recent requests of its route would have ended in time.

Measured: both tests of gateway/tests/gateway/shutdown.rs failed on (the requests were passed on) and pass.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -110,19 +110,23 @@
         }
     };
     call.deadline = arrived_at + time_left.min(route.row.timeout);
-    if let Some(until_exit) = gateway.time_until_exit() {
-        if !shutdown::can_finish(route.row.kind, call.time_left(), until_exit) {
+    let name = route.row.name.clone();
+    if let Some(progress) = gateway.shutdown_progress() {
+        let longest = gateway.longest_duration(&name);
+        if !shutdown::accepts(call.time_left(), longest, progress) {
             return call.refuse(crate::call::unavailable(), "this daemon is shutting down");
         }
     }
     let limit = call.time_left() + TIMEOUT_SLACK;
-    let name = route.row.name.clone();
     let response = match gateway.clock.timeout(limit, call.run(&route)).await {
         Ok(response) => response,
         Err(_) if call.may_have_run() => call.refuse(LocalResponse::TimedOut, "deadline"),
         Err(_) => call.refuse(crate::call::unavailable(), "deadline passed before any send"),
     };
     let elapsed = gateway.now().since(arrived_at);
+    if !route.row.kind.is_stream() {
+        gateway.record_duration(&name, elapsed);
+    }
     gateway.metrics.latency.with_label_values(&[&name]).observe(elapsed.as_secs_f64());
     let status = response.status();
     gateway.metrics.requests.with_label_values(&[&name, status.as_str()]).inc();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,10 @@
 };
 
 use async_channel::{Receiver, Sender};
-use gooseberry_core::time::Timestamp;
+use gooseberry_core::{
+    serving::shutdown::{RecentDurations, ShutdownProgress},
+    time::Timestamp,
+};
 use gooseberry_edges::clock::Clock;
 use gooseberry_platform::store::StoreEndpoint;
 use gooseberry_transport::{pool::ConnectionPool, server::HttpServer};
@@ -62,6 +65,8 @@
     pub refused_forwards: Mutex<HashMap<SmolStr, Timestamp>>,
     /// Requests of other daemons whose response head hasn't been returned yet.
     pub taken: AtomicUsize,
+    /// Durations of recent requests, by route.
+    durations: Mutex<HashMap<SmolStr, RecentDurations>>,
     /// Services that this daemon may be cut off from.
     suspicion_channel: (Sender<SmolStr>, Receiver<SmolStr>),
     /// Wakes the task that sends updates to the other daemons.
@@ -91,6 +96,7 @@
             forwards: Mutex::default(),
             refused_forwards: Mutex::default(),
             taken: AtomicUsize::new(0),
+            durations: Mutex::default(),
             suspicion_channel: async_channel::unbounded(),
             wake_channel: async_channel::bounded(1),
         }
@@ -121,11 +127,22 @@
         self.stopping_since.lock().is_some()
     }
 
-    /// Returns the time until this daemon exits, if it is shutting down.
-    pub fn time_until_exit(&self) -> Option<Duration> {
-        let since = (*self.stopping_since.lock())?;
+    /// Returns the progress of the shutdown, if this daemon is shutting down.
+    pub fn shutdown_progress(&self) -> Option<ShutdownProgress> {
+        let since_start = self.now().since((*self.stopping_since.lock())?);
         let grace = self.limits.lock().grace.saturating_sub(GRACE_RESERVE);
-        Some(grace.saturating_sub(self.now().since(since)))
+        Some(ShutdownProgress { since_start, until_exit: grace.saturating_sub(since_start) })
+    }
+
+    /// Records how long a request of a route took to the end of its response.
+    pub fn record_duration(&self, route: &SmolStr, duration: Duration) {
+        let mut durations = self.durations.lock();
+        durations.entry(route.clone()).or_default().record(duration, self.now());
+    }
+
+    /// Returns the longest duration of the recent requests of a route.
+    pub fn longest_duration(&self, route: &str) -> Option<Duration> {
+        self.durations.lock().get(route)?.longest(self.now())
     }
 
     /// Records that this daemon is shutting down.
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use async_channel::Receiver;
 use async_std::{net::TcpListener, task};
+use gooseberry_core::serving::shutdown;
 use gooseberry_edges::{
     clock::Clock,
     stop::{self, StopSignal},
@@ -32,9 +33,6 @@
 /// Longest wait for the next request on a connection. The deployments specify 15 s, of which
 /// callers use four fifths.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(15_000);
-/// Time after SIGTERM in which the load balancer still sends new connections: two of its health
-/// checks, which it makes every second.
-const DRAIN_DURATION: Duration = Duration::from_millis(2600);
 /// Time between reads of the settings file.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between checks whether requests are still running.
@@ -135,12 +133,13 @@
     gateway.set_stopping();
     let open = callers.open_connections();
     tracing::info!(running = gateway.running.load(Ordering::Relaxed), open, "stopping");
-    gateway.clock.sleep(DRAIN_DURATION).await;
+    gateway.clock.sleep(shutdown::NOTICE_DURATION).await;
     let peer_server = &gateway.peer_server;
     callers.close();
     peer_server.close();
     let open_connections = || callers.open_connections() + peer_server.open_connections();
-    let is_over = || gateway.time_until_exit().is_none_or(|left| left.is_zero());
+    let is_over =
+        || gateway.shutdown_progress().is_none_or(|progress| progress.until_exit.is_zero());
     while open_connections() > 0 && !is_over() {
         gateway.clock.sleep(POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -379,8 +379,8 @@
             if answer.response.status().is_server_error() {
                 send::record_failure(gateway, target, "the engine responded with a server error");
             }
-            let kind = route.row.kind;
-            PromptAttempt::Responded(stream::forward(call, kind, target, *answer, prefill_guard))
+            let row = &route.row;
+            PromptAttempt::Responded(stream::forward(call, row, target, *answer, prefill_guard))
         }
         SendOutcome::NotRun(reason) => {
             call.execution.record_not_run();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,7 @@
 use futures_lite::FutureExt;
 use gooseberry_core::{
     serving::{
-        configuration::RouteKind,
+        configuration::RouteRow,
         event_stream::{BodyFraming, EventTracker},
         prompt::{self, PartFingerprint},
     },
@@ -39,6 +39,8 @@
     gateway: Arc<Gateway>,
     target: SendTarget,
     request_id: SmolStr,
+    route: SmolStr,
+    arrived_at: Timestamp,
     blamable_parts: Vec<PartFingerprint>,
     trial: Option<Arc<TrialGuard>>,
     time_left: Duration,
@@ -89,13 +91,13 @@
 /// Returns the caller's response and starts a task that forwards the body to it.
 pub fn forward(
     call: &Call,
-    kind: RouteKind,
+    route: &RouteRow,
     target: &SendTarget,
     answer: SendResponse,
     prefill_guard: Option<PrefillGuard>,
 ) -> Response<ResponseBody> {
     let (sender, receiver) = async_channel::bounded(CHUNK_BUFFER);
-    let has_events = engine::has_events(&answer.response, kind);
+    let has_events = engine::has_events(&answer.response, route.kind);
     // Whether a stream of events is complete is known only after its last byte, when a stated
     // length would already have made it complete for the caller.
     let length = answer.response.headers().get(header::CONTENT_LENGTH);
@@ -112,6 +114,8 @@
         gateway: Arc::clone(&call.gateway),
         target: target.clone(),
         request_id: call.head.request_id.clone(),
+        route: route.name.clone(),
+        arrived_at: call.arrived_at,
         blamable_parts: call.blamable_parts.clone(),
         trial: call.trial.lock().clone(),
         time_left: call.time_left(),
@@ -163,6 +167,10 @@
             .inc();
         drop(guard);
         self.prefill_guard = None;
+        if matches!(end, StreamEnd::Whole | StreamEnd::TimedOut) {
+            let duration = self.gateway.now().since(self.arrived_at);
+            self.gateway.record_duration(&self.route, duration);
+        }
         match end {
             StreamEnd::Whole => {
                 send::record_success(&self.gateway, self.target.key);
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod repeated_refusals;
 mod restored_store;
 mod server_limits;
+mod shutdown;
 mod support;
 mod truncation;
 mod versions;
