gateway: don't use servers by entries that a copy of the store has restored

The copy's entries are older than what the daemon knows, and were applied as news.

Change: entries in the first read of a new era are compared with what is known: one of an earlier start, or of a server whose entry was removed, counts as missing until the server writes it again. If a removed one is still there after 10 s, by which time the entry of a silent server has expired, it counts.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -27,6 +27,7 @@
 pub mod reach;
 pub mod relays;
 pub mod request_limit;
+pub mod restored_entries;
 pub mod shutdown;
 pub mod software;
 pub mod stage_demand;
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -194,6 +194,15 @@
     Updated,
 }
 
+/// Why an entry is older than what is known of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutdatedEntry {
+    /// The server has started again since.
+    EarlierStart,
+    /// The entry of this start was removed.
+    Removed,
+}
+
 /// Returns the key of a server's present incarnation.
 pub fn incarnation(entry: &ServerEntry) -> EngineIncarnation {
     let started_at = entry.started_at_ms.unwrap_or_default().to_be_bytes();
@@ -278,6 +287,18 @@
         }
     }
 
+    /// Returns why an entry is older than what is known of its server, or none if it isn't.
+    pub fn outdated(&self, entry: &ServerEntry) -> Option<OutdatedEntry> {
+        let server = &self.servers[self.key(&entry.id)?];
+        let starts = server.entry.started_at_ms.zip(entry.started_at_ms);
+        if starts.is_some_and(|(known, other)| other < known) {
+            return Some(OutdatedEntry::EarlierStart);
+        }
+        let is_removed =
+            server.presence == ServerPresence::Gone && server.entry.is_same_start(entry);
+        is_removed.then_some(OutdatedEntry::Removed)
+    }
+
     /// Records that an entry is missing. Returns the new presence of the server if it changed.
     pub fn remove(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
         let key = self.key(id)?;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,13 +16,14 @@
         configuration::ServingConfiguration,
         connections,
         directory::{ServerEntry, ServerPresence},
-        fleet::{self, EntryEffect, ServerFleet},
+        fleet::{self, EntryEffect, OutdatedEntry, ServerFleet},
         part_evidence::{EngineIncarnation, PartConviction, PartEvidence, VerdictChanges},
         prompt::PartFingerprint,
         rate::EventRate,
         reach::ServiceReach,
         relays,
         request_limit::ReturnQueue,
+        restored_entries::RestoredEntries,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
         store_era::StoreRevision,
     },
@@ -56,6 +57,7 @@
     pub fleet: ServerFleet,
     pub parts: PartEvidence,
     pub versions: VersionHistory,
+    restored_entries: RestoredEntries,
     /// Requests of this daemon whose servers may have ended with them, oldest first.
     doubts: VecDeque<CrashDoubt>,
     /// Crashes that this daemon has confirmed lately, oldest first.
@@ -120,8 +122,28 @@
         true
     }
 
+    /// Holds back an entry of the copy from which the key-value service came back, if it is older than
+    /// what is known of its server. It counts as missing until the server writes it again. Returns
+    /// whether it is held back.
+    pub fn hold_outdated_server(&mut self, entry: ServerEntry, now: Timestamp) -> bool {
+        let Some(reason) = self.fleet.outdated(&entry) else {
+            return false;
+        };
+        self.remove_server(&entry.id, now);
+        if reason == OutdatedEntry::Removed {
+            self.restored_entries.hold(entry, now);
+        }
+        true
+    }
+
+    /// Takes the restored entries whose servers live although they didn't seem to.
+    pub fn take_confirmed_entries(&mut self, now: Timestamp) -> Vec<ServerEntry> {
+        self.restored_entries.take_confirmed(now)
+    }
+
     /// Adds or updates a server from its entry.
     pub fn put_server(&mut self, entry: ServerEntry, now: Timestamp) -> EntryEffect {
+        self.restored_entries.discard(&entry.id);
         if let Some(key) = self.fleet.key(&entry.id) {
             let old = &self.fleet.server(key).entry;
             if SoftwareKey::of(old) != SoftwareKey::of(&entry) {
@@ -143,6 +165,7 @@
 
     /// Records that a server's entry is missing. Returns the server's new presence if it changed.
     pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
+        self.restored_entries.discard(id);
         let presence = self.fleet.remove(id, now)?;
         self.record_departure(id, now);
         Some(presence)
@@ -150,6 +173,7 @@
 
     /// Records that a server's entry names no server to use. Returns whether that is news.
     pub fn reject_server(&mut self, id: &str, now: Timestamp) -> bool {
+        self.restored_entries.discard(id);
         let is_news = self.fleet.reject(id);
         if is_news {
             self.record_departure(id, now);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -54,6 +54,7 @@
         relay_client: RelayClient::default(),
         revision: None,
         has_read: false,
+        is_restored: false,
         plan: WatchPlan::new(gateway.daemon, gateway.now()),
         gateway,
         keys,
@@ -72,6 +73,8 @@
     revision: Option<StoreRevision>,
     /// Whether this process has read all keys before.
     has_read: bool,
+    /// Whether the keys haven't been read yet since the key-value service came back from a copy.
+    is_restored: bool,
     plan: WatchPlan,
 }
 
@@ -85,6 +88,7 @@
     async fn step(&mut self) {
         let now = self.gateway.now();
         give_up_missing(&self.gateway);
+        confirm_restored(&self.gateway);
         self.end_era(now);
         // A daemon that has just started reads all keys from the service itself.
         let relay = self.relay(now).filter(|_| self.revision.is_some());
@@ -137,6 +141,7 @@
             return;
         };
         self.revision = None;
+        self.is_restored = true;
         let peers = self.keys.peers.count();
         let mut state = self.gateway.state.lock();
         state.versions.record_gap();
@@ -197,8 +202,9 @@
         if !std::mem::replace(&mut self.has_read, true) {
             restore_suspects(&self.gateway, &update.changes);
         }
+        let is_restored = std::mem::take(&mut self.is_restored);
         for change in update.changes {
-            apply(&self.gateway, &self.keys, change);
+            apply(&self.gateway, &self.keys, change, is_restored);
         }
         let mut state = self.gateway.state.lock();
         state.versions.record_complete(now);
@@ -220,6 +226,17 @@
     }
 }
 
+fn confirm_restored(gateway: &Gateway) {
+    let now = gateway.now();
+    let mut state = gateway.state.lock();
+    let entries = state.take_confirmed_entries(now);
+    for entry in entries {
+        let id = entry.id.clone();
+        state.put_server(entry, now);
+        tracing::info!(server = %id, "restored server entry hasn't expired; using the server");
+    }
+}
+
 fn give_up_missing(gateway: &Gateway) {
     let given_up = gateway.state.lock().give_up_missing(gateway.now());
     for id in given_up {
@@ -282,13 +299,18 @@
     keys.peers.retain(&listed_peers.collect());
 }
 
-fn apply(gateway: &Arc<Gateway>, keys: &GatewayKeys, change: StoreChange) {
+/// Applies a change. `is_restored` states whether the key-value service may have it from the copy from
+/// which it came back.
+fn apply(gateway: &Arc<Gateway>, keys: &GatewayKeys, change: StoreChange, is_restored: bool) {
     let revision = change.revision;
     match (change.subject, change.value) {
         (StoreKey::Configuration, Some(text)) => put_configuration(gateway, &text, revision),
         (StoreKey::Configuration, None) => {
             tracing::warn!(revision, "configuration is missing; keeping the current one");
         }
+        (StoreKey::Server(id), Some(text)) if is_restored => {
+            put_restored_server(gateway, &id, &text, revision);
+        }
         (StoreKey::Server(id), Some(text)) => put_server(gateway, &id, &text, revision),
         (StoreKey::Server(id), None) => remove_server(gateway, &id, revision),
         (StoreKey::Own(key), value) => apply_own_key(gateway, keys, &key, value),
@@ -312,6 +334,18 @@
     }
 }
 
+fn put_restored_server(gateway: &Gateway, id: &SmolStr, text: &[u8], revision: u64) {
+    let is_outdated = servers::decode(id, text).is_ok_and(|entry| {
+        let mut state = gateway.state.lock();
+        state.hold_outdated_server(entry, gateway.now())
+    });
+    if is_outdated {
+        tracing::info!(server = %id, revision, "restored server entry is older than what is known; waiting for the server to write it again");
+    } else {
+        put_server(gateway, id, text, revision);
+    }
+}
+
 fn put_server(gateway: &Gateway, id: &SmolStr, text: &[u8], revision: u64) {
     match servers::decode(id, text) {
         Ok(entry) => {
--- a/crates/gateway/tests/gateway/restored_store.rs
+++ b/crates/gateway/tests/gateway/restored_store.rs
@@ -95,3 +95,43 @@
     assert!(fences.is_sorted(), "fencing tokens in the order of the orders: {fences:?}");
     assert!(fences.last() > fences.first(), "one token in two eras: {fences:?}");
 }
+
+/// Guards against an entry that is older than what is known of its server: in the copy, the server hasn't
+/// left yet.
+#[test]
+fn a_server_that_left_gets_no_requests_when_its_entry_is_restored() {
+    let system = System::start();
+    system.store.state_era(1);
+    system.configure(1);
+    let (stays, leaves) = (server("stays"), server("leaves"));
+    let register = |id: &str, server: &ScriptedServer| {
+        let mut entry = server_entry("plain", server, "", "ready");
+        entry["born"] = 1000.into();
+        system.store.put_server(id, &entry);
+        system.wait(|state| state.fleet.key(id).is_some());
+    };
+    register("two", &leaves);
+    register("one", &stays);
+    let copy = system.store.copy();
+    // The server serves on.
+    system.store.remove_server("two");
+    system.wait(|state| state.is_entry_missing("two"));
+    system.store.restore(&copy);
+    system.store.put("gateway/unrelated", &json!(1));
+    system.wait(|state| {
+        let listed = state.listed_revision;
+        listed.era == 2 && listed.number == system.store.revision()
+    });
+    assert!(!is_usable(&system, "two"));
+    for _ in 0..20 {
+        assert!(system.send(&get_request("/plain/x", "")).ends_with("stays"));
+    }
+    register("two", &leaves);
+    support::wait_for(|| is_usable(&system, "two"));
+}
+
+fn is_usable(system: &System, id: &str) -> bool {
+    let state = system.gateway.state.lock();
+    let key = state.fleet.key(id).expect("known server");
+    state.fleet.server(key).is_usable(system.gateway.now())
+}
