gateway: store evidence on crashes again after the store lost it

What a daemon had written once counted as stored in every era, and the copy's verdicts counted as news.

Change: the first leader of a new era writes all evidence that it knows, one daemon instead of all. An acquittal in the first read of an era doesn't overturn a conviction that the daemon knows; a conviction there was already weighed against completed requests.

--- a/crates/core/src/serving/part_evidence/history.rs
+++ b/crates/core/src/serving/part_evidence/history.rs
@@ -38,6 +38,12 @@
         record.is_some_and(|record| record.crashes.len() >= REMEMBERED_CRASHES)
     }
 
+    /// Iterates over the whole requests with repeated crashes.
+    pub fn repeated_requests(&self) -> impl Iterator<Item = PartFingerprint> + '_ {
+        let parts = self.records.keys().copied();
+        parts.filter(|part| part.is_request() && self.has_repeated_crashes(*part))
+    }
+
     /// Returns the crashes of a whole request, if there are several and no verdict on it.
     pub fn suspect_history(&self, part: PartFingerprint, now: Timestamp) -> Option<SuspectHistory> {
         let record = self.records.get(&part).filter(|_| part.is_request())?;
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -173,6 +173,9 @@
     }
     tracing::info!(%revision, "became leader");
     let acquired_at = gateway.now();
+    if gateway.store.has_changed_era() {
+        gateway.state.lock().store_evidence_again();
+    }
     let mut term = LeaderTerm {
         gateway,
         leader_key,
--- a/crates/gateway/src/state/evidence.rs
+++ b/crates/gateway/src/state/evidence.rs
@@ -211,6 +211,13 @@
         self.verdict_changes.acquitted.extend(changes.acquitted);
     }
 
+    /// Queues all that is to be stored, for a key-value service that has lost some of it.
+    pub fn store_evidence_again(&mut self) {
+        let convicted = self.parts.convictions();
+        self.return_verdict_changes(VerdictChanges { convicted, ..Default::default() });
+        self.unstored_suspects.extend(self.parts.repeated_requests());
+    }
+
     /// Takes the histories of the requests under suspicion that aren't in the key-value service yet, up
     /// to a limit. A history without crashes withdraws the stored one.
     pub fn take_suspect_histories(&mut self, now: Timestamp) -> Vec<SuspectHistory> {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -313,7 +313,7 @@
         }
         (StoreKey::Server(id), Some(text)) => put_server(gateway, &id, &text, revision),
         (StoreKey::Server(id), None) => remove_server(gateway, &id, revision),
-        (StoreKey::Own(key), value) => apply_own_key(gateway, keys, &key, value),
+        (StoreKey::Own(key), value) => apply_own_key(gateway, keys, &key, value, is_restored),
         (StoreKey::Other, _) => {}
     }
 }
@@ -383,6 +383,7 @@
     keys: &GatewayKeys,
     key: &SmolStr,
     value: Option<Vec<u8>>,
+    is_restored: bool,
 ) {
     if key == leader::KEY {
         keys.leader.set_holder(value.map(|name| String::from_utf8_lossy(&name).into_owned()));
@@ -391,7 +392,7 @@
     } else if let Some(part) = key.strip_prefix(stored_evidence::VERDICT_PREFIX) {
         // A verdict whose lease has expired stays in force until its sentence ends.
         if let Some(value) = value {
-            stored_evidence::apply_verdict(gateway, &part.into(), &value);
+            stored_evidence::apply_verdict(gateway, &part.into(), &value, is_restored);
         }
     } else if let Some(name) = key.strip_prefix(peers::KEY_PREFIX) {
         if name != gateway.options.name {
--- a/crates/gateway/src/stored_evidence.rs
+++ b/crates/gateway/src/stored_evidence.rs
@@ -180,8 +180,9 @@
     }
 }
 
-/// Applies a verdict from the key-value service.
-pub fn apply_verdict(gateway: &Gateway, name: &SmolStr, value: &[u8]) {
+/// Applies a verdict from the key-value service. `is_restored` states whether it may be from the copy from
+/// which the service came back.
+pub fn apply_verdict(gateway: &Gateway, name: &SmolStr, value: &[u8], is_restored: bool) {
     let part = u64::from_str_radix(name, 16).map(PartFingerprint);
     let (part, record) = match (part, serde_json::from_slice::<VerdictRecord>(value)) {
         (Ok(part), Ok(record)) => (part, record),
@@ -192,6 +193,9 @@
     };
     let now = gateway.now();
     let mut state = gateway.state.lock();
+    if is_restored && record.engines.is_empty() && state.parts.is_convicted(part) {
+        return tracing::info!(%part, "part was convicted after the acquittal that the key-value service has restored");
+    }
     if record.engines.is_empty() {
         state.parts.record_completion(&[part], now);
     } else {
--- a/crates/gateway/tests/gateway/restored_store.rs
+++ b/crates/gateway/tests/gateway/restored_store.rs
@@ -1,7 +1,11 @@
 //! A key-value service that comes back from a copy.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use gooseberry_core::serving::{
+    part_evidence::{EngineIncarnation, RepeatedCrash, SuspectHistory},
+    prompt::PartFingerprint,
+};
 use gooseberry_standins::gateway_mocks::{self, StoreCopy};
 use parking_lot::Mutex;
 use serde_json::{json, Value};
@@ -135,3 +139,51 @@
     let key = state.fleet.key(id).expect("known server");
     state.fleet.server(key).is_usable(system.gateway.now())
 }
+
+/// Guards against evidence that daemons which start later don't get, since the store has lost it.
+#[test]
+fn evidence_that_the_store_lost_is_stored_again() {
+    const KEY: &str = "gateway/crashing-parts/00000000000000aa";
+    let system = System::start();
+    system.store.state_era(1);
+    system.configure(1);
+    let (part, request) = (PartFingerprint(0xaa), PartFingerprint::of_request(7));
+    let copy = system.store.copy();
+    system.store.put(KEY, &json!({"engines": [1, 2, 3]}));
+    system.wait(|state| state.parts.is_convicted(part));
+    let history = SuspectHistory {
+        part: request,
+        crashes: (11..=12)
+            .map(|engine| RepeatedCrash {
+                engine: EngineIncarnation(engine),
+                after: Duration::from_secs(engine),
+                is_trial: false,
+            })
+            .collect(),
+    };
+    let now = system.gateway.now();
+    system.gateway.state.lock().restore_suspect(&history, now);
+    system.store.restore(&copy);
+    support::wait_for(|| system.store.keys().iter().any(|key| key == KEY));
+    let suspect = format!("gateway/suspect-requests/{request}");
+    support::wait_for(|| system.store.keys().contains(&suspect));
+}
+
+/// Guards against an acquittal of the copy that lets a part run which has been convicted since.
+#[test]
+fn an_acquittal_that_is_restored_is_not_applied_again() {
+    const KEY: &str = "gateway/crashing-parts/00000000000000aa";
+    let system = System::start();
+    system.store.state_era(1);
+    system.configure(1);
+    let part = PartFingerprint(0xaa);
+    system.store.put(KEY, &json!({"engines": []}));
+    system.store.put("gateway/unrelated", &json!(1));
+    system.wait(|state| state.listed_revision.number == system.store.revision());
+    let copy = system.store.copy();
+    system.store.put(KEY, &json!({"engines": (1..=12).collect::<Vec<u64>>()}));
+    system.wait(|state| state.parts.is_convicted(part));
+    system.store.restore(&copy);
+    system.wait(|state| state.listed_revision.era == 2);
+    assert!(system.gateway.state.lock().parts.is_convicted(part));
+}
