gateway: keep counting daemons whose registrations expired in an outage

Cause: all daemons dropped each other when the registrations were missing, took themselves for the only one, and registered again only at the next renewal, up to 7 s later. Ruled out: the era; the outage alone is enough.

Change: a daemon whose registration is missing counts for 3 s more, and one that misses its own writes it again at once, also if its lease still holds.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,6 +71,8 @@
     suspicion_channel: (Sender<SmolStr>, Receiver<SmolStr>),
     /// Wakes the task that sends updates to the other daemons.
     wake_channel: (Sender<()>, Receiver<()>),
+    /// Wakes the task that keeps this daemon registered.
+    registration_channel: (Sender<()>, Receiver<()>),
 }
 
 impl Gateway {
@@ -99,6 +101,7 @@
             durations: Mutex::default(),
             suspicion_channel: async_channel::unbounded(),
             wake_channel: async_channel::bounded(1),
+            registration_channel: async_channel::bounded(1),
         }
     }
 
@@ -167,6 +170,23 @@
         self.suspicion_channel.1.recv().await.ok()
     }
 
+    /// Records that this daemon's registration is missing in the key-value service.
+    pub fn record_lost_registration(&self) {
+        // A full channel means that the task has been woken already.
+        let _ = self.registration_channel.0.try_send(());
+    }
+
+    /// Records that this daemon's registration has been written again.
+    pub fn clear_lost_registration(&self) {
+        // An empty channel means that nothing has been recorded.
+        let _ = self.registration_channel.1.try_recv();
+    }
+
+    /// Waits until this daemon's registration is missing.
+    pub async fn registration_lost(&self) {
+        let _ = self.registration_channel.1.recv().await;
+    }
+
     /// Waits until there are updates to send.
     pub async fn updates_ready(&self) {
         let _ = self.wake_channel.1.recv().await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
 };
 
 use async_std::{net::UdpSocket, task};
+use futures_lite::FutureExt;
 use gooseberry_core::{
     serving::{
         backoff::RetryBackoff,
@@ -57,6 +58,10 @@
 const UNRESPONSIVE_DURATION: Duration = Duration::from_secs(5);
 /// Largest datagram that is received, in bytes.
 const DATAGRAM_LIMIT_BYTES: usize = 64 * 1024;
+/// Time in which a live daemon whose registration is missing writes it again. Until then it counts as
+/// registered: its lease may have expired in an outage of the key-value service, or the service came
+/// back from a copy.
+const REWRITE_WINDOW: Duration = Duration::from_secs(3);
 /// Number of updates from which a datagram is full. At about 50 bytes each, this many fit into one
 /// packet of most networks. A relay doesn't split the bundles that it forwards, so its datagrams
 /// may be larger.
@@ -134,6 +139,8 @@
     relay_since: Option<Timestamp>,
     /// Time at which it was found unresponsive as a relay.
     unresponsive_at: Option<Timestamp>,
+    /// Time since which its registration has been missing.
+    missing_since: Option<Timestamp>,
 }
 
 impl PeerRow {
@@ -144,6 +151,7 @@
             last_seen_at: now,
             relay_since: None,
             unresponsive_at: None,
+            missing_since: None,
             record,
         }
     }
@@ -200,16 +208,35 @@
         has_changed
     }
 
-    /// Removes a daemon.
-    pub fn remove(&self, name: &str) {
-        self.rows.lock().remove(name);
-        *self.cached_plan.lock() = None;
+    /// Records that the registration of a daemon is missing.
+    pub fn record_missing(&self, name: &str, now: Timestamp) {
+        if let Some(row) = self.rows.lock().get_mut(name) {
+            row.missing_since.get_or_insert(now);
+        }
     }
 
-    /// Removes all daemons that aren't in `named`.
-    pub fn retain(&self, named: &HashSet<&str>) {
-        self.rows.lock().retain(|name, _| named.contains(name.as_str()));
-        *self.cached_plan.lock() = None;
+    /// Records that the registrations of all daemons are missing that aren't in `named`.
+    pub fn retain(&self, named: &HashSet<&str>, now: Timestamp) {
+        for (name, row) in self.rows.lock().iter_mut() {
+            if !named.contains(name.as_str()) {
+                row.missing_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Removes the daemons whose registrations have been missing for so long that they have ended.
+    pub fn remove_expired(&self, now: Timestamp) {
+        let is_expired = |row: &PeerRow| {
+            row.missing_since.is_some_and(|since| now.since(since) >= REWRITE_WINDOW)
+        };
+        let mut rows = self.rows.lock();
+        let before = rows.len();
+        rows.retain(|_, row| !is_expired(row));
+        let has_changed = rows.len() < before;
+        drop(rows);
+        if has_changed {
+            *self.cached_plan.lock() = None;
+        }
     }
 
     /// Returns the relay plan, which is at most `PLAN_TTL` old.
@@ -328,35 +355,41 @@
     registered: &mut Option<StoreLease>,
     backoff: &mut RetryBackoff,
 ) -> Result<std::convert::Infallible, StoreError> {
-    let options = &gateway.options;
-    let lease = match *registered {
-        // The lease may still be valid after an outage.
-        Some(lease) => lease,
-        None => {
-            let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
-            let key = format!("{KEY_PREFIX}{}", options.name);
-            let value = serde_json::to_vec(&PeerRecord::own(gateway))?;
-            let condition = PutCondition::None;
-            let put = StorePut { key: &key, value: &value, lease: Some(lease), condition };
-            client.put(&put, CALL_TIMEOUT).await?;
-            *registered = Some(lease);
-            backoff.reset();
-            wait_for_renewal(gateway, lease).await;
-            lease
-        }
-    };
     loop {
-        client.renew_lease(lease, CALL_TIMEOUT).await?;
+        let lease = match *registered {
+            // The lease may still be valid after an outage.
+            Some(lease) => {
+                client.renew_lease(lease, CALL_TIMEOUT).await?;
+                lease
+            }
+            None => {
+                let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
+                let key = format!("{KEY_PREFIX}{}", gateway.options.name);
+                let value = serde_json::to_vec(&PeerRecord::own(gateway))?;
+                let condition = PutCondition::None;
+                let put = StorePut { key: &key, value: &value, lease: Some(lease), condition };
+                client.put(&put, CALL_TIMEOUT).await?;
+                gateway.clear_lost_registration();
+                *registered = Some(lease);
+                lease
+            }
+        };
         backoff.reset();
-        wait_for_renewal(gateway, lease).await;
+        if is_lost_before_renewal(gateway, lease).await {
+            tracing::info!("address registration was lost; registering again");
+            *registered = None;
+        }
     }
 }
 
-/// Waits until a lease is to be renewed. A new era of the key-value service ends the wait: the
-/// registration may be gone, and the other daemons need it within seconds.
-async fn wait_for_renewal(gateway: &Gateway, lease: StoreLease) {
-    // The next call tells which of both ended the wait.
-    let _ = gateway.clock.timeout(RENEW_INTERVAL, gateway.store.era_ended(lease.era)).await;
+/// Waits until a lease is to be renewed. Returns early, with true, if the registration was lost: the other
+/// daemons need it within seconds.
+async fn is_lost_before_renewal(gateway: &Gateway, lease: StoreLease) -> bool {
+    let era_ended = async {
+        gateway.store.era_ended(lease.era).await;
+    };
+    let lost = era_ended.or(gateway.registration_lost());
+    gateway.clock.timeout(RENEW_INTERVAL, lost).await.is_ok()
 }
 
 /// State that the tasks for the exchange of updates share.
@@ -402,6 +435,7 @@
         loop {
             self.gateway.clock.sleep(SUMMARY_INTERVAL).await;
             let now = self.gateway.now();
+            self.peers.remove_expired(now);
             let registered = self.peers.count();
             let (pending, running, repeated) = {
                 let mut state = self.gateway.state.lock();
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -190,7 +190,7 @@
         if self.revision.is_none() {
             self.gateway.state.lock().versions.record_gap();
             remove_missing_servers(&self.gateway, &update);
-            remove_missing_keys(&self.keys, &update);
+            remove_missing_keys(&self.gateway, &self.keys, &update);
             self.keys.changes.reset(update.revision, times);
         } else {
             let times = (source == WatchSource::Store).then_some(times);
@@ -282,8 +282,8 @@
     }
 }
 
-/// Removes the other daemons and the leader whose keys a read of all keys didn't return.
-fn remove_missing_keys(keys: &GatewayKeys, update: &StoreUpdate) {
+/// Records that the keys of other daemons and the leader are missing that a read of all keys didn't return.
+fn remove_missing_keys(gateway: &Gateway, keys: &GatewayKeys, update: &StoreUpdate) {
     let own_keys = update.changes.iter().filter_map(|change| match &change.subject {
         StoreKey::Own(key) => Some(key.as_str()),
         _ => None,
@@ -296,7 +296,11 @@
         keys.leader.set_first_era(None);
     }
     let listed_peers = listed.iter().filter_map(|key| key.strip_prefix(peers::KEY_PREFIX));
-    keys.peers.retain(&listed_peers.collect());
+    let listed_peers: HashSet<&str> = listed_peers.collect();
+    keys.peers.retain(&listed_peers, gateway.now());
+    if !listed_peers.contains(gateway.options.name.as_str()) {
+        gateway.record_lost_registration();
+    }
 }
 
 /// Applies a change. `is_restored` states whether the key-value service may have it from the copy from
@@ -397,6 +401,10 @@
     } else if let Some(name) = key.strip_prefix(peers::KEY_PREFIX) {
         if name != gateway.options.name {
             put_peer(gateway, &keys.peers, name, value);
+        } else if value.is_some() {
+            gateway.clear_lost_registration();
+        } else {
+            gateway.record_lost_registration();
         }
     }
 }
@@ -426,7 +434,7 @@
 
 fn put_peer(gateway: &Gateway, peers: &PeerDirectory, name: &str, value: Option<Vec<u8>>) {
     let Some(value) = value else {
-        peers.remove(name);
+        peers.record_missing(name, gateway.now());
         return;
     };
     match serde_json::from_slice::<PeerRecord>(&value) {
--- a/crates/gateway/tests/gateway/server_limits.rs
+++ b/crates/gateway/tests/gateway/server_limits.rs
@@ -9,10 +9,12 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_standins::gateway_mocks;
+use gooseberry_standins::gateway_mocks::{self, StoreBehaviour};
 use parking_lot::Mutex;
 
-use crate::support::{self, get_request, status_code, write_text, ScriptedServer, System};
+use crate::support::{
+    self, get_request, status_code, write_text, ScriptedServer, StandinStore, System,
+};
 
 /// Time after a server first named its limit from which the limit holds.
 const LIMIT_DELAY: Duration = Duration::from_secs(3);
@@ -195,3 +197,41 @@
     }
     assert!(served_share(&load(&daemons, "/plain/x", String::new)) == 1.0);
 }
+
+/// Loads daemons whose registrations disappear from the store, and checks the limit of their server.
+fn check_limit_without_registrations(disappear: fn(&StandinStore)) {
+    let server = LimitedServer::start(Some(4.0));
+    let daemons = start(6, "plain", &[(&server, "")]);
+    let store = &daemons[0].store;
+    store.state_era(1);
+    thread::scope(|scope| {
+        scope.spawn(|| load(&daemons, "/plain/x", String::new));
+        thread::sleep(LIMIT_DELAY);
+        disappear(store);
+    });
+    server.check();
+}
+
+/// Guards against daemons that take themselves for the only one, and use the whole limit, until the others
+/// renew their registrations.
+#[test]
+fn a_limit_holds_after_an_outage_in_which_the_registrations_expired() {
+    check_limit_without_registrations(|store| {
+        store.set_behaviour(StoreBehaviour::Unavailable);
+        thread::sleep(Duration::from_millis(1500));
+        store.expire_all_leases();
+        store.set_behaviour(StoreBehaviour::Normal);
+    });
+}
+
+/// Guards against the same after the store came back from a copy without the registrations.
+#[test]
+fn a_limit_holds_after_the_store_lost_the_registrations() {
+    check_limit_without_registrations(|store| {
+        for key in store.keys().iter().filter(|key| key.starts_with("gateway/daemons/")) {
+            store.remove(key);
+        }
+        let copy = store.copy();
+        store.restore(&copy);
+    });
+}
--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -379,6 +379,14 @@
         tables.era = Some(era.unwrap_or_default() + 1);
     }
 
+    /// Lets all leases expire, as they may while the store is down.
+    pub fn expire_all_leases(&self) {
+        let mut tables = self.tables.lock();
+        let now = Instant::now();
+        tables.leases.values_mut().for_each(|(_, end)| *end = now);
+        tables.expire_leases();
+    }
+
     /// Removes all history, so that a watch from an earlier revision gets 410.
     pub fn compact(&self) {
         let mut tables = self.tables.lock();
