gateway: ignore server entries that lack fields which servers always write

Cause: an entry without born counted as one of another start, which clears that the server drains. The other two fields weren't read.

Measured: a_server_that_leaves_gets_no_requests_by_an_entry_with_missing_fields failed on ("without born") and passes.

--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -287,6 +287,13 @@
         }
     }
 
+    /// Returns whether an entry doesn't state when its server started, although the server states it. Then
+    /// another writer has left the entry.
+    pub fn lacks_start(&self, entry: &ServerEntry) -> bool {
+        let known = self.key(&entry.id).and_then(|key| self.servers[key].entry.started_at_ms);
+        known.is_some() && entry.started_at_ms.is_none()
+    }
+
     /// Returns why an entry is older than what is known of its server, or none if it isn't.
     pub fn outdated(&self, entry: &ServerEntry) -> Option<OutdatedEntry> {
         let server = &self.servers[self.key(&entry.id)?];
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 use async_std::task;
 use gooseberry_core::{
     serving::{
+        directory::ServerEntry,
         fleet::EntryEffect,
         store_era::{EraError, StoreRevision},
         watch_plan::{WatchPlan, WatchSource},
@@ -351,26 +352,32 @@
 }
 
 fn put_server(gateway: &Gateway, id: &SmolStr, text: &[u8], revision: u64) {
-    match servers::decode(id, text) {
-        Ok(entry) => {
-            let (stage, is_draining) = (entry.stage, entry.is_draining);
-            let software = entry.software.clone();
-            let now = gateway.now();
-            let mut state = gateway.state.lock();
-            let was_missing = state.is_entry_missing(id);
-            let effect = state.put_server(entry, now);
-            drop(state);
-            if was_missing {
-                tracing::info!(server = %id, revision, %effect, "server entry came back");
-            }
-            if effect != EntryEffect::Unchanged {
-                tracing::info!(server = %id, revision, %effect, %stage, %software, is_draining, "server entry updated");
-            }
+    let fault = match servers::decode(id, text) {
+        Ok(entry) if !gateway.state.lock().fleet.lacks_start(&entry) => {
+            return put_entry(gateway, entry, revision);
         }
-        Err(fault) => {
-            let was_used = gateway.state.lock().reject_server(id, gateway.now());
-            tracing::warn!(server = %id, revision, %fault, was_used, "server entry can't be decoded; it names no server to use");
+        Ok(_) => {
+            "it doesn't state when the server started, which the server itself does".to_owned()
         }
+        Err(fault) => fault.to_string(),
+    };
+    let was_used = gateway.state.lock().reject_server(id, gateway.now());
+    tracing::warn!(server = %id, revision, fault, was_used, "server entry can't be decoded; it names no server to use");
+}
+
+fn put_entry(gateway: &Gateway, entry: ServerEntry, revision: u64) {
+    let (id, stage, is_draining) = (entry.id.clone(), entry.stage, entry.is_draining);
+    let software = entry.software.clone();
+    let now = gateway.now();
+    let mut state = gateway.state.lock();
+    let was_missing = state.is_entry_missing(&id);
+    let effect = state.put_server(entry, now);
+    drop(state);
+    if was_missing {
+        tracing::info!(server = %id, revision, %effect, "server entry came back");
+    }
+    if effect != EntryEffect::Unchanged {
+        tracing::info!(server = %id, revision, %effect, %stage, %software, is_draining, "server entry updated");
     }
 }
 
--- a/crates/gateway/tests/gateway/odd_entries.rs
+++ b/crates/gateway/tests/gateway/odd_entries.rs
@@ -257,3 +257,40 @@
         system.wait(|state| state.fleet.usable(&"model".into(), system.gateway.now()).count() == 0);
     }
 }
+
+/// Guards against an entry of another writer that is taken for a new start of a server which leaves.
+#[test]
+fn a_server_that_leaves_gets_no_requests_by_an_entry_with_missing_fields() {
+    for missing in ["born", "sequence", "cold-left-ms"] {
+        let system = System::start();
+        system.configure(1);
+        let (leaves, stays) = (server(), server());
+        let mut entry = server_entry("plain", &leaves, "", "ready");
+        entry["born"] = 1000.into();
+        system.store.put_server("leaves", &entry);
+        system.register("stays", "plain", &stays, "");
+        let presence = |is_usable: bool| {
+            system.wait(|state| {
+                let key = state.fleet.key("leaves");
+                key.is_some_and(|key| {
+                    state.fleet.server(key).is_usable(system.gateway.now()) == is_usable
+                })
+            });
+        };
+        presence(true);
+        entry["state"] = "draining".into();
+        system.store.put_server("leaves", &entry);
+        presence(false);
+        entry["state"] = "ready".into();
+        entry.as_object_mut().expect("an object").remove(missing);
+        system.store.put_server("leaves", &entry);
+        system.store.put("gateway/unrelated", &json!(1));
+        system.wait(|state| state.listed_revision.number == system.store.revision());
+        let before = leaves.received().len();
+        for _ in 0..12 {
+            assert_eq!(status_code(&system.send(&get_request("/plain/x", ""))), "200");
+        }
+        assert_eq!(leaves.received().len(), before, "without {missing}");
+        presence(false);
+    }
+}
