soak: let the store come back from copies of itself

Scenario drills: all faults of the mixed one, and a store that goes back, up to several times and overlapping, to a copy of 1 to 5 s; the operator and the live servers write again, and other entries expire. Servers state their start, report their load and record orders; a fencing token that goes back is a violation (FenceWentBack).

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -10,8 +10,8 @@
 use crate::{
     callers::RESPONSE_TIMEOUT,
     history::{
-        self, ArrivalRecord, CallKind, CallRecord, ExecutionRecord, FaultScope, PoisonArrival,
-        SoakHistory,
+        self, ArrivalRecord, CallKind, CallRecord, ExecutionRecord, FaultScope, OrderRecord,
+        PoisonArrival, SoakHistory,
     },
     plan::PoisonKind,
     servers::{self, EVENTS_PER_STREAM},
@@ -80,6 +80,9 @@
     SentDuringQuiet(String),
     /// A server got far more requests than the limit that it named.
     OverLimit(String),
+    /// A server got an order with a lower fencing token than the one before, or with that of another
+    /// daemon.
+    FenceWentBack(String),
     /// Callers of daemons without links to servers were served far worse than the others.
     CutCallers(String),
     /// Too few requests were served after the last fault.
@@ -105,6 +108,7 @@
     violations.extend(check_limits(history));
     violations.extend(check_notices(history));
     violations.extend(check_quiet(history));
+    violations.extend(check_fences(history));
     violations.extend(check_links(history));
     violations.extend(check_recovery(history));
     violations
@@ -293,6 +297,20 @@
     spans.find(|(start, end)| !history.had_fault(*start, *end, is_affected)).map(|(_, end)| end)
 }
 
+/// Checks that the fencing tokens of the orders to each server rise with each leader.
+fn check_fences(history: &SoakHistory) -> Option<InvariantViolation> {
+    let mut last: HashMap<&str, &OrderRecord> = HashMap::new();
+    history.orders.iter().find_map(|order| {
+        let earlier = last.insert(&order.server, order)?;
+        let is_sound = match order.holder == earlier.holder {
+            true => order.fence >= earlier.fence,
+            false => order.fence > earlier.fence,
+        };
+        let details = || format!("{order:?} after {earlier:?}");
+        (!is_sound).then(|| InvariantViolation::FenceWentBack(details()))
+    })
+}
+
 /// Checks that no server got a request from a daemon long after it had told this daemon that it
 /// leaves, whether or not the daemon reaches the store.
 fn check_notices(history: &SoakHistory) -> Option<InvariantViolation> {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -138,6 +138,14 @@
     DaemonRestart(usize),
 }
 
+/// An order that a server got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderRecord {
+    pub server: String,
+    pub holder: String,
+    pub fence: u64,
+}
+
 /// Holds all recorded events.
 #[derive(Debug, Default)]
 pub struct SoakHistory {
@@ -154,6 +162,8 @@
     pub draining_since: HashMap<String, Instant>,
     /// Time at which the entry of each server was removed that serves on.
     pub removed_at: HashMap<String, Instant>,
+    /// Orders that servers got, in the order of time.
+    pub orders: Vec<OrderRecord>,
     /// Times at which the route of plain calls changed, with the new service.
     pub route_changes: Vec<(Instant, &'static str)>,
     pub fault_intervals: Vec<FaultInterval>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -44,10 +44,18 @@
     /// All kinds, which overlap.
     #[default]
     Mixed,
+    /// All kinds, and a store that comes back from copies of itself again and again.
+    Drills,
     /// Two outages of the store in a row around each server that leaves and serves on.
     Outages,
 }
 
+impl SoakScenario {
+    fn is_mixed(self) -> bool {
+        matches!(self, Self::Mixed | Self::Drills)
+    }
+}
+
 /// Result of a soak.
 #[derive(Debug)]
 pub struct SoakReport {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -21,7 +21,8 @@
     /// Number of daemons; more than twelve use relays
     #[bpaf(long, argument("COUNT"), fallback(4), display_fallback)]
     daemons: usize,
-    /// Kinds of faults: mixed, or outages around servers that leave and serve on
+    /// Kinds of faults: mixed, drills (mixed, and a store that comes back from copies), or outages around
+    /// servers that leave and serve on
     #[bpaf(long, argument("SCENARIO"), fallback(SoakScenario::Mixed), display_fallback)]
     scenario: SoakScenario,
     /// Folder for the logs of seeds that fail
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -44,6 +44,10 @@
 /// Time into the first outage at which the server leaves, and time for which it serves on.
 const LEAVE_DELAY: Duration = Duration::from_millis(300);
 const SERVE_ON_DURATION: Duration = Duration::from_secs(10);
+/// Youngest and oldest copy from which the store comes back, and shortest and longest time between two
+/// such returns.
+const COPY_AGE_MS: (u64, u64) = (1000, 5000);
+const DRILL_INTERVAL_MS: (u64, u64) = (1500, 7000);
 /// Number of engines of the model service.
 pub const ENGINE_COUNT: usize = 4;
 /// Number of servers of each of the two plain services.
@@ -72,6 +76,8 @@
     StoreLosesAnswers,
     /// The store responds late.
     StoreSlow,
+    /// At the end, the store is away for a moment and comes back from the copy of the beginning.
+    RestoreStore,
     /// The store compacts its revisions, so that watches from older ones fail.
     StoreForgetsHistory,
     /// Connections to the server are closed, and new ones are refused.
@@ -138,7 +144,7 @@
         daemons,
         state: *states.choose(&mut rng).expect("the list of states isn't empty"),
     };
-    let is_planned = rng.random_bool(LINK_CUT_SHARE) && options.scenario == SoakScenario::Mixed;
+    let is_planned = rng.random_bool(LINK_CUT_SHARE) && options.scenario.is_mixed();
     is_planned.then_some(plan)
 }
 
@@ -159,7 +165,7 @@
         plan_poison_of(PoisonKind::SharedPart, seed),
         plan_poison_of(PoisonKind::SameRequest, seed.wrapping_add(1)),
     ];
-    plans.into_iter().flatten().filter(move |_| options.scenario == SoakScenario::Mixed)
+    plans.into_iter().flatten().filter(move |_| options.scenario.is_mixed())
 }
 
 fn plan_poison_of(kind: PoisonKind, seed: u64) -> Option<PoisonPlan> {
@@ -198,6 +204,9 @@
     let mut faults = match options.scenario {
         SoakScenario::Mixed => plan_mixed(options),
         SoakScenario::Outages => plan_outages(options),
+        SoakScenario::Drills => {
+            plan_mixed(options).into_iter().chain(plan_drills(options)).collect()
+        }
     };
     faults.sort_by_key(|planned| planned.at);
     faults
@@ -233,6 +242,19 @@
     faults
 }
 
+/// Returns the returns of the store from copies, which may overlap.
+fn plan_drills(options: SoakOptions) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed.rotate_left(16));
+    let mut faults = Vec::new();
+    let mut at = Duration::from_millis(rng.random_range(0..DRILL_INTERVAL_MS.0));
+    while at < options.fault_period {
+        let length = Duration::from_millis(rng.random_range(COPY_AGE_MS.0..COPY_AGE_MS.1));
+        faults.push(PlannedFault { at, length, fault: SoakFault::RestoreStore });
+        at += Duration::from_millis(rng.random_range(DRILL_INTERVAL_MS.0..DRILL_INTERVAL_MS.1));
+    }
+    faults
+}
+
 /// Returns pairs of outages, one after the other, each around a server that leaves and serves on.
 fn plan_outages(options: SoakOptions) -> Vec<PlannedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -10,11 +10,12 @@
 use gooseberry_harness::proxy::ProxyState;
 use gooseberry_standins::gateway_mocks::{self, ReceivedRequest, ScriptedServer};
 use parking_lot::Mutex;
+use serde_json::{json, Value};
 
 use crate::{
     history::{
-        ArrivalRecord, ExecutionRecord, FaultInterval, FaultScope, NamedLimit, PoisonArrival,
-        SoakHistory,
+        ArrivalRecord, ExecutionRecord, FaultInterval, FaultScope, NamedLimit, OrderRecord,
+        PoisonArrival, SoakHistory,
     },
     links::ServerLinks,
     plan::PoisonKind,
@@ -110,6 +111,7 @@
                 let handler = RequestHandler {
                     name,
                     service,
+                    stage,
                     history,
                     behaviour,
                     notices,
@@ -145,6 +147,7 @@
 struct RequestHandler<'a> {
     name: String,
     service: &'static str,
+    stage: &'static str,
     history: &'a Mutex<SoakHistory>,
     behaviour: ServerBehaviour,
     notices: ServerNotices,
@@ -153,14 +156,35 @@
 }
 
 impl RequestHandler<'_> {
+    /// Reports the load, or records an order and refuses it.
+    fn respond_to_leader(
+        &self,
+        request: &ReceivedRequest,
+        stream: &mut TcpStream,
+        notices: &str,
+    ) -> bool {
+        if request.path().ends_with("/report") {
+            let report = json!({"stage": self.stage, "models": [], "busy": false, "sequence": 0,
+                "queued": 0, "active": 0, "kv-used": 0, "kv-total": 100_000, "kv-handles": 0});
+            let body = report.to_string();
+            return gateway_mocks::write_response_with(request, stream, notices, &body);
+        }
+        if let Ok(order) = serde_json::from_str::<Value>(&request.body) {
+            self.history.lock().orders.push(OrderRecord {
+                server: self.name.clone(),
+                holder: order["holder"].as_str().unwrap_or_default().to_owned(),
+                fence: order["fence"].as_u64().unwrap_or_default(),
+            });
+        }
+        let head = "HTTP/1.1 409 X\r\nContent-Length: 0";
+        gateway_mocks::write_text(stream, &format!("{head}\r\n{notices}\r\n"))
+    }
+
     /// Handles a request and returns whether the connection stays open.
     fn respond(&self, request: &ReceivedRequest, stream: &mut TcpStream) -> bool {
         let notices = self.notices.headers();
         if request.id().is_empty() {
-            // A request without an id asks for a load report or carries an order.
-            // This server supports neither.
-            let head = "HTTP/1.1 400 X\r\nContent-Length: 0";
-            return gateway_mocks::write_text(stream, &format!("{head}\r\n{notices}\r\n"));
+            return self.respond_to_leader(request, stream, &notices);
         }
         if request.expected_server().is_some_and(|id| id != self.name) {
             return gateway_mocks::write_misdirected(request, stream);
@@ -315,6 +339,11 @@
     }
 }
 
+/// Returns the number of the start that gave a server its id.
+pub fn start_number(id: &str) -> u64 {
+    id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the events of a request's stream from a server, after those that the caller has.
 fn events(id: &str, server: &str, last_event: usize) -> String {
     (last_event + 1..=EVENTS_PER_STREAM)
--- a/crates/soak/src/system.rs
+++ b/crates/soak/src/system.rs
@@ -1,7 +1,7 @@
 //! The processes and stand-ins of a soak, and the injection of faults into them.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     fs,
     ops::Range,
     path::{Path, PathBuf},
@@ -14,7 +14,7 @@
     process::{self, TestProcess},
     proxy::{ProxyState, TestProxy},
 };
-use gooseberry_standins::gateway_mocks::{self, StandinStore, StoreBehaviour};
+use gooseberry_standins::gateway_mocks::{self, StandinStore, StoreBehaviour, StoreCopy};
 use parking_lot::Mutex;
 
 use crate::{
@@ -33,6 +33,10 @@
 const PROXY_DELAY: Duration = Duration::from_millis(120);
 /// Time between setting a server's entry to draining and its replacement.
 const DRAIN_DURATION: Duration = Duration::from_millis(4500);
+/// Time for which the store is away before it comes back from a copy.
+const DRILL_DURATION: Duration = Duration::from_millis(400);
+/// Time after which the entry of a server that doesn't write it is removed.
+const ENTRY_TTL: Duration = Duration::from_millis(3600);
 /// Time from SIGTERM to SIGKILL.
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 /// Time without faults at the end; longer than `RECOVERY_LIMIT` of the checks.
@@ -69,6 +73,12 @@
     servers: Vec<SoakServer>,
     folder: PathBuf,
     version: u64,
+    /// Copies of the store that it is to come back from, with the times at which they were planned.
+    copies: Vec<(Duration, StoreCopy)>,
+    /// State in the present entry of each server, or none if the entry was removed.
+    entry_states: Vec<Option<&'static str>>,
+    /// Entries of servers that no longer write them, and when these expire.
+    expiring: Vec<(Instant, String)>,
     /// Number of replaced servers, which gives new servers unique ids.
     starts: usize,
     exits: Vec<String>,
@@ -100,10 +110,15 @@
             servers,
             folder: folder.to_owned(),
             version: 0,
+            copies: Vec::new(),
+            entry_states: Vec::new(),
+            expiring: Vec::new(),
             starts: 0,
             exits: Vec::new(),
             store,
         };
+        system.entry_states = vec![None; system.servers.len()];
+        system.store.state_era(1);
         for server in 0..system.servers.len() {
             system.register(server, "ready");
         }
@@ -149,8 +164,7 @@
         let mut intervals: HashMap<usize, Range<usize>> = HashMap::new();
         for ((at, order), action) in due {
             while began.elapsed() < at {
-                self.restart_ended_daemons();
-                self.restart_crashed_servers();
+                self.poll();
                 thread::sleep(POLL_INTERVAL);
             }
             match action {
@@ -198,12 +212,20 @@
         let began = Instant::now();
         self.history.lock().faults_cleared_at = Some(began);
         while began.elapsed() < FAULT_FREE_DURATION {
-            self.restart_ended_daemons();
-            self.restart_crashed_servers();
+            self.poll();
             thread::sleep(POLL_INTERVAL);
         }
     }
 
+    fn poll(&mut self) {
+        self.restart_ended_daemons();
+        self.restart_crashed_servers();
+        let now = Instant::now();
+        for (_, id) in self.expiring.extract_if(.., |(at, _)| *at <= now) {
+            self.store.remove_server(&id);
+        }
+    }
+
     /// Stops all daemons and returns a message for each unexpected exit of the whole soak.
     pub fn stop(&mut self) -> Vec<String> {
         for daemon in &self.daemons {
@@ -334,6 +356,7 @@
                 self.set_store(StoreBehaviour::DroppingResponses, length)
             }
             SoakFault::StoreSlow => self.set_store(StoreBehaviour::Slow(SLOW_STORE_DELAY), length),
+            SoakFault::RestoreStore => self.copies.push((planned.at, self.store.copy())),
             SoakFault::StoreForgetsHistory => self.store.compact(),
             SoakFault::CutServer(server) => self.set_proxy(server, ProxyState::Closed, length),
             SoakFault::FreezeServer(server) => self.set_proxy(server, ProxyState::Stalled, length),
@@ -367,6 +390,7 @@
             SoakFault::LeaveSilently(server) => {
                 let id = self.servers[server].id.clone();
                 self.store.remove_server(&id);
+                self.entry_states[server] = None;
                 self.history.lock().removed_at.entry(id).or_insert_with(Instant::now);
             }
             SoakFault::MoveRoute => {
@@ -397,6 +421,7 @@
                 *self.servers[server].behaviour.lock() = ServerBehaviour::Normal;
             }
             SoakFault::LeaveSilently(server) => self.replace(server),
+            SoakFault::RestoreStore => self.restore_store(planned),
             SoakFault::KillDaemon(_)
             | SoakFault::KillAll
             | SoakFault::StopDaemon(_)
@@ -407,6 +432,32 @@
         }
     }
 
+    /// Brings the store back from the copy that was taken at the beginning of a fault. The operator and
+    /// the servers write what they had written, and the entries of all others expire.
+    fn restore_store(&mut self, planned: PlannedFault) {
+        let taken = self.copies.iter().position(|(at, _)| *at == planned.at);
+        let (_, copy) = self.copies.remove(taken.expect("the fault has begun"));
+        self.set_store(StoreBehaviour::Unavailable, DRILL_DURATION);
+        thread::sleep(DRILL_DURATION);
+        self.store.restore(&copy);
+        self.store.set_behaviour(StoreBehaviour::Normal);
+        let service = self.history.lock().route_changes.last().map(|(_, service)| *service);
+        let service = service.expect("a configuration was written");
+        self.store.put_configuration(&gateway_mocks::configuration(self.version, service));
+        for server in 0..self.servers.len() {
+            if let Some(state) = self.entry_states[server] {
+                self.register(server, state);
+            }
+        }
+        let written = self.servers.iter().zip(&self.entry_states);
+        let written = written.filter(|(_, state)| state.is_some()).map(|(server, _)| &server.id);
+        let written: HashSet<&String> = written.collect();
+        let expire_at = Instant::now() + ENTRY_TTL;
+        for id in self.store.server_ids().into_iter().filter(|id| !written.contains(id)) {
+            self.expiring.push((expire_at, id));
+        }
+    }
+
     fn set_links(&self, daemons: &[usize], cut: Option<ProxyState>) {
         for server in &self.servers {
             daemons.iter().for_each(|daemon| server.links.set_cut(*daemon, cut));
@@ -453,11 +504,13 @@
         self.register(server, "ready");
     }
 
-    fn register(&self, server: usize, state: &str) {
+    fn register(&mut self, server: usize, state: &'static str) {
+        self.entry_states[server] = Some(state);
         let server = &self.servers[server];
         let mut entry =
             gateway_mocks::server_entry(server.service, &server.links.address, server.stage, state);
         entry["version"] = servers::software(&server.id).into();
+        entry["born"] = servers::start_number(&server.id).into();
         self.store.put_server(&server.id, &entry);
     }
 
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -102,3 +102,9 @@
 fn short_soak_violates_no_invariant() {
     soak(1, 6, 3);
 }
+
+/// Guards against a store that comes back from copies of itself while leaders change and servers leave.
+#[test]
+fn seed_43001_follows_a_store_that_comes_back_from_copies() {
+    soak_in(SoakScenario::Drills, 43001, 12, 4);
+}
--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -447,6 +447,12 @@
         existing.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Returns the ids of all servers with an entry.
+    pub fn server_ids(&self) -> Vec<String> {
+        let keys = self.keys();
+        keys.iter().filter_map(|key| key.strip_prefix("servers/")).map(str::to_owned).collect()
+    }
+
     /// Returns the decoded value of a key, or `None` if there is none or it isn't UTF-8.
     pub fn value_text(&self, key: &str) -> Option<String> {
         let tables = self.tables.lock();
