gateway: ask engines when they started before streams go on there

Cause: the version of an engine was that of its last entry, however old, both for where a stream goes on and for the record of who began it.

Change: a resumed stream is sent only after the engine's report states the start that its entry states. In an outage of the store the version that begins a new stream is recorded only if the engine confirms it, while the stream begins. What can't be confirmed in an outage is refused with 503.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -26,7 +26,6 @@
     engine::{self, StageOrder},
     store::{PutCondition, StoreClient, StoreError, StoreLease, StorePut},
 };
-use gooseberry_transport::body;
 use http::StatusCode;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -326,13 +325,7 @@
 /// Returns how many orders an engine has accepted, or none if it is executing one or doesn't
 /// respond.
 async fn accepted_orders(gateway: &Gateway, target: &SendTarget) -> Option<u64> {
-    let work = async {
-        let exchange = send::exchange_own(gateway, target, engine::report);
-        let (response, _connection) = exchange.await.ok()?;
-        let limit = send::CONTROL_RESPONSE_LIMIT_BYTES;
-        let body = body::read_whole(response.into_body(), limit).await.ok()?;
-        engine::decode_report(&body).ok()
-    };
+    let work = send::report(gateway, target);
     let report = gateway.clock.timeout(CALL_TIMEOUT, work).await.ok().flatten();
     match report {
         Some(report) if !report.is_busy => Some(report.orders),
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -14,6 +14,7 @@
 use crate::{
     call::{Call, CallRoute},
     gateway::Gateway,
+    send::{self, SendTarget},
 };
 
 /// Longest wait for the responses of other daemons: twice the delay of 16 ms between regions and
@@ -21,6 +22,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of the call that tells whether a service still has only one version. The caller waits for it.
 const LIST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of the report that tells whether an engine has started again.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two looks for a response.
 const CHECK_INTERVAL: Duration = Duration::from_millis(4);
 
@@ -112,6 +115,25 @@
     is_unchanged.then_some(software)
 }
 
+/// Returns whether an engine runs the version that its entry states.
+///
+/// It may have started again with another version since the list was read, and doesn't check which
+/// streams it continues. So the engine itself is asked when it started. If that can't be told, its entry
+/// counts unless the list may be out of date.
+pub async fn runs_stated_version(gateway: &Gateway, target: &SendTarget) -> bool {
+    let is_listed = || !gateway.state.lock().fleet.connectivity.is_unreachable();
+    let Some(stated) = target.started_at_ms else {
+        return is_listed();
+    };
+    let report = gateway.clock.timeout(REPORT_TIMEOUT, send::report(gateway, target)).await;
+    let reported = report.ok().flatten().and_then(|report| report.started_at_ms);
+    let runs_stated = reported.map_or_else(is_listed, |reported| reported == stated);
+    if !runs_stated {
+        tracing::info!(server = %target.id, stated, reported, "engine may have started again with another version");
+    }
+    runs_stated
+}
+
 fn changed_entry(change: &StoreChange) -> Option<ServerEntry> {
     match (&change.subject, &change.value) {
         (StoreKey::Server(id), Some(text)) => servers::decode(id, text).ok(),
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -1,8 +1,8 @@
 //! Handles a request with a prompt: admission, placement, prefill and stream.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_lite::FutureExt;
+use futures_lite::{future, FutureExt};
 use gooseberry_core::{
     arena::EngineKey,
     serving::{
@@ -362,17 +362,19 @@
         return PromptAttempt::Failed(answer);
     }
     let gateway = &call.gateway;
+    if call.head.is_resumption && !origin::runs_stated_version(gateway, target).await {
+        return PromptAttempt::NotRun(target.key);
+    }
     let send_options = send_options(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
     let choice = call.connection_choice(target.key, route.row.kind.is_idempotent());
     call.execution.record_send();
-    if route.row.kind == RouteKind::ResumableStream && !call.head.is_resumption {
-        let stream = StreamKey::of(&call.head.request_id);
-        gateway.state.lock().record_stream(stream, target.software, gateway.now());
-        gateway.wake_publisher();
-    }
-    let sent =
-        send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id).await;
+    let sending = send::send(gateway, target, &call.parts, &call.body, &send_options, choice, id);
+    let sent = if route.row.kind == RouteKind::ResumableStream && !call.head.is_resumption {
+        send_with_origin(call, target, sending).await
+    } else {
+        sending.await
+    };
     record_arrival(call, target, &sent);
     match sent {
         SendOutcome::Responded(answer) => {
@@ -395,6 +397,32 @@
     }
 }
 
+/// Sends a stream that may be resumed, and records the version that begins it. While the list of servers
+/// may be out of date, that is known only from the engine.
+async fn send_with_origin(
+    call: &Call,
+    target: &SendTarget,
+    sending: impl Future<Output = SendOutcome>,
+) -> SendOutcome {
+    let gateway = &call.gateway;
+    let record = || {
+        let stream = StreamKey::of(&call.head.request_id);
+        gateway.state.lock().record_stream(stream, target.software, gateway.now());
+        gateway.wake_publisher();
+    };
+    let is_listed = !gateway.state.lock().fleet.connectivity.is_unreachable();
+    if is_listed {
+        record();
+        return sending.await;
+    }
+    let confirming = origin::runs_stated_version(gateway, target);
+    let (sent, is_confirmed) = future::zip(sending, confirming).await;
+    if is_confirmed {
+        record();
+    }
+    sent
+}
+
 fn record_arrival(call: &Call, target: &SendTarget, sent: &SendOutcome) {
     match sent {
         SendOutcome::NotRun(reason) => call.execution.record_reason(target.key, *reason),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,9 +11,12 @@
     time::Timestamp,
 };
 use gooseberry_platform::engine::{
-    self, ConnectionUse, LimitStatement, ResponseClass, SendOptions,
+    self, ConnectionUse, EngineReport, LimitStatement, ResponseClass, SendOptions,
+};
+use gooseberry_transport::{
+    body,
+    client::{ClientConnection, SendError},
 };
-use gooseberry_transport::client::{ClientConnection, SendError};
 use http::{request, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -37,6 +40,8 @@
     pub stage: EngineStage,
     pub software: SoftwareKey,
     pub incarnation: EngineIncarnation,
+    /// Start of the server, in milliseconds since the epoch, if its entry states it.
+    pub started_at_ms: Option<u64>,
 }
 
 impl SendTarget {
@@ -50,6 +55,7 @@
             stage: state.entry.stage,
             software: SoftwareKey::of(&state.entry),
             incarnation: fleet::incarnation(&state.entry),
+            started_at_ms: state.entry.started_at_ms,
         }
     }
 }
@@ -214,6 +220,13 @@
     Ok((response, connection))
 }
 
+/// Requests an engine's report. Returns none if there is none that can be used.
+pub async fn report(gateway: &Gateway, target: &SendTarget) -> Option<EngineReport> {
+    let (response, _connection) = exchange_own(gateway, target, engine::report).await.ok()?;
+    let body = body::read_whole(response.into_body(), CONTROL_RESPONSE_LIMIT_BYTES).await.ok()?;
+    engine::decode_report(&body).ok()
+}
+
 /// The head of a response, which isn't known to be that of the request.
 struct Exchange {
     response: Response<Incoming>,
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -1,12 +1,18 @@
 //! Streams that callers take up again while engines of several software versions serve: a stream
 //! must not hold events of two versions.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 
 use gooseberry_standins::gateway_mocks::{self, StoreBehaviour};
 use serde_json::json;
 
-use crate::support::{get_request, status_code, write_response, ScriptedServer, System};
+use crate::support::{self, get_request, status_code, write_response, ScriptedServer, System};
 
 /// Number of times that a test resumes a stream, so that some of the requests would go to the other
 /// version if placement ignored it.
@@ -263,3 +269,74 @@
     lengthen_history(&asked);
     wait_until_resumed(&started);
 }
+
+/// An engine that reports when it started, with the ids of the streams that it got.
+struct StartedEngine {
+    server: ScriptedServer,
+    started_at_ms: Arc<AtomicU64>,
+}
+
+impl StartedEngine {
+    fn start() -> Self {
+        let started_at_ms = Arc::new(AtomicU64::new(1000));
+        let born = Arc::clone(&started_at_ms);
+        let server = ScriptedServer::start(move |request, stream| {
+            let report = json!({
+                "stage": "decode", "busy": false, "sequence": 0, "born": born.load(Ordering::SeqCst),
+            });
+            let is_report = request.path().ends_with("/report");
+            let body = if is_report { report.to_string() } else { "id: 1\ndata: a\n\n".to_owned() };
+            write_response(request, stream, &body)
+        });
+        Self { server, started_at_ms }
+    }
+
+    fn register(&self, system: &System, id: &str) {
+        let mut entry = support::server_entry("model", &self.server, "decode", "ready");
+        entry["born"] = self.started_at_ms.load(Ordering::SeqCst).into();
+        system.store.put_server(id, &entry);
+        system.wait(|state| state.fleet.key(id).is_some());
+    }
+
+    fn streams(&self) -> usize {
+        self.server.received().iter().filter(|request| request.path() == "/review/x").count()
+    }
+}
+
+fn begin_outage(system: &System) {
+    system.store.set_behaviour(StoreBehaviour::Unavailable);
+    system.wait(|state| state.fleet.connectivity.is_unreachable());
+}
+
+/// Guards against a stream that goes on at an engine which has started again with another version, while
+/// the store can't tell.
+#[test]
+fn a_stream_does_not_go_on_at_an_engine_that_started_again_during_an_outage() {
+    let system = start();
+    let (again, same) = (StartedEngine::start(), StartedEngine::start());
+    again.register(&system, "again");
+    let id = begin(&system);
+    same.register(&system, "same");
+    begin_outage(&system);
+    again.started_at_ms.store(2000, Ordering::SeqCst);
+    let before = again.streams();
+    for number in 0..RESUMES {
+        assert_eq!(status_code(&resume(&system, &id, number)), "200");
+    }
+    assert_eq!((again.streams() - before, same.streams()), (0, RESUMES));
+}
+
+/// Guards against a stream that begins at such an engine, and goes on at one of the version before.
+#[test]
+fn a_stream_that_began_at_an_engine_that_started_again_is_not_joined_to_the_version_before() {
+    let system = start();
+    let (again, same) = (StartedEngine::start(), StartedEngine::start());
+    again.register(&system, "again");
+    begin_outage(&system);
+    again.started_at_ms.store(2000, Ordering::SeqCst);
+    let id = begin(&system);
+    system.store.set_behaviour(StoreBehaviour::Normal);
+    same.register(&system, "same");
+    assert_eq!(status_code(&resume(&system, &id, 0)), "503");
+    assert_eq!(same.streams(), 0);
+}
--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -165,7 +165,7 @@
     ) -> bool {
         if request.path().ends_with("/report") {
             let report = json!({"stage": self.stage, "models": [], "busy": false, "sequence": 0,
-                "queued": 0, "active": 0, "kv-used": 0, "kv-total": 100_000, "kv-handles": 0});
+                "born": start_number(&self.name), "queued": 0, "active": 0, "kv-used": 0, "kv-total": 100_000, "kv-handles": 0});
             let body = report.to_string();
             return gateway_mocks::write_response_with(request, stream, notices, &body);
         }
