--- a/crates/gateway/src/state/notices.rs
+++ b/crates/gateway/src/state/notices.rs
@@ -94,9 +94,9 @@
     pub fn request_retry_after(&mut self, service: &SmolStr, now: Timestamp) -> Option<Duration> {
         let (wait, per_second) = self.fleet.request_wait(service, now)?;
         let daemons = f64::from(self.live_peers(now) + 1);
-        let interval = Duration::from_secs_f64(daemons / per_second).max(RETURN_INTERVAL);
+        let interval = Duration::try_from_secs_f64(daemons / per_second).unwrap_or(Duration::MAX);
         let queue = self.returns.entry(service.clone()).or_default();
-        Some(queue.next(wait, interval, now))
+        Some(queue.next(wait, interval.max(RETURN_INTERVAL), now))
     }
 }
 
--- a/crates/gateway/tests/gateway/framing.rs
+++ b/crates/gateway/tests/gateway/framing.rs
@@ -64,3 +64,14 @@
     assert_eq!(status_code(&text), "400");
     assert_eq!(server.received().len(), 0);
 }
+
+/// Guards against a panic that ends the request's task, and its connection without a response.
+#[test]
+fn a_request_with_any_number_as_its_deadline_gets_a_response() {
+    for deadline in ["1e25", "1e300", "0", "-1", "NaN", "inf"] {
+        let (system, _server) = system();
+        let request = get_request("/plain/x", "").replace("-Ms: 3000", &format!("-Ms: {deadline}"));
+        let text = system.send(&request);
+        assert!(["200", "503", "504"].contains(&status_code(&text)), "{deadline}: {text}");
+    }
+}
--- a/crates/gateway/tests/gateway/server_limits.rs
+++ b/crates/gateway/tests/gateway/server_limits.rs
@@ -235,3 +235,16 @@
         store.restore(&copy);
     });
 }
+
+/// Guards against a panic that ends the request's task, and its connection without a response.
+#[test]
+fn callers_get_a_response_whatever_limit_their_server_names() {
+    for limit in [0.0, 1e-300, 1e300] {
+        let server = LimitedServer::start(Some(limit));
+        let daemons = start(1, "plain", &[(&server, "")]);
+        for _ in 0..5 {
+            let text = daemons[0].send(&get_request("/plain/x", ""));
+            assert!(["200", "503"].contains(&status_code(&text)), "limit {limit}: {text}");
+        }
+    }
+}
