gateway: give requests without a deadline the timeout of their route

Seen, by test: a request without X-Deadline-Ms was passed on with 10 s left on a route whose timeout is 60 s.

Change: the timeout of the route alone bounds such a request.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -23,8 +23,6 @@
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
 /// Timeout of reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Timeout of a request whose caller states no deadline. The timeout of its route may be shorter.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after the deadline in which an engine's own timeout response may still arrive.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
@@ -90,7 +88,7 @@
             return LocalResponse::BodyTimeout.encode(&head.request_id);
         }
     };
-    let time_left = head.time_left.unwrap_or(DEFAULT_TIMEOUT);
+    let time_left = head.time_left;
     let mut call = Call {
         gateway: Arc::clone(gateway),
         blamable_parts: Call::blamable_parts(&parts, &body, &head),
@@ -99,7 +97,7 @@
         head,
         body,
         arrived_at,
-        deadline: arrived_at + time_left,
+        deadline: arrived_at + time_left.unwrap_or_default(),
         execution: ExecutionState::default(),
         trial: Mutex::default(),
     };
@@ -109,7 +107,8 @@
             return call.refuse(answer, "no configuration yet, or no route matches the request")
         }
     };
-    call.deadline = arrived_at + time_left.min(route.row.timeout);
+    let timeout = route.row.timeout;
+    call.deadline = arrived_at + time_left.map_or(timeout, |time_left| time_left.min(timeout));
     let name = route.row.name.clone();
     if let Some(progress) = gateway.shutdown_progress() {
         let longest = gateway.longest_duration(&name);
--- a/crates/gateway/tests/gateway/promises.rs
+++ b/crates/gateway/tests/gateway/promises.rs
@@ -10,6 +10,7 @@
 };
 
 use gooseberry_core::serving::event_stream::BodyFraming;
+use gooseberry_standins::gateway_mocks;
 
 use crate::{
     crashing_engine::{CrashingEngine, EngineRecord, POISON_PART},
@@ -390,6 +391,27 @@
     }
 }
 
+/// Guards against a timeout of the daemon's own, shorter than that of the route, for callers that state no
+/// deadline.
+#[test]
+fn a_request_without_a_deadline_has_the_timeout_of_its_route() {
+    let system = System::start();
+    let mut configuration = gateway_mocks::configuration(1, "plain");
+    for route in configuration["routes"].as_array_mut().expect("a list of routes") {
+        route["timeout-ms"] = 60_000.into();
+    }
+    system.store.put_configuration(&configuration);
+    let server = normal_server();
+    system.register("one", "plain", &server, "");
+    let request = get_request("/order/x", "").replace("X-Deadline-Ms: 3000\r\n", "");
+    assert_eq!(status_code(&system.send(&request)), "200");
+    let received = server.received();
+    let sent = received.iter().find(|request| request.path() == "/order/x").expect("the request");
+    let time_left: f64 =
+        sent.header("x-deadline-ms").and_then(|text| text.parse().ok()).expect("a deadline");
+    assert!((50_000.0..=60_000.0).contains(&time_left), "{time_left} ms");
+}
+
 #[test]
 fn readiness_is_served_on_its_own_address() {
     let system = system();
