gateway: recognise a restored list after a compaction, and old members of relays

Cause, by reading: the first read of an era was recognised only if the daemon went on from a revision. A daemon whose history had been compacted just before the drill had none, and took the copy's entries as news. And a member of an earlier build, which states no era, was told by its relay that nothing had changed since a revision of the era before.

Change: the era of the last list decides, and a relay that has seen an era end refuses members that state none with 410, so that they ask the store.

Measured: restored_store, news and formats pass (44 tests); no test shows the two cases themselves.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -228,9 +228,15 @@
     let Ok(number) = request.uri().path().trim_start_matches('/').parse() else {
         return program::status_response(StatusCode::NOT_FOUND);
     };
-    // A member that doesn't state the era knows of none.
-    let stated = stated_era(request.headers());
-    let revision = StoreRevision { era: stated.unwrap_or_else(|| log.era()), number };
+    let era = match stated_era(request.headers()) {
+        Some(era) => era,
+        // A member of an earlier build may have its revision from an era that has ended.
+        None if gateway.store.has_changed_era() => {
+            return program::status_response(StatusCode::GONE);
+        }
+        None => log.era(),
+    };
+    let revision = StoreRevision { era, number };
     let changed = log.subscribe();
     let mut update = log.changes_after(revision, gateway.store.newest_era(), gateway.now());
     if matches!(&update, Ok(update) if update.revision <= revision) {
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -55,7 +55,6 @@
         relay_client: RelayClient::default(),
         revision: None,
         has_read: false,
-        is_restored: false,
         plan: WatchPlan::new(gateway.daemon, gateway.now()),
         gateway,
         keys,
@@ -74,8 +73,6 @@
     revision: Option<StoreRevision>,
     /// Whether this process has read all keys before.
     has_read: bool,
-    /// Whether the keys haven't been read yet since the key-value service came back from a copy.
-    is_restored: bool,
     plan: WatchPlan,
 }
 
@@ -142,7 +139,6 @@
             return;
         };
         self.revision = None;
-        self.is_restored = true;
         let peers = self.keys.peers.count();
         let mut state = self.gateway.state.lock();
         state.versions.record_gap();
@@ -187,6 +183,8 @@
     fn apply_update(&mut self, update: StoreUpdate, source: WatchSource, listed_at: Timestamp) {
         record_response(&self.gateway, source, listed_at);
         let now = self.gateway.now();
+        let listed_era = self.gateway.state.lock().listed_revision.era;
+        let is_restored = self.has_read && update.revision.era > listed_era;
         let times = ListTimes { responded_at: now, listed_at };
         if self.revision.is_none() {
             self.gateway.state.lock().versions.record_gap();
@@ -203,7 +201,6 @@
         if !std::mem::replace(&mut self.has_read, true) {
             restore_suspects(&self.gateway, &update.changes);
         }
-        let is_restored = std::mem::take(&mut self.is_restored);
         for change in update.changes {
             apply(&self.gateway, &self.keys, change, is_restored);
         }
