gateway: check all services once a daemon is cut off from one

Cause: services are checked only after requests for them have failed, 300 ms an attempt, so a service without requests counted as reached.

Change: when a daemon finds itself cut off from one service, it connects to some servers of the others. Failures start the same checks that failed requests do.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -33,7 +33,7 @@
     }
 }
 
-async fn check_until_reached(gateway: &Gateway, service: &str) {
+async fn check_until_reached(gateway: &Arc<Gateway>, service: &str) {
     let mut delay = CHECK_INTERVALS.0;
     while !is_reached(gateway, service).await {
         let is_asking = gateway.state.lock().needs_reach_reports(service, gateway.now());
@@ -50,6 +50,7 @@
                 "cut off from servers that other daemons reach; handing requests to these daemons"
             );
             drop_connections(gateway, service);
+            check_other_services(gateway, service);
         }
         let is_cut = gateway.state.lock().is_cut(service);
         gateway.clock.sleep(if is_cut { CUT_CHECK_INTERVAL } else { delay }).await;
@@ -57,6 +58,18 @@
     }
 }
 
+/// Connects to some servers of the services that have had no requests since a cut began: a route may move
+/// to one of them, and its callers mustn't wait until their own requests have failed. Failures start the
+/// checks of that service.
+fn check_other_services(gateway: &Arc<Gateway>, cut_service: &str) {
+    let configuration = gateway.state.lock().configuration.clone();
+    let services = configuration.iter().flat_map(|configuration| &configuration.services);
+    for service in services.filter(|service| service.name != cut_service) {
+        let (gateway, service) = (Arc::clone(gateway), service.name.clone());
+        task::spawn(async move { is_reached(&gateway, &service).await });
+    }
+}
+
 /// Connects to some servers. Returns whether this daemon isn't cut off from the service, or it has no
 /// servers.
 async fn is_reached(gateway: &Gateway, service: &str) -> bool {
--- a/crates/gateway/tests/gateway/broken_engines.rs
+++ b/crates/gateway/tests/gateway/broken_engines.rs
@@ -98,7 +98,7 @@
 /// Guards against a stream that is resumed at an engine which answers with an error, and gets it as events.
 #[test]
 fn a_resumed_stream_whose_engine_answers_with_an_error_gets_its_status() {
-    let server = ScriptedServer::start(|request, stream| write_error(request, stream));
+    let server = ScriptedServer::start(write_error);
     let system = start("model", &[&server]);
     let headers = format!("{}Last-Event-Id: 3\r\nResumes: first\r\n", prompt());
     let text = system.send(&get_request("/review/x", &headers));
