--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -102,7 +102,7 @@
 /// daemon that knows it writes it.
 pub async fn correct_first_era(gateway: &Gateway, first_era: u64) {
     let mut client = gateway.store.client();
-    match write_first_era(&mut client, first_era, PutCondition::None).await {
+    match write_first_era(&mut client, first_era, PutCondition::Any).await {
         Ok(()) => tracing::info!(first_era, "first era of the fencing tokens corrected"),
         Err(fault) => {
             tracing::info!(%fault, first_era, "first era of the fencing tokens not corrected");
@@ -212,7 +212,7 @@
         let Some(first_era) = unstored else {
             return Ok(());
         };
-        let condition = if is_known { PutCondition::None } else { PutCondition::Missing };
+        let condition = if is_known { PutCondition::Any } else { PutCondition::Missing };
         match write_first_era(client, first_era, condition).await {
             Ok(()) => {
                 self.leader_key.set_first_era(Some(first_era));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod program;
 pub mod prompt_call;
 pub mod reach;
+pub mod registration;
 pub mod send;
 pub mod settings;
 pub mod state;
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -23,7 +23,7 @@
     gateway::Gateway,
     leader,
     metrics::{GatewayMetrics, LineCounter},
-    peers, reach,
+    peers, reach, registration,
     settings::{GatewayLimits, GatewayOptions},
     store_watch::{self, GatewayKeys},
 };
@@ -118,7 +118,7 @@
     changes::serve(&gateway, &keys.changes).await?;
     task::spawn(store_watch::run(Arc::clone(&gateway), keys.clone()));
     task::spawn(leader::run(Arc::clone(&gateway), keys.leader));
-    task::spawn(peers::register(Arc::clone(&gateway)));
+    task::spawn(registration::run(Arc::clone(&gateway)));
     task::spawn(reach::run(Arc::clone(&gateway)));
     serve_ready(&gateway).await?;
     serve_metrics(&gateway).await?;
--- a/crates/gateway/src/stored_evidence.rs
+++ b/crates/gateway/src/stored_evidence.rs
@@ -118,7 +118,7 @@
 
 async fn write(client: &mut StoreClient, key: &str, value: &[u8]) -> Result<(), StoreError> {
     let lease = Some(client.grant_lease(EVIDENCE_TTL, CALL_TIMEOUT).await?);
-    let put = StorePut { key, value, lease, condition: PutCondition::None };
+    let put = StorePut { key, value, lease, condition: PutCondition::Any };
     client.put(&put, CALL_TIMEOUT).await.map(|_| ())
 }
 
