gateway: read accounts, scaling, duties and memory limits from configuration and settings

The configuration's accounts, anonymous routes and scaling limits, and the settings of the duties, of the revocation bound, of the VM's memory and of the pace were dropped when they were decoded. They are now decoded into the project's types, so that the parts that use them can be built side by side. Nothing reads them yet.

--- a/crates/core/src/serving/configuration.rs
+++ b/crates/core/src/serving/configuration.rs
@@ -1,6 +1,6 @@
-//! The current configuration: routes, services and limits.
+//! The current configuration: routes, services, limits and client accounts.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
@@ -59,6 +59,8 @@
     pub attempts: u32,
     /// Whether requests have a prompt.
     pub carries_prompt: bool,
+    /// Whether requests need no key although the configuration has accounts.
+    pub is_anonymous: bool,
     /// Services with their weights; never empty.
     pub targets: Vec<RouteTarget>,
 }
@@ -107,6 +109,23 @@
     pub event_pause: Duration,
     /// Present if the servers of the service are model engines.
     pub engine: Option<EngineSpec>,
+    /// Present if engines of the service can be ordered.
+    pub scaling: Option<ScalingSpec>,
+}
+
+/// Limits and prices of the engines of a service that can be ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingSpec {
+    /// Bounds on the engines of one failure domain, reclaimable or not.
+    pub min: u32,
+    pub max: u32,
+    /// Time from an order to the first request that a new engine serves.
+    pub boot: Duration,
+    /// Price of a reclaimable engine as a share of that of another one, or none if there are no
+    /// reclaimable engines.
+    pub reclaimable_price: Option<f64>,
+    /// Price of a second of an engine by failure domain. Other domains have the price 1.
+    pub domain_prices: BTreeMap<SmolStr, f64>,
 }
 
 /// Limits on callers' requests.
@@ -125,6 +144,29 @@
     pub routes: Vec<RouteRow>,
     pub services: Vec<ServiceRow>,
     pub limits: CallerLimits,
+    /// Client accounts with their keys. Without accounts, requests need no key.
+    pub accounts: Vec<AccountSpec>,
+}
+
+/// A client account of the configuration.
+#[derive(Clone, PartialEq, Eq)]
+pub struct AccountSpec {
+    pub name: SmolStr,
+    /// Keys with which callers authenticate. They must never be logged.
+    pub keys: Vec<SmolStr>,
+    /// Priority of the account's requests, which goes before that of their routes.
+    pub priority: Option<u8>,
+}
+
+impl fmt::Debug for AccountSpec {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("AccountSpec")
+            .field("name", &self.name)
+            .field("keys", &self.keys.len())
+            .field("priority", &self.priority)
+            .finish()
+    }
 }
 
 impl ServingConfiguration {
--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -47,6 +47,8 @@
     pub software: SmolStr,
     pub is_draining: bool,
     pub stage: EngineStage,
+    /// Whether the platform may take the server back at short notice.
+    pub is_reclaimable: bool,
     /// Start of the server, in milliseconds since the epoch. A new value under the same id means
     /// that the server has restarted and lost its state.
     pub started_at_ms: Option<u64>,
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -55,6 +55,7 @@
         software: "v1".into(),
         is_draining: false,
         stage,
+        is_reclaimable: false,
         started_at_ms: Some(1),
     };
     for number in 0..PREFILL_ENGINES {
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -43,6 +43,7 @@
         software: "v1".into(),
         is_draining: false,
         stage,
+        is_reclaimable: false,
         started_at_ms: Some(1),
     }
 }
--- a/crates/core/tests/serving_presence.rs
+++ b/crates/core/tests/serving_presence.rs
@@ -29,6 +29,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
+        is_reclaimable: false,
         started_at_ms: Some(1),
     }
 }
--- a/crates/core/tests/serving_restored_entries.rs
+++ b/crates/core/tests/serving_restored_entries.rs
@@ -23,6 +23,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
+        is_reclaimable: false,
         started_at_ms: Some(started_at_ms),
     }
 }
--- a/crates/core/tests/serving_software.rs
+++ b/crates/core/tests/serving_software.rs
@@ -28,6 +28,7 @@
         software: software.into(),
         is_draining: false,
         stage: EngineStage::Decode,
+        is_reclaimable: false,
         started_at_ms: None,
     }
 }
--- a/crates/core/tests/serving_stage_demand.rs
+++ b/crates/core/tests/serving_stage_demand.rs
@@ -80,6 +80,7 @@
                     software: "v1".into(),
                     is_draining: false,
                     stage,
+                    is_reclaimable: false,
                     started_at_ms: Some(1),
                 });
             }
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -38,6 +38,7 @@
         priority: 0,
         attempts: 2,
         carries_prompt: false,
+        is_anonymous: false,
         targets: targets
             .iter()
             .map(|(service, weight)| RouteTarget { service: (*service).into(), weight: *weight })
@@ -52,7 +53,7 @@
         head_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
-    ServingConfiguration { version: 1, routes, services: Vec::new(), limits }
+    ServingConfiguration { version: 1, routes, services: Vec::new(), limits, accounts: Vec::new() }
 }
 
 #[test]
@@ -87,6 +88,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
+        is_reclaimable: false,
         started_at_ms: Some(born),
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,13 +7,55 @@
 use smol_str::SmolStr;
 
 /// A field of the settings that can't be decoded.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{field}: {text:?} isn't an IP address and port, such as 10.0.0.1:8080")]
-pub struct SettingsError {
-    field: &'static str,
-    text: String,
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{field}: {text:?} isn't an IP address and port, such as 10.0.0.1:8080")]
+    Address { field: &'static str, text: String },
+    #[error("{field}: {seconds} isn't a number of seconds above 0")]
+    Duration { field: &'static str, seconds: f64 },
 }
 
+/// A duty at the platform's API, which one daemon at a time has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum DutyKind {
+    /// Reports the requests of each client account.
+    UsageReport,
+    /// Orders the engines of the services that can be scaled.
+    Autoscale,
+}
+
+/// The platform's API and the duties there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutyOptions {
+    pub api: SocketAddr,
+    pub duties: Vec<DutyKind>,
+    /// Calls per second that the API accepts from all daemons together.
+    pub rate: f64,
+    /// Whether the API refuses calls with a lower fencing token than it has seen.
+    pub requires_fencing: bool,
+    /// Time within which two daemons must not take turns in a duty.
+    pub turn_interval: Duration,
+    /// Time after a suspension in which late calls are excused.
+    pub thaw: Duration,
+    /// Length of a window of the usage reports.
+    pub report_window: Duration,
+    /// Time after the end of a window at which its usage report is due.
+    pub report_delay: Duration,
+}
+
+/// How long keys that a configuration has removed may still be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RevocationOptions {
+    /// Whether the limit also holds for daemons without contact to the key-value service.
+    pub is_strict: bool,
+    /// Time from the acknowledgement of the configuration.
+    pub limit: Duration,
+}
+
+/// Bytes of a megabyte, as the settings count memory.
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Decoded settings of the gateway.
 #[derive(Clone, Debug)]
 pub struct GatewayOptions {
@@ -27,6 +69,15 @@
     pub store: SocketAddr,
     /// Share of a CPU core that the VM has.
     pub capacity: f64,
+    /// Memory of the VM, in bytes.
+    pub memory_bytes: u64,
+    /// File descriptors that the process may open.
+    pub max_descriptors: u64,
+    pub revocation: RevocationOptions,
+    /// None if there are no duties.
+    pub duties: Option<DutyOptions>,
+    /// Whether the pace of a server that has started or recovered is found from its responses.
+    pub adapts_pace: bool,
     pub limits: GatewayLimits,
 }
 
@@ -43,10 +94,10 @@
     ///
     /// # Errors
     ///
-    /// Returns the first field that isn't an address.
+    /// Returns the first field that isn't an address or a duration.
     pub fn new(settings: &GatewaySettings) -> Result<Self, SettingsError> {
         let address = |field, text: &str| {
-            text.parse().map_err(|_| SettingsError { field, text: text.to_owned() })
+            text.parse().map_err(|_| SettingsError::Address { field, text: text.to_owned() })
         };
         let regions: HashMap<SmolStr, SmolStr> = settings
             .regions
@@ -63,6 +114,14 @@
             peer_listen: address("peer_listen", &settings.peer_listen)?,
             store: address("store", &settings.store)?,
             capacity: settings.cpu_share,
+            memory_bytes: settings.memory_mb.saturating_mul(BYTES_PER_MB),
+            max_descriptors: settings.max_fds,
+            revocation: RevocationOptions {
+                is_strict: settings.strict_revoke,
+                limit: Duration::from_millis(settings.revoke_ms),
+            },
+            duties: duty_options(settings)?,
+            adapts_pace: settings.pace,
             limits: GatewayLimits {
                 grace: Duration::from_secs_f64(settings.grace_s),
                 retry_allowance: RetryAllowance {
@@ -84,7 +143,35 @@
             ("metrics_listen", self.metrics_listen == other.metrics_listen),
             ("peer_listen", self.peer_listen == other.peer_listen),
             ("store", self.store == other.store),
+            ("memory_mb", self.memory_bytes == other.memory_bytes),
+            ("max_fds", self.max_descriptors == other.max_descriptors),
+            ("revoke_ms", self.revocation == other.revocation),
+            ("platform_api", self.duties == other.duties),
+            ("pace", self.adapts_pace == other.adapts_pace),
         ];
         rows.into_iter().filter(|(_, is_same)| !is_same).map(|(name, _)| name).collect()
     }
 }
+
+/// Decodes the duties. Unknown ones are left out: a later platform may name more.
+fn duty_options(settings: &GatewaySettings) -> Result<Option<DutyOptions>, SettingsError> {
+    let Some(api) = &settings.platform_api else {
+        return Ok(None);
+    };
+    let field = "platform_api";
+    let api = api.parse().map_err(|_| SettingsError::Address { field, text: api.clone() })?;
+    let duration = |field, seconds: f64| {
+        let duration = Duration::try_from_secs_f64(seconds).ok().filter(|it| !it.is_zero());
+        duration.ok_or(SettingsError::Duration { field, seconds })
+    };
+    Ok(Some(DutyOptions {
+        api,
+        duties: settings.duties.iter().filter_map(|duty| duty.parse().ok()).collect(),
+        rate: settings.duty_rate,
+        requires_fencing: settings.require_fencing,
+        turn_interval: Duration::from_millis(settings.lease_ms),
+        thaw: Duration::from_millis(settings.thaw_ms),
+        report_window: duration("report_window_s", settings.report_window_s)?,
+        report_delay: duration("usage_late_s", settings.usage_late_s)?,
+    }))
+}
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -343,6 +343,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
+        is_reclaimable: false,
         started_at_ms: Some(1),
     };
     let hashes = [
--- a/crates/gateway/tests/gateway/limit_world.rs
+++ b/crates/gateway/tests/gateway/limit_world.rs
@@ -54,6 +54,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Mixed,
+        is_reclaimable: false,
         started_at_ms: None,
     };
     state.put_server(entry, at(0));
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -42,6 +42,7 @@
         software: "v1".into(),
         is_draining: false,
         stage: EngineStage::Prefill,
+        is_reclaimable: false,
         started_at_ms: None,
     };
     state.put_server(entry, START);
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -30,26 +30,53 @@
     #[doc = "Share of a core that the VM has."]
     #[serde(default = "defaults::gateway_settings_cpu_share")]
     pub cpu_share: f64,
+    #[doc = "Duties in force at the platform's API: `usage_report` and `autoscale`."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub duties: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Calls per second that the platform's API accepts from all daemons together."]
+    #[serde(default = "defaults::gateway_settings_duty_rate")]
+    pub duty_rate: f64,
     #[doc = "Failure domain of the VM."]
     pub failure_domain: ::std::string::String,
     #[doc = "Time from SIGTERM to SIGKILL, in seconds."]
     #[serde(default = "defaults::gateway_settings_grace_s")]
     pub grace_s: f64,
+    #[doc = "Time within which two daemons must not take turns in a duty, in milliseconds."]
+    #[serde(default = "defaults::default_u64::<u64, 3000>")]
+    pub lease_ms: u64,
     #[doc = "IP address and port for callers."]
     pub listen: ::std::string::String,
     #[doc = "Level of the logs."]
     #[serde(default = "defaults::gateway_settings_log")]
     pub log: ::std::string::String,
+    #[doc = "File descriptors that the process may open."]
+    #[serde(default = "defaults::default_u64::<u64, 4096>")]
+    pub max_fds: u64,
+    #[doc = "Memory of the VM, in megabytes, from which the bound on the memory held for callers follows."]
+    #[serde(default = "defaults::default_u64::<u64, 256>")]
+    pub memory_mb: u64,
     #[doc = "IP address and port of the metrics."]
     pub metrics_listen: ::std::string::String,
     #[doc = "Name of the VM."]
     pub name: ::std::string::String,
+    #[doc = "Whether the pace of a server that has started or recovered is found from its responses."]
+    #[serde(default)]
+    pub pace: bool,
     #[doc = "IP address and UDP port for other daemons."]
     pub peer_listen: ::std::string::String,
+    #[doc = "IP address and port of the platform's API. Without it there are no duties."]
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub platform_api: ::std::option::Option<::std::string::String>,
     #[doc = "IP address and port of the load balancer's readiness check."]
     pub ready_listen: ::std::string::String,
     #[doc = "Region of each failure domain."]
     pub regions: ::std::collections::HashMap<::std::string::String, ::std::string::String>,
+    #[doc = "Length of a window of the usage reports, in seconds."]
+    #[serde(default = "defaults::gateway_settings_report_window_s")]
+    pub report_window_s: f64,
+    #[doc = "Whether the platform's API refuses calls with a lower fencing token than it has seen."]
+    #[serde(default)]
+    pub require_fencing: bool,
     #[doc = "Retries per request that all daemons together may make (retry budget)."]
     #[serde(default = "defaults::gateway_settings_retry_ratio")]
     pub retry_ratio: f64,
@@ -59,8 +86,20 @@
     #[doc = "Window of the retry budget, in seconds."]
     #[serde(default = "defaults::gateway_settings_retry_window_s")]
     pub retry_window_s: f64,
+    #[doc = "Time after the acknowledgement of a configuration from which the keys that it removed must be refused, in milliseconds."]
+    #[serde(default = "defaults::default_u64::<u64, 5000>")]
+    pub revoke_ms: u64,
     #[doc = "IP address and port of the key-value service."]
     pub store: ::std::string::String,
+    #[doc = "Whether a key that a configuration has removed must be refused within `revoke_ms` by daemons without contact to the key-value service too."]
+    #[serde(default)]
+    pub strict_revoke: bool,
+    #[doc = "Time after a suspension in which late calls of a duty are excused, in milliseconds."]
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub thaw_ms: u64,
+    #[doc = "Time after the end of a window at which its usage report is due, in seconds."]
+    #[serde(default = "defaults::gateway_settings_usage_late_s")]
+    pub usage_late_s: f64,
 }
 #[doc = " Generation of default values for serde."]
 pub mod defaults {
@@ -81,18 +120,27 @@
     pub(super) fn gateway_settings_cpu_share() -> f64 {
         1_f64
     }
+    pub(super) fn gateway_settings_duty_rate() -> f64 {
+        10_f64
+    }
     pub(super) fn gateway_settings_grace_s() -> f64 {
         8_f64
     }
     pub(super) fn gateway_settings_log() -> ::std::string::String {
         "info".to_string()
     }
+    pub(super) fn gateway_settings_report_window_s() -> f64 {
+        5_f64
+    }
     pub(super) fn gateway_settings_retry_ratio() -> f64 {
         0.2_f64
     }
     pub(super) fn gateway_settings_retry_window_s() -> f64 {
         10_f64
     }
+    pub(super) fn gateway_settings_usage_late_s() -> f64 {
+        10_f64
+    }
 }
 #[doc = " Error types."]
 pub mod error {
