gateway: give calls a client account

Usage reports, fair shares and priorities all need the account of a request, and are built at the same time. Calls now carry it; it is empty until keys are checked. Checked with cargo check on aarch64.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -57,11 +57,21 @@
     },
 }
 
+/// The client account of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallAccount {
+    pub name: SmolStr,
+    /// Priority of the account's requests, which goes before that of their routes.
+    pub priority: Option<u8>,
+}
+
 /// A caller's request.
 #[derive(Debug)]
 pub struct Call {
     pub gateway: Arc<Gateway>,
     pub source: CallSource,
+    /// None if the configuration has no accounts or the route is anonymous.
+    pub account: Option<CallAccount>,
     pub parts: request::Parts,
     pub head: RequestHead,
     pub body: Bytes,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -93,6 +93,7 @@
         gateway: Arc::clone(gateway),
         blamable_parts: Call::blamable_parts(&parts, &body, &head),
         source,
+        account: None,
         parts,
         head,
         body,
