gateway: authorize requests by the API keys of client accounts

Cause: a configuration with tenants was read, but every request was served. Change: core/serving/accounts.rs has the table (digests keyed with a secret of the process), the decision and the age of the configuration's confirmation, in a clock that counts suspension (rustix's time feature). The front end decides before it reads the body: 401, or 503 with Retry-After. Servers get the account's name in X-Tenant and never the key; the account's priority goes before the route's. AccountKey is a hash of the name, so it is the same in all daemons and versions. The plain keys aren't kept in the configuration in force. Usable by others from here: Call::account, Call::authority, Gateway::account_gate, AccountKey::of, state.accounts.table. Not yet: the check before later sends, forwarding with accounts (such a request isn't taken over unless its route is anonymous), shorter watches for the bound of revocations.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -4,6 +4,7 @@
 //! An engine is a backend server that serves a model. These modules do no I/O and get the current
 //! time as an argument, so tests need neither a network nor a clock.
 
+pub mod accounts;
 pub mod admission;
 pub mod backlog;
 pub mod backoff;
--- /dev/null
+++ b/crates/core/tests/serving_accounts.rs
@@ -0,0 +1,112 @@
+//! The table of client accounts and the decision about a request.
+
+use std::time::Duration;
+
+use gooseberry_core::{
+    serving::{
+        accounts::{
+            self, AccountDecision, AccountKey, AccountRequest, AccountTable,
+            ConfigurationKnowledge, KeySecret, KeyState, RevocationPolicy, CONFIRMED_AGE_LIMIT,
+        },
+        configuration::AccountSpec,
+    },
+    time::Timestamp,
+};
+
+fn spec(name: &str, keys: &[&str]) -> AccountSpec {
+    AccountSpec {
+        name: name.into(),
+        keys: keys.iter().copied().map(Into::into).collect(),
+        priority: None,
+    }
+}
+
+fn strict(limit_ms: u64) -> RevocationPolicy {
+    RevocationPolicy { is_strict: true, limit: Duration::from_millis(limit_ms) }
+}
+
+/// Guards against keys that are found for the wrong account, or found although they are empty.
+#[test]
+fn a_key_is_found_with_its_account() {
+    let secret = KeySecret::new([7; 32]);
+    let specs = [spec("a", &["one", "two", ""]), spec("b", &[]), spec("c", &["three", "one"])];
+    let table = AccountTable::new(&specs, &secret);
+    let find = |key: &str| table.find(&secret.digest(key.as_bytes())).map(|row| row.name.as_str());
+    assert_eq!([find("one"), find("two"), find("three")], [Some("a"), Some("a"), Some("c")]);
+    assert_eq!([find(""), find("on"), find("One")], [None, None, None]);
+    let row = table.find(&secret.digest(b"three")).expect("a known key");
+    assert_eq!(row.key, AccountKey::of("c"));
+    let other = KeySecret::new([8; 32]);
+    assert!(table.find(&other.digest(b"one")).is_none(), "digests don't depend on the secret");
+}
+
+/// Guards against a table that loses keys at the largest scale.
+#[test]
+fn all_keys_of_23000_accounts_are_found() {
+    let secret = KeySecret::new([7; 32]);
+    let names: Vec<String> = (0..23_000).map(|number| format!("account-{number}")).collect();
+    let specs: Vec<_> = names.iter().map(|name| spec(name, &[name])).collect();
+    let table = AccountTable::new(&specs, &secret);
+    for name in &names {
+        let row = table.find(&secret.digest(name.as_bytes()));
+        assert_eq!(row.map(|row| row.name.as_str()), Some(name.as_str()));
+    }
+    assert!(table.find(&secret.digest(b"account-23000")).is_none());
+}
+
+/// Guards against keys in logs.
+#[test]
+fn no_debug_output_contains_a_key_or_a_digest() {
+    let secret = KeySecret::new([0xab; 32]);
+    let specs = [spec("a", &["hidden-key"])];
+    let table = AccountTable::new(&specs, &secret);
+    let digest = secret.digest(b"hidden-key");
+    let text = format!("{specs:?} {table:?} {secret:?} {digest:?}");
+    assert!(!text.contains("hidden-key") && !text.contains("171"), "{text}");
+    assert!(text.contains("KeyDigest { .. }"), "{text}");
+}
+
+/// Guards against 401 for a key that may be new, and admission after the limit.
+#[test]
+fn the_decision_depends_on_the_age_of_the_configuration() {
+    let decide = |key, age: Option<u64>, policy| {
+        let age = age.map(Duration::from_millis);
+        accounts::decide(AccountRequest { key, is_anonymous: false, age }, policy)
+    };
+    let lax = RevocationPolicy { is_strict: false, ..strict(5000) };
+    let fresh = CONFIRMED_AGE_LIMIT.as_millis() as u64;
+    for key in [KeyState::Missing, KeyState::Unknown] {
+        for policy in [strict(5000), lax] {
+            assert_eq!(decide(key, Some(fresh), policy), AccountDecision::Unauthorized);
+            assert_eq!(decide(key, Some(fresh + 1), policy), AccountDecision::Unavailable);
+            assert_eq!(decide(key, None, policy), AccountDecision::Unavailable);
+        }
+    }
+    let valid = |age, policy| decide(KeyState::Valid, age, policy);
+    assert_eq!(valid(Some(4499), strict(5000)), AccountDecision::Admit);
+    assert_eq!(valid(Some(4500), strict(5000)), AccountDecision::Unavailable);
+    assert_eq!(valid(None, strict(5000)), AccountDecision::Unavailable);
+    assert_eq!(valid(Some(3_600_000), lax), AccountDecision::Admit);
+    assert_eq!(valid(None, lax), AccountDecision::Admit);
+    let anonymous = AccountRequest { key: KeyState::Missing, is_anonymous: true, age: None };
+    assert_eq!(accounts::decide(anonymous, strict(5000)), AccountDecision::Admit);
+}
+
+/// Guards against knowledge of an earlier era, or a later call's response overtaken by an earlier one's.
+#[test]
+fn knowledge_is_as_old_as_the_call_and_ends_with_its_era() {
+    let at = Timestamp::from_millis;
+    let age = |knowledge: &ConfigurationKnowledge, era, now| {
+        knowledge.age(era, at(now)).map(|age| age.as_millis())
+    };
+    let mut knowledge = ConfigurationKnowledge::default();
+    assert_eq!(age(&knowledge, 0, 100), None);
+    knowledge.confirm(0, at(1000));
+    knowledge.confirm(0, at(900));
+    assert_eq!(age(&knowledge, 0, 1500), Some(500));
+    assert_eq!(age(&knowledge, 1, 1500), None);
+    knowledge.confirm(1, at(1400));
+    assert_eq!(age(&knowledge, 1, 1500), Some(100));
+    knowledge.confirm(0, at(1499));
+    assert_eq!(age(&knowledge, 1, 1500), Some(100));
+}
--- a/crates/edges/src/clock.rs
+++ b/crates/edges/src/clock.rs
@@ -41,6 +41,22 @@
         }
     }
 
+    /// Returns the time since the start of the machine, in a clock that also counts the time in
+    /// which the process or the machine was suspended.
+    pub fn time_since_boot(&self) -> Timestamp {
+        match self {
+            Self::System { .. } => {
+                let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+                let millis = time.tv_sec.saturating_mul(1000) + time.tv_nsec / 1_000_000;
+                Timestamp::from_millis(u64::try_from(millis).unwrap_or_default())
+            }
+            Self::Manual(clock) => {
+                let state = clock.state.lock();
+                state.now + state.suspended
+            }
+        }
+    }
+
     /// Waits for a duration.
     pub async fn sleep(&self, duration: Duration) {
         match self {
@@ -77,6 +93,8 @@
 #[derive(Debug, Default)]
 struct ManualState {
     now: Timestamp,
+    /// Time in which the clock stood still.
+    suspended: Duration,
     sleepers: Vec<Sleeper>,
 }
 
@@ -89,7 +107,7 @@
 impl ManualClock {
     /// Creates a clock that shows the given time.
     pub fn at(now: Timestamp) -> Arc<Self> {
-        Arc::new(Self { state: Mutex::new(ManualState { now, sleepers: Vec::new() }) })
+        Arc::new(Self { state: Mutex::new(ManualState { now, ..ManualState::default() }) })
     }
 
     /// Advances the clock and wakes the sleepers that are due.
@@ -105,6 +123,11 @@
         });
     }
 
+    /// Suspends the clock for a duration, which only [`Clock::time_since_boot`] counts.
+    pub fn suspend(&self, duration: Duration) {
+        self.state.lock().suspended += duration;
+    }
+
     async fn sleep(&self, duration: Duration) {
         let (wake, woken) = async_channel::bounded(1);
         {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -20,7 +20,7 @@
     time::Timestamp,
 };
 use gooseberry_platform::{
-    engine::{self, SendOptions, SendPhase},
+    engine::{self, SendOptions, SendPhase, SentAccount},
     front::{self, LocalResponse, RequestHead},
 };
 use gooseberry_transport::body::{self, ResponseBody};
@@ -29,7 +29,9 @@
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
 
+pub use crate::accounts::CallAccount;
 use crate::{
+    accounts::{self, CallAuthority},
     crashes::{self, TrialGuard},
     forward,
     gateway::Gateway,
@@ -57,14 +59,6 @@
     },
 }
 
-/// The client account of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallAccount {
-    pub name: SmolStr,
-    /// Priority of the account's requests, which goes before that of their routes.
-    pub priority: Option<u8>,
-}
-
 /// A caller's request.
 #[derive(Debug)]
 pub struct Call {
@@ -72,6 +66,7 @@
     pub source: CallSource,
     /// None if the configuration has no accounts or the route is anonymous.
     pub account: Option<CallAccount>,
+    pub authority: CallAuthority,
     pub parts: request::Parts,
     pub head: RequestHead,
     pub body: Bytes,
@@ -178,6 +173,22 @@
         shared_parts.chain(hashes.map(PartFingerprint::of_request)).collect()
     }
 
+    /// Returns the name of the request's account.
+    pub fn account_name(&self) -> Option<&str> {
+        self.account.as_ref().map(|account| account.name.as_str())
+    }
+
+    /// Returns the request's scheduling priority: that of its account or else of its route.
+    pub fn priority(&self, route: &CallRoute) -> u8 {
+        let priority = self.account.as_ref().and_then(|account| account.priority);
+        priority.unwrap_or(route.row.priority)
+    }
+
+    /// Returns what servers are told about the request's account.
+    pub fn sent_account(&self) -> SentAccount<'_> {
+        accounts::sent_account(self.account.as_ref(), self.authority)
+    }
+
     /// Returns a hash of the request's id.
     pub fn id_hash(&self) -> u64 {
         xxh3::xxh3_64(self.head.request_id.as_bytes())
@@ -255,7 +266,8 @@
         let answer = if is_contradicted { LocalResponse::BackendFailed } else { answer };
         let waited_ms = self.gateway.now().since(self.arrived_at).as_millis() as u64;
         let id = &self.head.request_id;
-        tracing::info!(request = %id, answer = ?answer, reason, waited_ms, "responded without a backend server");
+        let account = self.account_name();
+        tracing::info!(request = %id, account, answer = ?answer, reason, waited_ms, "responded without a backend server");
         answer.encode(id)
     }
 
@@ -357,6 +369,7 @@
             request = %self.head.request_id,
             route = %route.row.name,
             version = route.configuration.version,
+            account = self.account_name(),
             server = %server.entry.id,
             presence = ?server.presence,
             list_age_ms = state.list_age_ms(now),
@@ -385,6 +398,7 @@
             phase: SendPhase::Whole,
             fetch_from: None,
             last_event: self.head.last_event.as_deref(),
+            account: self.sent_account(),
         };
         let choice = self.connection_choice(target.key, route.row.kind.is_idempotent());
         self.execution.record_send();
@@ -498,6 +512,7 @@
         LocalResponse::Unavailable { .. } => "no server available, or none with capacity in time",
         LocalResponse::BackendFailed => "a backend server failed",
         LocalResponse::TimedOut => "a backend server didn't respond in time",
+        LocalResponse::Unauthorized => "the request's key is no longer valid",
         LocalResponse::BadRequest
         | LocalResponse::UnknownRoute
         | LocalResponse::BodyTooLarge
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -93,7 +93,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ListTimes {
     pub responded_at: Timestamp,
-    /// Time of the call: the response has all changes up to then.
+    /// Time of the call, in a clock that counts suspension: the response has all changes up to then.
     pub listed_at: Timestamp,
 }
 
@@ -107,6 +107,7 @@
     /// Time of the last response of the service itself, rather than a relay, to this daemon.
     responded_at: Option<Timestamp>,
     /// Time up to which the service itself has told this daemon of all changes.
+    /// The time is that of a clock that counts suspension.
     listed_at: Option<Timestamp>,
     /// Senders of the requests that wait for a change.
     waiters: Vec<Sender<()>>,
@@ -181,7 +182,8 @@
         self.state.lock().revision.era
     }
 
-    /// Returns the time since which there may be changes that this log doesn't have.
+    /// Returns the time since which there may be changes that this log doesn't have. `now` is the time
+    /// in a clock that counts suspension.
     fn list_age(&self, now: Timestamp) -> Option<Duration> {
         self.state.lock().listed_at.map(|at| now.since(at))
     }
@@ -257,7 +259,7 @@
     };
     let headers = response.headers_mut();
     headers.insert(ERA_HEADER, era.into());
-    if let Some(age) = log.list_age(gateway.now()) {
+    if let Some(age) = log.list_age(gateway.clock.time_since_boot()) {
         headers.insert(LIST_AGE_HEADER, (age.as_millis() as u64).into());
     }
     response
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -7,14 +7,15 @@
 
 use bytes::Bytes;
 use gooseberry_core::serving::shutdown;
-use gooseberry_platform::front::{self, LocalResponse};
+use gooseberry_platform::front::{self as platform_front, LocalResponse, RequestHead};
 use gooseberry_transport::body::ResponseBody;
-use http::{header, HeaderValue, Request, Response};
+use http::{header, request, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
 use crate::{
+    accounts::AccountRefusal,
     call::{Call, CallSource, ExecutionState},
     gateway::Gateway,
 };
@@ -23,6 +24,11 @@
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
 /// Timeout of reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest part of a refused request's body that is read and discarded, in bytes. The bodies of the
+/// deployments' requests have up to 60 kB.
+const DISCARD_LIMIT_BYTES: usize = 64 * 1024;
+/// Time for which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the deadline in which an engine's own timeout response may still arrive.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
@@ -68,14 +74,18 @@
     source: CallSource,
 ) -> Response<ResponseBody> {
     let arrived_at = gateway.now();
-    let (parts, body) = request.into_parts();
-    let head = match front::decode(&parts) {
+    let (mut parts, body) = request.into_parts();
+    let head = match platform_front::decode(&parts) {
         Ok(head) => head,
         Err(fault) => {
             tracing::info!(%fault, path = parts.uri.path(), "request head can't be decoded");
             return LocalResponse::BadRequest.encode("");
         }
     };
+    let access = match gateway.account_gate().authorize(&mut parts, &head) {
+        Ok(access) => access,
+        Err(refusal) => return refuse(gateway, &parts, &head, body, &refusal).await,
+    };
     let limit = body_limit(gateway);
     let body = match gateway.clock.timeout(BODY_TIMEOUT, read_body(body, limit)).await {
         Ok(Ok(body)) => body,
@@ -93,7 +103,8 @@
         gateway: Arc::clone(gateway),
         blamable_parts: Call::blamable_parts(&parts, &body, &head),
         source,
-        account: None,
+        account: access.account,
+        authority: access.authority,
         parts,
         head,
         body,
@@ -133,6 +144,7 @@
     tracing::info!(
         request = %call.head.request_id,
         route = %name,
+        account = call.account_name(),
         status = status.as_u16(),
         elapsed_ms = elapsed.as_millis() as u64,
         "response sent to caller"
@@ -140,6 +152,36 @@
     response
 }
 
+/// Refuses a request that isn't authorized. A small body is read, so that the caller gets the response
+/// instead of a reset.
+async fn refuse(
+    gateway: &Gateway,
+    parts: &request::Parts,
+    head: &RequestHead,
+    body: Incoming,
+    refusal: &AccountRefusal,
+) -> Response<ResponseBody> {
+    let answer = refusal.response();
+    tracing::info!(
+        request = %head.request_id,
+        ?answer,
+        key = %refusal.key,
+        account = refusal.account.as_deref(),
+        version = refusal.version,
+        age_ms = refusal.age.map(|age| age.as_millis() as u64),
+        "request not authorized"
+    );
+    let mut response = answer.encode(&head.request_id);
+    let is_read = !platform_front::holds_body_back(&parts.headers, DISCARD_LIMIT_BYTES as u64) && {
+        let reading = Limited::new(body, DISCARD_LIMIT_BYTES).collect();
+        matches!(gateway.clock.timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_)))
+    };
+    if !is_read {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 fn body_limit(gateway: &Gateway) -> u64 {
     let state = gateway.state.lock();
     state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT_BYTES, |row| row.limits.body_bytes)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,10 @@
 
 use async_channel::{Receiver, Sender};
 use gooseberry_core::{
-    serving::shutdown::{RecentDurations, ShutdownProgress},
+    serving::{
+        accounts::KeySecret,
+        shutdown::{RecentDurations, ShutdownProgress},
+    },
     time::Timestamp,
 };
 use gooseberry_edges::clock::Clock;
@@ -22,6 +25,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
+    accounts::AccountGate,
     metrics::GatewayMetrics,
     peers::PeerDirectory,
     settings::{GatewayLimits, GatewayOptions},
@@ -55,6 +59,8 @@
     pub daemon: u64,
     /// The other daemons.
     pub peers: Arc<PeerDirectory>,
+    /// Secret of the digests of API keys.
+    key_secret: KeySecret,
     /// Token with which other daemons hand requests to this one.
     pub peer_token: SmolStr,
     /// Serves the other daemons.
@@ -93,6 +99,7 @@
             running: AtomicUsize::new(0),
             daemon,
             peers: Arc::default(),
+            key_secret: KeySecret::new(rand::random()),
             peer_token: smol_str::format_smolstr!("{:032x}", rand::random::<u128>()),
             peer_server: HttpServer::default(),
             forwards: Mutex::default(),
@@ -115,6 +122,22 @@
         Instant::now()
     }
 
+    /// Returns the secret of the digests of API keys.
+    pub fn key_secret(&self) -> &KeySecret {
+        &self.key_secret
+    }
+
+    /// Returns what requests are authorized by now.
+    pub fn account_gate(&self) -> AccountGate<'_> {
+        AccountGate {
+            state: &self.state,
+            secret: &self.key_secret,
+            policy: self.options.revocation,
+            newest_era: self.store.newest_era(),
+            now: self.clock.time_since_boot(),
+        }
+    }
+
     /// Returns whether this daemon accepts new callers.
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed) && !self.is_stopping()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! daemons. Requests are placed by the functions of `gooseberry_core::serving` with the state in
 //! [`state::GatewayState`].
 
+pub mod accounts;
 pub mod call;
 pub mod changes;
 pub mod crashes;
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -131,6 +131,7 @@
         request = %call.head.request_id,
         route = %route.row.name,
         version = route.configuration.version,
+        account = call.account_name(),
         reader = %state.fleet.server(placement.path.prefill_engine()).entry.id,
         writer = %state.fleet.server(placement.path.decode_engine()).entry.id,
         reader_presence = ?state.fleet.server(placement.path.prefill_engine()).presence,
@@ -283,10 +284,11 @@
     SendOptions {
         server_id: &target.id,
         time_left: call.time_left(),
-        priority: Some(route.row.priority),
+        priority: Some(call.priority(route)),
         phase,
         fetch_from,
         last_event: call.head.last_event.as_deref(),
+        account: call.sent_account(),
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use gooseberry_core::serving::{budget::RetryAllowance, distance::DomainMap};
+use gooseberry_core::serving::{
+    accounts::RevocationPolicy, budget::RetryAllowance, distance::DomainMap,
+};
 use gooseberry_wire::gateway::GatewaySettings;
 use smol_str::SmolStr;
 
@@ -44,15 +46,6 @@
     pub report_delay: Duration,
 }
 
-/// How long keys that a configuration has removed may still be accepted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RevocationOptions {
-    /// Whether the limit also holds for daemons without contact to the key-value service.
-    pub is_strict: bool,
-    /// Time from the acknowledgement of the configuration.
-    pub limit: Duration,
-}
-
 /// Bytes of a megabyte, as the settings count memory.
 const BYTES_PER_MB: u64 = 1_000_000;
 
@@ -73,7 +66,7 @@
     pub memory_bytes: u64,
     /// File descriptors that the process may open.
     pub max_descriptors: u64,
-    pub revocation: RevocationOptions,
+    pub revocation: RevocationPolicy,
     /// None if there are no duties.
     pub duties: Option<DutyOptions>,
     /// Whether the pace of a server that has started or recovered is found from its responses.
@@ -116,7 +109,7 @@
             capacity: settings.cpu_share,
             memory_bytes: settings.memory_mb.saturating_mul(BYTES_PER_MB),
             max_descriptors: settings.max_fds,
-            revocation: RevocationOptions {
+            revocation: RevocationPolicy {
                 is_strict: settings.strict_revoke,
                 limit: Duration::from_millis(settings.revoke_ms),
             },
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
 
 pub use crate::state::evidence::DoubtfulEnd;
 use crate::{
+    accounts::AccountState,
     state::evidence::{ConfirmedCrash, CrashDoubt},
     updates::{PrefillEnd, SendRecord, SendUpdate},
 };
@@ -54,6 +55,7 @@
 #[derive(Debug, Default)]
 pub struct GatewayState {
     pub configuration: Option<Arc<ServingConfiguration>>,
+    pub accounts: AccountState,
     pub fleet: ServerFleet,
     pub parts: PartEvidence,
     pub versions: VersionHistory,
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -78,7 +78,7 @@
     }
 
     async fn step(&mut self) {
-        let now = self.gateway.now();
+        let (now, called_since_boot) = (self.gateway.now(), self.gateway.clock.time_since_boot());
         give_up_missing(&self.gateway);
         confirm_restored(&self.gateway);
         self.end_era(now);
@@ -87,7 +87,7 @@
         let source = self.plan.source(relay.is_some(), now);
         let update = match (self.revision, relay, source) {
             (Some(revision), Some(relay), WatchSource::Relay) => {
-                self.watch_relay(relay, revision, now).await;
+                self.watch_relay(relay, revision, now, called_since_boot).await;
                 return;
             }
             (Some(revision), _, _) => {
@@ -105,7 +105,7 @@
             Ok(update) => {
                 self.plan.store_responded();
                 let has_changes = !update.changes.is_empty();
-                self.apply_update(update, WatchSource::Store, now);
+                self.apply_update(update, WatchSource::Store, now, Some(called_since_boot));
                 if has_changes {
                     self.gateway.clock.sleep(BATCH_DELAY).await;
                 }
@@ -154,13 +154,16 @@
         relay: SocketAddr,
         revision: StoreRevision,
         called_at: Timestamp,
+        called_since_boot: Timestamp,
     ) {
         let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
         let call = self.plan.relay_call(is_failing, called_at);
         let fault = match self.relay_client.watch(&self.gateway, relay, revision, call).await {
             Ok(RelayUpdate { update, list_age }) => {
                 let listed_at = called_at - list_age.unwrap_or(changes::MAX_RESPONSE_AGE);
-                return self.apply_update(update, WatchSource::Relay, listed_at);
+                // A relay that doesn't state the age of its list confirms nothing.
+                let listed_since_boot = list_age.map(|age| called_since_boot - age);
+                return self.apply_update(update, WatchSource::Relay, listed_at, listed_since_boot);
             }
             Err(fault) => fault,
         };
@@ -173,13 +176,21 @@
         }
     }
 
-    /// Applies an update that has all changes up to `listed_at`.
-    fn apply_update(&mut self, update: StoreUpdate, source: WatchSource, listed_at: Timestamp) {
+    /// Applies an update that has all changes up to `listed_at`, which is `listed_since_boot` in a
+    /// clock that counts suspension.
+    fn apply_update(
+        &mut self,
+        update: StoreUpdate,
+        source: WatchSource,
+        listed_at: Timestamp,
+        listed_since_boot: Option<Timestamp>,
+    ) {
         record_response(&self.gateway, source, listed_at);
         let now = self.gateway.now();
         let listed_era = self.gateway.state.lock().listed_revision.era;
         let is_restored = self.has_read && update.revision.era > listed_era;
-        let times = ListTimes { responded_at: now, listed_at };
+        let times =
+            ListTimes { responded_at: now, listed_at: listed_since_boot.unwrap_or_default() };
         if self.revision.is_none() {
             self.gateway.state.lock().versions.record_gap();
             keys::remove_missing_servers(&self.gateway, &update);
@@ -191,7 +202,8 @@
         }
         // The keys may have been read from a replica that lags behind, so the revision never goes
         // back.
-        self.revision = self.revision.max(Some(update.revision));
+        let revision = update.revision;
+        self.revision = self.revision.max(Some(revision));
         if !std::mem::replace(&mut self.has_read, true) {
             keys::restore_suspects(&self.gateway, &update.changes);
         }
@@ -202,6 +214,12 @@
         state.versions.record_complete(now);
         state.listed_revision = self.revision.unwrap_or_default();
         state.fleet.connectivity.record_list(listed_at);
+        // A response of a replica that lags behind confirms nothing.
+        let confirmed_at = listed_since_boot.filter(|_| self.revision == Some(revision));
+        if let Some(confirmed_at) = confirmed_at {
+            let era = state.listed_revision.era;
+            state.accounts.knowledge.confirm(era, confirmed_at);
+        }
         drop(state);
         update_readiness(&self.gateway);
     }
--- a/crates/gateway/src/store_watch/keys.rs
+++ b/crates/gateway/src/store_watch/keys.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashSet, sync::Arc};
 
 use async_std::task;
-use gooseberry_core::serving::{directory::ServerEntry, fleet::EntryEffect};
+use gooseberry_core::serving::{
+    accounts::AccountTable, directory::ServerEntry, fleet::EntryEffect,
+};
 use gooseberry_platform::{
     configuration, servers,
     store::{StoreChange, StoreKey, StoreUpdate},
@@ -83,7 +85,7 @@
 }
 
 fn put_configuration(gateway: &Gateway, text: &[u8], revision: u64) {
-    let configuration = match configuration::decode(text) {
+    let mut configuration = match configuration::decode(text) {
         Ok(configuration) => configuration,
         Err(fault) => {
             tracing::warn!(%fault, revision, "configuration can't be decoded; keeping the current one");
@@ -91,10 +93,23 @@
         }
     };
     let version = configuration.version;
-    let has_changed = gateway.state.lock().put_configuration(configuration);
+    // The table is built before the state is locked: 23,000 digests take a slow VM 0.1 s.
+    let table = AccountTable::new(&configuration.accounts, gateway.key_secret());
+    for account in &mut configuration.accounts {
+        account.keys = Vec::new();
+    }
+    let accounts = table.accounts().len();
+    let has_changed = {
+        let mut state = gateway.state.lock();
+        let has_changed = state.put_configuration(configuration);
+        if has_changed {
+            state.accounts.table = Arc::new(table);
+        }
+        has_changed
+    };
     if has_changed {
         gateway.metrics.version.set(version as i64);
-        tracing::info!(version, revision, "configuration in force");
+        tracing::info!(version, revision, accounts, "configuration in force");
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway with stand-ins of the platform, on loopback.
 
+mod accounts;
 mod broken_engines;
 mod crashing_engine;
 mod cut_daemons;
