--- a/crates/edges/src/clock.rs
+++ b/crates/edges/src/clock.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 use gooseberry_core::time::Timestamp;
 use parking_lot::Mutex;
+use rustix::time::{self, ClockId};
 
 /// The error of [`Clock::timeout`]: the time limit passed before the future was ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -41,14 +42,27 @@
         }
     }
 
-    /// Returns the time since the start of the machine, in a clock that also counts the time in
-    /// which the process or the machine was suspended.
+    /// Returns the time since the machine's start, which also counts suspensions. Only differences are
+    /// meaningful.
     pub fn time_since_boot(&self) -> Timestamp {
         match self {
             Self::System { .. } => {
-                let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-                let millis = time.tv_sec.saturating_mul(1000) + time.tv_nsec / 1_000_000;
-                Timestamp::from_millis(u64::try_from(millis).unwrap_or_default())
+                let time = time::clock_gettime(ClockId::Boottime);
+                Timestamp::from_millis((time.tv_sec * 1000 + time.tv_nsec / 1_000_000) as u64)
+            }
+            Self::Manual(clock) => {
+                let state = clock.state.lock();
+                state.now + state.suspended
+            }
+        }
+    }
+
+    /// Returns the wall-clock time, which may jump and differs between machines.
+    pub fn wall_time(&self) -> Timestamp {
+        match self {
+            Self::System { .. } => {
+                let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                Timestamp::from_millis(since_epoch.as_millis() as u64)
             }
             Self::Manual(clock) => {
                 let state = clock.state.lock();
@@ -93,7 +107,7 @@
 #[derive(Debug, Default)]
 struct ManualState {
     now: Timestamp,
-    /// Time in which the clock stood still.
+    /// Total time of the suspensions.
     suspended: Duration,
     sleepers: Vec<Sleeper>,
 }
@@ -110,6 +124,12 @@
         Arc::new(Self { state: Mutex::new(ManualState { now, ..ManualState::default() }) })
     }
 
+    /// Suspends the machine for a duration, which only the wall clock and the time since the machine's
+    /// start count.
+    pub fn suspend(&self, duration: Duration) {
+        self.state.lock().suspended += duration;
+    }
+
     /// Advances the clock and wakes the sleepers that are due.
     pub fn advance(&self, duration: Duration) {
         let mut state = self.state.lock();
@@ -123,11 +143,6 @@
         });
     }
 
-    /// Suspends the clock for a duration, which only [`Clock::time_since_boot`] counts.
-    pub fn suspend(&self, duration: Duration) {
-        self.state.lock().suspended += duration;
-    }
-
     async fn sleep(&self, duration: Duration) {
         let (wake, woken) = async_channel::bounded(1);
         {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod changes;
 pub mod crashes;
+pub mod duties;
 pub mod forward;
 pub mod front;
 pub mod gateway;
