gateway: authorize requests again before each send, and when they are handed over

Cause: a key could be removed while a request waited, and a daemon that is cut off from servers handed requests over without their account.

--- a/crates/core/src/serving/accounts.rs
+++ b/crates/core/src/serving/accounts.rs
@@ -128,6 +128,13 @@
         &self.accounts
     }
 
+    /// Returns whether an account exists and has a key.
+    pub fn has_keys(&self, account: AccountKey) -> bool {
+        let position = self.accounts.iter().position(|row| row.key == account);
+        position
+            .is_some_and(|position| self.digests.iter().any(|row| row.account as usize == position))
+    }
+
     /// Finds the account of an API key. Each candidate is compared in constant time.
     pub fn find(&self, digest: &KeyDigest) -> Option<&AccountRow> {
         let prefix = digest.prefix();
--- a/crates/core/src/serving/watch_plan.rs
+++ b/crates/core/src/serving/watch_plan.rs
@@ -23,6 +23,12 @@
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(1500);
 /// Longest time for which a relay holds a request until there are changes (long poll).
 pub const RELAY_WAIT: Duration = Duration::from_millis(1200);
+/// Longest time for which the service itself holds a watch while the configuration has accounts, and
+/// for which a relay holds a request then. The start of the call counts, so the configuration of a
+/// daemon with a relay is up to 2 x 700 + 2 x 500 + 300 (batching) ms and some round trips old:
+/// less than `accounts::CONFIRMED_AGE_LIMIT`.
+pub const ACCOUNT_WATCH_WAIT: Duration = Duration::from_millis(700);
+const ACCOUNT_RELAY_WAIT: Duration = Duration::from_millis(500);
 /// The same for a daemon whose own last call to the service failed: it has to know soon whether the relay
 /// responds, and what has changed.
 const FAILING_RELAY_WAIT: Duration = Duration::from_millis(250);
@@ -101,6 +107,15 @@
         RelayCall { wait: FAILING_RELAY_WAIT, timeout }
     }
 
+    /// Returns the same for a configuration with accounts, whose age is limited.
+    pub fn account_relay_call(&self, is_failing: bool, now: Timestamp) -> RelayCall {
+        let RelayCall { wait, timeout } = self.relay_call(is_failing, now);
+        RelayCall {
+            wait: wait.min(ACCOUNT_RELAY_WAIT),
+            timeout: timeout.min(ACCOUNT_RELAY_WAIT + RELAY_SLACK),
+        }
+    }
+
     /// Records that a relay failed. Returns the delay before it is called again, or none if the
     /// service is to be called.
     pub fn relay_failed(&mut self, failure: RelayFailure, now: Timestamp) -> Option<Duration> {
--- a/crates/core/tests/serving_accounts.rs
+++ b/crates/core/tests/serving_accounts.rs
@@ -12,6 +12,7 @@
     },
     time::Timestamp,
 };
+use proptest::prelude::*;
 
 fn spec(name: &str, keys: &[&str]) -> AccountSpec {
     AccountSpec {
@@ -110,3 +111,99 @@
     knowledge.confirm(0, at(1499));
     assert_eq!(age(&knowledge, 1, 1500), Some(100));
 }
+
+/// A call to the store or to a relay. Suspensions of the caller or the other side make its parts longer.
+#[derive(Clone, Copy, Debug)]
+struct CallTimes {
+    is_relay: bool,
+    /// Times of the call, of the read at the other side, and of the response, each in milliseconds
+    /// after the one before.
+    pause: u64,
+    until_read: u64,
+    until_response: u64,
+}
+
+fn call_times() -> impl Strategy<Value = CallTimes> {
+    let part = || prop_oneof![4 => 0_u64..600, 1 => 0_u64..7000];
+    (any::<bool>(), part(), part(), part()).prop_map(
+        |(is_relay, pause, until_read, until_response)| CallTimes {
+            is_relay,
+            pause,
+            until_read,
+            until_response,
+        },
+    )
+}
+
+/// What a daemon knows: whether its configuration has the change of the keys, and since when.
+#[derive(Clone, Copy, Debug, Default)]
+struct KnownState {
+    has_change: bool,
+    knowledge: ConfigurationKnowledge,
+}
+
+/// Carries out calls one after another, those of the relay to the store and those of a daemon to the
+/// relay, which overlap. Returns what the daemon knows from each time on.
+fn known_states(calls: &[CallTimes], changed_at: u64) -> Vec<(u64, KnownState)> {
+    let at = Timestamp::from_millis;
+    let mut relay: Vec<(u64, KnownState)> = vec![(0, KnownState::default())];
+    let mut now = 0;
+    for call in calls.iter().filter(|call| !call.is_relay) {
+        let called_at = now + call.pause;
+        let read_at = called_at + call.until_read;
+        now = read_at + call.until_response;
+        let mut state = relay[relay.len() - 1].1;
+        state.has_change |= read_at >= changed_at;
+        state.knowledge.confirm(0, at(called_at));
+        relay.push((now, state));
+    }
+    let mut daemon = vec![(0, KnownState::default())];
+    let mut now = 0;
+    for call in calls.iter().filter(|call| call.is_relay) {
+        let called_at = now + call.pause;
+        let read_at = called_at + call.until_read;
+        now = read_at + call.until_response;
+        let answer = relay.iter().rfind(|(from, _)| *from <= read_at).expect("a state").1;
+        let mut state = daemon[daemon.len() - 1].1;
+        if let Some(age) = answer.knowledge.age(0, at(read_at)) {
+            state.has_change |= answer.has_change;
+            state.knowledge.confirm(0, at(called_at) - age);
+        }
+        daemon.push((now, state));
+    }
+    relay.extend(daemon);
+    relay
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4000))]
+
+    /// Guards against a daemon that admits a request that was sent after the limit, through whatever
+    /// interleaving of calls, relays and suspensions, and against 401 for a key that has been in force
+    /// for 4 s.
+    #[test]
+    fn no_interleaving_admits_a_removed_key_or_refuses_an_added_one(
+        calls in proptest::collection::vec(call_times(), 0..12),
+        changed_at in 0_u64..20_000,
+        waits in proptest::collection::vec(0_u64..9000, 4),
+    ) {
+        for (from, state) in known_states(&calls, changed_at) {
+            for wait in &waits {
+                let now = from + wait;
+                let age = state.knowledge.age(0, Timestamp::from_millis(now));
+                let decide = |key| {
+                    let request = AccountRequest { key, is_anonymous: false, age };
+                    accounts::decide(request, strict(5000))
+                };
+                let removed =
+                    if state.has_change { KeyState::Unknown } else { KeyState::Valid };
+                let is_late = now > changed_at + 5000;
+                prop_assert!(!is_late || decide(removed) != AccountDecision::Admit);
+                let added =
+                    if state.has_change { KeyState::Valid } else { KeyState::Unknown };
+                let is_in_force = now >= changed_at + 4000;
+                prop_assert!(!is_in_force || decide(added) != AccountDecision::Unauthorized);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/accounts.rs
+++ b/crates/gateway/src/accounts.rs
@@ -7,8 +7,8 @@
 
 use gooseberry_core::{
     serving::accounts::{
-        self, AccountDecision, AccountRequest, AccountRow, AccountTable, ConfigurationKnowledge,
-        KeyDigest, KeySecret, KeyState, RevocationPolicy,
+        self, AccountDecision, AccountKey, AccountRequest, AccountRow, AccountTable,
+        ConfigurationKnowledge, KeyDigest, KeySecret, KeyState, RevocationPolicy,
     },
     time::Timestamp,
 };
@@ -16,7 +16,7 @@
     engine::SentAccount,
     front::{self as platform_front, LocalResponse, RequestHead},
 };
-use http::request;
+use http::{request, HeaderMap, HeaderName, HeaderValue};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
@@ -49,6 +49,63 @@
     Anonymous,
     /// The digest of an API key.
     Key(KeyDigest),
+    /// Another daemon, which has checked the key.
+    Daemon {
+        /// Time in a clock that counts suspension up to which its decision holds, if there is a limit.
+        valid_until: Option<Timestamp>,
+    },
+}
+
+/// Headers beside the token of a request that a daemon hands over: the name of the request's account,
+/// its priority, and the milliseconds for which the daemon's decision holds.
+const FORWARDED_ACCOUNT: HeaderName = HeaderName::from_static("gooseberry-forward-account");
+const FORWARDED_PRIORITY: HeaderName = HeaderName::from_static("gooseberry-forward-priority");
+const FORWARDED_VALIDITY: HeaderName = HeaderName::from_static("gooseberry-forward-valid-ms");
+
+/// The account of a request that another daemon hands over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ForwardedAccount {
+    pub account: CallAccount,
+    /// Time for which the other daemon's decision holds from the arrival, if there is a limit.
+    pub validity: Option<Duration>,
+}
+
+impl ForwardedAccount {
+    /// Writes the headers of a request that is handed over, in place of any that it has.
+    pub fn write(this: Option<&Self>, headers: &mut HeaderMap) {
+        Self::take(headers);
+        let Some(Self { account, validity }) = this else {
+            return;
+        };
+        if let Ok(name) = HeaderValue::from_str(&account.name) {
+            headers.insert(FORWARDED_ACCOUNT, name);
+        }
+        if let Some(priority) = account.priority {
+            headers.insert(FORWARDED_PRIORITY, u16::from(priority).into());
+        }
+        if let Some(validity) = validity {
+            headers.insert(FORWARDED_VALIDITY, (validity.as_millis() as u64).into());
+        }
+    }
+
+    /// Removes the headers and returns what they say. It is true only beside a valid token.
+    pub fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let mut text = |name: HeaderName| {
+            let value = headers.remove(name)?;
+            value.to_str().ok().map(SmolStr::from)
+        };
+        let (name, priority) = (text(FORWARDED_ACCOUNT), text(FORWARDED_PRIORITY));
+        let validity = text(FORWARDED_VALIDITY);
+        // A limit that can't be decoded has passed.
+        let validity = validity.map(|text| Duration::from_millis(text.parse().unwrap_or(0)));
+        let priority = priority.and_then(|text| text.parse().ok());
+        Some(Self { account: CallAccount { name: name?, priority }, validity })
+    }
+
+    /// Returns whether the other daemon's decision no longer holds.
+    pub fn has_expired(&self) -> bool {
+        self.validity.is_some_and(|validity| validity.is_zero())
+    }
 }
 
 /// The account of a request and what authorizes it.
@@ -93,6 +150,19 @@
 }
 
 impl AccountRefusal {
+    /// Writes the decision to the log, with what it was based on.
+    pub fn log(&self, request_id: &str) {
+        tracing::info!(
+            request = request_id,
+            decision = %self.decision,
+            key = %self.key,
+            account = self.account.as_deref(),
+            version = self.version,
+            age_ms = self.age.map(|age| age.as_millis() as u64),
+            "request not authorized"
+        );
+    }
+
     /// Returns the response for the caller.
     pub fn response(&self) -> LocalResponse {
         match self.decision {
@@ -124,9 +194,22 @@
     age: Option<Duration>,
 }
 
+impl GateView {
+    fn refusal(
+        &self,
+        decision: AccountDecision,
+        key: KeyState,
+        account: Option<&CallAccount>,
+    ) -> AccountRefusal {
+        let account = account.map(|account| account.name.clone());
+        AccountRefusal { decision, key, account, version: self.version, age: self.age }
+    }
+}
+
 impl AccountGate<'_> {
     /// Authorizes a request whose head has arrived, and removes its credentials if the configuration
-    /// has accounts.
+    /// has accounts. A [`ForwardedAccount`] in its extensions, where only a valid token puts it,
+    /// stands for a key.
     ///
     /// # Errors
     ///
@@ -140,9 +223,18 @@
             return Ok(CallAccess::of(CallAuthority::Unmanaged));
         };
         let key = platform_front::take_key(parts);
+        let forwarded = parts.extensions.remove::<ForwardedAccount>();
+        // Headers of a caller; those of a daemon were removed when its token was checked.
+        ForwardedAccount::take(&mut parts.headers);
         if view.is_anonymous {
             return Ok(CallAccess::of(CallAuthority::Anonymous));
         }
+        if let Some(ForwardedAccount { account, validity }) = forwarded {
+            let valid_until = validity.map(|validity| self.now + validity);
+            let authority = CallAuthority::Daemon { valid_until };
+            self.check_forwarded(&view, &account, valid_until)?;
+            return Ok(CallAccess { account: Some(account), authority });
+        }
         let digest = key.map(|key| self.secret.digest(key.as_bytes()));
         let row = self.decide(&view, digest.as_ref())?;
         let account = row.map(CallAccount::from);
@@ -150,9 +242,74 @@
         Ok(CallAccess { account, authority })
     }
 
-    /// Returns the age of the current configuration.
-    pub fn age(&self) -> Option<Duration> {
-        self.state.lock().accounts.knowledge.age(self.newest_era, self.now)
+    /// Authorizes a request again, by the configuration that is the newest one now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request isn't authorized any more. If it was authorized without a key that it
+    /// would need now, or its key has another account, it has to be sent again by its client.
+    pub fn check(
+        &self,
+        head: &RequestHead,
+        account: Option<&CallAccount>,
+        authority: CallAuthority,
+    ) -> Result<(), AccountRefusal> {
+        let Some(view) = self.view(head) else {
+            return Ok(());
+        };
+        match (authority, account) {
+            (CallAuthority::Key(digest), Some(account)) => {
+                let row = self.decide(&view, Some(&digest))?;
+                if row.is_none_or(|row| row.name == account.name) {
+                    return Ok(());
+                }
+            }
+            (CallAuthority::Daemon { valid_until }, Some(account)) => {
+                return self.check_forwarded(&view, account, valid_until);
+            }
+            (CallAuthority::Anonymous, _) if view.is_anonymous => return Ok(()),
+            _ => {}
+        }
+        Err(view.refusal(AccountDecision::Unavailable, KeyState::Missing, account))
+    }
+
+    /// Returns the account of a request as it is written to the headers of a request that is handed to
+    /// another daemon.
+    pub fn forwarded(
+        &self,
+        account: Option<&CallAccount>,
+        authority: CallAuthority,
+    ) -> Option<ForwardedAccount> {
+        let validity = match authority {
+            CallAuthority::Key(_) => {
+                let state = self.state.lock();
+                self.policy.validity(state.accounts.knowledge.age(self.newest_era, self.now))
+            }
+            CallAuthority::Daemon { valid_until } => {
+                valid_until.map(|valid_until| valid_until.since(self.now))
+            }
+            CallAuthority::Unmanaged | CallAuthority::Anonymous => return None,
+        };
+        account.map(|account| ForwardedAccount { account: account.clone(), validity })
+    }
+
+    /// Checks a request whose key another daemon has checked.
+    fn check_forwarded(
+        &self,
+        view: &GateView,
+        account: &CallAccount,
+        valid_until: Option<Timestamp>,
+    ) -> Result<(), AccountRefusal> {
+        let is_valid = match valid_until {
+            Some(valid_until) => self.now < valid_until,
+            None => !self.policy.is_strict,
+        };
+        let has_keys = view.table.has_keys(AccountKey::of(&account.name));
+        if view.is_anonymous || is_valid && has_keys {
+            return Ok(());
+        }
+        let key = if has_keys { KeyState::Valid } else { KeyState::Unknown };
+        Err(view.refusal(AccountDecision::Unavailable, key, Some(account)))
     }
 
     fn view(&self, head: &RequestHead) -> Option<GateView> {
@@ -183,13 +340,10 @@
         let request = AccountRequest { key, is_anonymous: view.is_anonymous, age: view.age };
         match accounts::decide(request, self.policy) {
             AccountDecision::Admit => Ok(row),
-            decision => Err(AccountRefusal {
-                decision,
-                key,
-                account: row.map(|row| row.name.clone()),
-                version: view.version,
-                age: view.age,
-            }),
+            decision => {
+                let account = row.map(CallAccount::from);
+                Err(view.refusal(decision, key, account.as_ref()))
+            }
         }
     }
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -189,6 +189,30 @@
         accounts::sent_account(self.account.as_ref(), self.authority)
     }
 
+    /// Authorizes the request again, by the configuration that is the newest one now.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response for the caller if the request isn't authorized any more.
+    pub fn check_access(&self) -> Result<(), LocalResponse> {
+        let gate = self.gateway.account_gate();
+        gate.check(&self.head, self.account.as_ref(), self.authority).map_err(|refusal| {
+            refusal.log(&self.head.request_id);
+            refusal.response()
+        })
+    }
+
+    /// Waits until the request may be sent to a server, as far as it may crash servers, and authorizes
+    /// it again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response for the caller if the request may not be sent.
+    pub async fn admit(&self) -> Result<(), LocalResponse> {
+        crashes::admit(self).await?;
+        self.check_access()
+    }
+
     /// Returns a hash of the request's id.
     pub fn id_hash(&self) -> u64 {
         xxh3::xxh3_64(self.head.request_id.as_bytes())
@@ -297,7 +321,7 @@
         let mut runs = 0;
         let mut last = None;
         loop {
-            match crashes::admit(self).await {
+            match self.admit().await {
                 Ok(()) => {}
                 // A refusal guarantees that nothing ran, and an earlier attempt may have run.
                 Err(_) if runs > 0 => break,
@@ -373,6 +397,7 @@
             server = %server.entry.id,
             presence = ?server.presence,
             list_age_ms = state.list_age_ms(now),
+            configuration_age_ms = gateway.configuration_age_ms(&state),
             requests = server.requests(),
             tries = excluded.len(),
             blamable_parts = prompt::describe_parts(&self.blamable_parts),
@@ -512,7 +537,7 @@
         LocalResponse::Unavailable { .. } => "no server available, or none with capacity in time",
         LocalResponse::BackendFailed => "a backend server failed",
         LocalResponse::TimedOut => "a backend server didn't respond in time",
-        LocalResponse::Unauthorized => "the request's key is no longer valid",
+        LocalResponse::Unauthorized => "the request's API key is no longer valid",
         LocalResponse::BadRequest
         | LocalResponse::UnknownRoute
         | LocalResponse::BodyTooLarge
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,6 +12,7 @@
 use async_std::task;
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use gooseberry_core::serving::accounts::AccountDecision;
 use gooseberry_platform::front::{self as platform_front, LocalResponse};
 use gooseberry_transport::{
     body::{BodyError, ResponseBody},
@@ -25,6 +26,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::{
+    accounts::ForwardedAccount,
     call::{Call, CallRoute, CallSource},
     front,
     gateway::Gateway,
@@ -118,6 +120,9 @@
     let mut tried: Vec<SmolStr> = Vec::new();
     let mut refusal = None;
     while tried.len() < TARGET_LIMIT {
+        if let Err(answer) = call.check_access() {
+            return Some(call.refuse(answer, "the request is no longer authorized"));
+        }
         let Some(target) = choose(call, route, &tried) else {
             break;
         };
@@ -201,6 +206,9 @@
     if let Ok(token) = HeaderValue::from_str(&target.token) {
         headers.insert(TOKEN, token);
     }
+    let gate = call.gateway.account_gate();
+    let account = gate.forwarded(call.account.as_ref(), call.authority);
+    ForwardedAccount::write(account.as_ref(), headers);
     headers.insert(VERSION, route.configuration.version.into());
     if is_counted {
         headers.insert(COUNTED, HeaderValue::from_static("1"));
@@ -261,6 +269,7 @@
     let token = headers.remove(TOKEN);
     let is_counted = headers.remove(COUNTED).is_some();
     let version = headers.remove(VERSION);
+    let account = ForwardedAccount::take(headers);
     let version = version.and_then(|version| version.to_str().ok()?.parse().ok()).unwrap_or(0);
     let is_known = token
         .is_some_and(|token| bool::from(token.as_bytes().ct_eq(gateway.peer_token.as_bytes())));
@@ -277,8 +286,21 @@
     let Some(_guard) = guard else {
         return not_taken();
     };
+    if account.as_ref().is_some_and(ForwardedAccount::has_expired) {
+        tracing::info!("request of another daemon whose decision about its key no longer holds");
+        return not_taken();
+    }
+    if let Some(account) = account {
+        request.extensions_mut().insert(account);
+    }
     gateway.metrics.taken_over.inc();
-    front::respond_to(Arc::clone(&gateway), request, CallSource::Daemon { is_counted }).await
+    let source = CallSource::Daemon { is_counted };
+    let response = front::respond_to(Arc::clone(&gateway), request, source).await;
+    if response.extensions().get::<AccountDecision>().is_some() {
+        // Not authorized by this daemon's configuration. The other one decides by its own.
+        return not_taken();
+    }
+    response
 }
 
 /// Marks a refusal of a request that another daemon handed over and no server has got, so that this
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -161,17 +161,9 @@
     body: Incoming,
     refusal: &AccountRefusal,
 ) -> Response<ResponseBody> {
-    let answer = refusal.response();
-    tracing::info!(
-        request = %head.request_id,
-        ?answer,
-        key = %refusal.key,
-        account = refusal.account.as_deref(),
-        version = refusal.version,
-        age_ms = refusal.age.map(|age| age.as_millis() as u64),
-        "request not authorized"
-    );
-    let mut response = answer.encode(&head.request_id);
+    refusal.log(&head.request_id);
+    let mut response = refusal.response().encode(&head.request_id);
+    response.extensions_mut().insert(refusal.decision);
     let is_read = !platform_front::holds_body_back(&parts.headers, DISCARD_LIMIT_BYTES as u64) && {
         let reading = Limited::new(body, DISCARD_LIMIT_BYTES).collect();
         matches!(gateway.clock.timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_)))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -138,6 +138,13 @@
         }
     }
 
+    /// Returns the age of the current configuration, in milliseconds, for the log.
+    pub fn configuration_age_ms(&self, state: &GatewayState) -> Option<u64> {
+        let now = self.clock.time_since_boot();
+        let age = state.accounts.knowledge.age(self.store.newest_era(), now);
+        age.map(|age| age.as_millis() as u64)
+    }
+
     /// Returns whether this daemon accepts new callers.
     pub fn is_ready(&self) -> bool {
         self.is_ready.load(Ordering::Relaxed) && !self.is_stopping()
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -46,7 +46,7 @@
     route: &CallRoute,
     spec: EngineSpec,
 ) -> Result<Response<ResponseBody>, LocalResponse> {
-    crashes::admit(call).await?;
+    call.admit().await?;
     let software = if call.head.is_resumption {
         let Some(software) = origin::find(call, route).await else {
             let reason = "the software version that began the stream is unknown";
@@ -63,7 +63,7 @@
         if sends > 0 && !call.try_retry(route) {
             break;
         }
-        let admitted = match crashes::admit(call).await {
+        let admitted = match call.admit().await {
             Ok(()) => admit(call, route, spec, software, &excluded),
             Err(answer) => Err(answer),
         };
@@ -137,6 +137,7 @@
         reader_presence = ?state.fleet.server(placement.path.prefill_engine()).presence,
         writer_presence = ?state.fleet.server(placement.path.decode_engine()).presence,
         list_age_ms = state.list_age_ms(now),
+        configuration_age_ms = gateway.configuration_age_ms(&state),
         software = %state.fleet.server(placement.path.decode_engine()).entry.software,
         resumes = call.head.resumed_request.as_deref(),
         last_event = call.head.last_event.as_deref(),
@@ -367,6 +368,10 @@
     if call.head.is_resumption && !origin::runs_stated_version(gateway, target).await {
         return PromptAttempt::NotRun(target.key);
     }
+    // The key may have been removed during the prefill.
+    if let Err(answer) = call.check_access() {
+        return PromptAttempt::Failed(answer);
+    }
     let send_options = send_options(call, route, target, phase, fetch_from);
     let id = &call.head.request_id;
     let choice = call.connection_choice(target.key, route.row.kind.is_idempotent());
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -6,7 +6,7 @@
 use gooseberry_core::{
     serving::{
         store_era::{EraError, StoreRevision},
-        watch_plan::{WatchPlan, WatchSource},
+        watch_plan::{self, WatchPlan, WatchSource},
     },
     time::Timestamp,
 };
@@ -91,9 +91,11 @@
                 return;
             }
             (Some(revision), _, _) => {
-                let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
+                let (is_failing, has_accounts) = self.watch_state();
                 let (wait, slack) = if is_failing {
                     (Duration::ZERO, PROBE_TIMEOUT)
+                } else if has_accounts {
+                    (watch_plan::ACCOUNT_WATCH_WAIT, WATCH_SLACK)
                 } else {
                     (WATCH_TIMEOUT, WATCH_SLACK)
                 };
@@ -149,6 +151,13 @@
         );
     }
 
+    /// Returns whether the last call to the key-value service failed, and whether the configuration
+    /// has accounts.
+    fn watch_state(&self) -> (bool, bool) {
+        let state = self.gateway.state.lock();
+        (state.fleet.connectivity.is_unreachable(), !state.accounts.table.is_empty())
+    }
+
     async fn watch_relay(
         &mut self,
         relay: SocketAddr,
@@ -156,8 +165,12 @@
         called_at: Timestamp,
         called_since_boot: Timestamp,
     ) {
-        let is_failing = self.gateway.state.lock().fleet.connectivity.is_unreachable();
-        let call = self.plan.relay_call(is_failing, called_at);
+        let (is_failing, has_accounts) = self.watch_state();
+        let call = if has_accounts {
+            self.plan.account_relay_call(is_failing, called_at)
+        } else {
+            self.plan.relay_call(is_failing, called_at)
+        };
         let fault = match self.relay_client.watch(&self.gateway, relay, revision, call).await {
             Ok(RelayUpdate { update, list_age }) => {
                 let listed_at = called_at - list_age.unwrap_or(changes::MAX_RESPONSE_AGE);
