gateway: bound the memory and the connections held for callers

Cause: bodies and responses were held without a bound, tiny chunks kept whole read buffers alive, and the number of connections wasn't limited, so callers that stall exhausted the memory and the descriptors of the VM.

Change: a ledger (core::serving::caller_memory) charges bodies by the capacity of one buffer, requests until they end and responses until they are read. The longest stalled holder is shed first, others get 503. Part is reserved for small bodies, bodies must keep a least rate (min_body_rate), connections are limited by max_fds and memory, 413 precedes any read of an announced body, and what is in flight after a refusal is discarded within bounds. Writes are vectored, which spares a copy of each body.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod cache_fetches;
+pub mod caller_memory;
 pub mod candidates;
 pub mod configuration;
 pub mod connections;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -23,8 +23,9 @@
     engine::{self, SendOptions, SendPhase},
     front::{self, LocalResponse, RequestHead},
 };
-use gooseberry_transport::body::{self, ResponseBody};
+use gooseberry_transport::body::{ReadError, ResponseBody};
 use http::{request, Response};
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
@@ -433,6 +434,11 @@
         outcome
     }
 
+    async fn read_response(&self, body: Incoming) -> Result<Bytes, ReadError> {
+        let memory = &self.gateway.memory;
+        memory.read_response(body, PLAIN_RESPONSE_LIMIT_BYTES, &self.parts.extensions).await
+    }
+
     /// Reads the complete response, so that a truncated one isn't forwarded.
     async fn read_plain(
         &self,
@@ -443,7 +449,7 @@
         let has_events = engine::has_events(&answer.response, kind);
         let framing = engine::body_framing(answer.response.headers());
         let (mut parts, body) = answer.response.into_parts();
-        let body = match body::read_whole(body, PLAIN_RESPONSE_LIMIT_BYTES).await {
+        let body = match self.read_response(body).await {
             Ok(body) => body,
             Err(error) => {
                 send::record_failure(&self.gateway, target, &error.to_string());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -223,12 +223,17 @@
     let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
     platform_front::strip_connection_headers(&mut parts.headers);
     let clock = call.gateway.clock.clone();
+    let memory = Arc::clone(&call.gateway.memory);
+    let caller = call.parts.extensions.clone();
     let limit = call.time_left() + RESPONSE_SLACK;
     task::spawn(async move {
         let chunks = async {
             while let Some(frame) = body.frame().await {
                 let data = match frame {
-                    Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
+                    Ok(frame) => {
+                        let data = frame.into_data().unwrap_or_default();
+                        Ok(memory.hold_part(&data, &caller).await)
+                    }
                     Err(_) => Err(BodyError::Broken),
                 };
                 let is_broken = data.is_err();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,19 +10,17 @@
 use gooseberry_platform::front::{self, LocalResponse};
 use gooseberry_transport::body::ResponseBody;
 use http::{header, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
 use crate::{
-    call::{Call, CallSource, ExecutionState},
+    call::{self, Call, CallSource, ExecutionState},
+    caller_memory::{BodyLimits, BodyRefusal},
     gateway::Gateway,
 };
 
 /// Largest request body, in bytes, until a configuration states one. Bodies are held in memory.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
-/// Timeout of reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after the deadline in which an engine's own timeout response may still arrive.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
@@ -76,17 +74,9 @@
             return LocalResponse::BadRequest.encode("");
         }
     };
-    let limit = body_limit(gateway);
-    let body = match gateway.clock.timeout(BODY_TIMEOUT, read_body(body, limit)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(answer)) => {
-            tracing::info!(request = %head.request_id, ?answer, limit, "request body can't be read");
-            return answer.encode(&head.request_id);
-        }
-        Err(_) => {
-            tracing::info!(request = %head.request_id, "request body timed out");
-            return LocalResponse::BodyTimeout.encode(&head.request_id);
-        }
+    let body = match read_body(gateway, body).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse_body(&head.request_id, &refusal),
     };
     let time_left = head.time_left;
     let mut call = Call {
@@ -145,13 +135,22 @@
     state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT_BYTES, |row| row.limits.body_bytes)
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, LocalResponse> {
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(LocalResponse::BodyTooLarge),
-        Err(error) => {
-            tracing::debug!(%error, "request body ended early");
-            Err(LocalResponse::BadRequest)
-        }
-    }
+async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, BodyRefusal> {
+    let limits = BodyLimits { bytes: body_limit(gateway), min_rate: gateway.options.min_body_rate };
+    gateway.memory.read_body(body, limits).await
+}
+
+/// Returns the response for a request whose body isn't read to its end. The connection can't be
+/// used further.
+fn refuse_body(request_id: &str, refusal: &BodyRefusal) -> Response<ResponseBody> {
+    let answer = match refusal {
+        BodyRefusal::TooLong(_) => LocalResponse::BodyTooLarge,
+        BodyRefusal::TooSlow => LocalResponse::BodyTimeout,
+        BodyRefusal::Shed | BodyRefusal::Exhausted(_) => call::unavailable(),
+        BodyRefusal::Truncated(_) => LocalResponse::BadRequest,
+    };
+    tracing::info!(request = %request_id, ?answer, %refusal, "request body can't be read");
+    let mut response = answer.encode(request_id);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,10 @@
 
 use async_channel::{Receiver, Sender};
 use gooseberry_core::{
-    serving::shutdown::{RecentDurations, ShutdownProgress},
+    serving::{
+        caller_memory::MemoryLimits,
+        shutdown::{RecentDurations, ShutdownProgress},
+    },
     time::Timestamp,
 };
 use gooseberry_edges::clock::Clock;
@@ -22,6 +25,7 @@
 use xxhash_rust::xxh3;
 
 use crate::{
+    caller_memory::CallerMemory,
     metrics::GatewayMetrics,
     peers::PeerDirectory,
     settings::{GatewayLimits, GatewayOptions},
@@ -44,6 +48,8 @@
     pub state: Mutex<GatewayState>,
     pub connections: ConnectionPool,
     pub metrics: GatewayMetrics,
+    /// What is held for callers.
+    pub memory: Arc<CallerMemory>,
     /// Set after the configuration and the servers were read, and ignored once the shutdown has
     /// started.
     is_ready: AtomicBool,
@@ -80,6 +86,8 @@
     pub fn new(options: GatewayOptions, clock: Clock, metrics: GatewayMetrics) -> Self {
         let incarnation = clock.now().as_millis();
         let daemon = xxh3::xxh3_64_with_seed(options.name.as_bytes(), incarnation);
+        let memory_limits = MemoryLimits::new(options.memory_bytes, options.max_descriptors);
+        let memory = CallerMemory::new(memory_limits, clock.clone(), metrics.memory.clone());
         Self {
             limits: Mutex::new(options.limits),
             store: StoreEndpoint::new(options.store),
@@ -88,6 +96,7 @@
             state: Mutex::new(GatewayState::new(daemon)),
             connections: ConnectionPool::default(),
             metrics,
+            memory: Arc::new(memory),
             is_ready: AtomicBool::new(false),
             stopping_since: Mutex::new(None),
             running: AtomicUsize::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`state::GatewayState`].
 
 pub mod call;
+pub mod caller_memory;
 pub mod changes;
 pub mod crashes;
 pub mod forward;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,25 @@
 /// Function that returns the number of lines that the log has dropped.
 pub type LineCounter = Box<dyn Fn() -> u64 + Send + Sync>;
 
+/// Metrics of the memory that is held for callers.
+#[derive(Clone)]
+pub struct MemoryMetrics {
+    /// Bytes held.
+    pub held: IntGauge,
+    /// Bytes that may be held.
+    pub limit: IntGauge,
+    /// Requests and responses shed, by kind.
+    pub sheds: IntCounterVec,
+    /// Bodies refused, by reason.
+    pub refusals: IntCounterVec,
+}
+
+impl fmt::Debug for MemoryMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("MemoryMetrics").finish_non_exhaustive()
+    }
+}
+
 /// Metrics of one daemon.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -57,6 +76,8 @@
     pub forwards: IntCounterVec,
     /// Requests of other daemons that were taken over.
     pub taken_over: IntCounter,
+    /// Memory that is held for callers.
+    pub memory: MemoryMetrics,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -136,6 +157,20 @@
                 "Updates of daemons of other builds that aren't known",
                 &["reads"],
             )?,
+            memory: MemoryMetrics {
+                held: gauge("caller_memory_bytes", "Memory held for callers")?,
+                limit: gauge("caller_memory_limit_bytes", "Memory that may be held for callers")?,
+                sheds: counters(
+                    "caller_memory_sheds_total",
+                    "Requests and responses of stalled callers that were dropped",
+                    &["kind"],
+                )?,
+                refusals: counters(
+                    "caller_memory_refusals_total",
+                    "Waits or refusals for lack of memory, and bodies that were too slow",
+                    &["reason"],
+                )?,
+            },
             connections,
             lines_dropped: gauge("log_lines_dropped", "Lines that the log has lost")?,
             count_dropped_lines,
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -33,6 +33,8 @@
 /// Longest wait for the next request on a connection. The deployments specify 15 s, of which
 /// callers use four fifths.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(15_000);
+/// Connections for the readiness check and for the metrics, each.
+const CONTROL_CONNECTIONS: usize = 16;
 /// Time between reads of the settings file.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between checks whether requests are still running.
@@ -157,14 +159,21 @@
         let gateway = Arc::clone(gateway);
         move |request| front::respond(Arc::clone(&gateway), request)
     };
-    spawn_server(&server, listener, handler);
+    let memory = Arc::clone(&gateway.memory);
+    let limits = ServerLimits {
+        make_room: Some(Arc::new(move || memory.shed_for_connection())),
+        ..server_limits(gateway.memory.limits().connections)
+    };
+    spawn_server(&server, listener, limits, handler);
     Ok(server)
 }
 
 async fn serve_ready(gateway: &Arc<Gateway>) -> anyhow::Result<()> {
     let listener = bind(gateway.options.ready_listen).await?;
     let gateway = Arc::clone(gateway);
-    spawn_server(&HttpServer::default(), listener, move |request: Request<Incoming>| {
+    let limits = server_limits(CONTROL_CONNECTIONS);
+    let server = HttpServer::default();
+    spawn_server(&server, listener, limits, move |request: Request<Incoming>| {
         let response = if request.uri().path() == platform_front::READY_PATH {
             platform_front::readiness(gateway.is_ready())
         } else {
@@ -178,7 +187,9 @@
 async fn serve_metrics(gateway: &Arc<Gateway>) -> anyhow::Result<()> {
     let listener = bind(gateway.options.metrics_listen).await?;
     let gateway = Arc::clone(gateway);
-    spawn_server(&HttpServer::default(), listener, move |_: Request<Incoming>| {
+    let limits = server_limits(CONTROL_CONNECTIONS);
+    let server = HttpServer::default();
+    spawn_server(&server, listener, limits, move |_: Request<Incoming>| {
         let response = match gateway.metrics.render() {
             Ok(text) => Response::new(ResponseBody::whole(text)),
             Err(error) => {
@@ -191,14 +202,22 @@
     Ok(())
 }
 
+/// Returns the limits of a server for a number of connections.
+pub fn server_limits(connections: usize) -> ServerLimits {
+    ServerLimits { head_bytes: HEAD_LIMIT_BYTES, idle: IDLE_TIMEOUT, connections, make_room: None }
+}
+
 /// Starts a task that serves the connections of a listener.
-pub fn spawn_server<S, F>(server: &HttpServer, listener: TcpListener, handler: S)
-where
+pub fn spawn_server<S, F>(
+    server: &HttpServer,
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: S,
+) where
     S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: std::future::Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let server = server.clone();
-    let limits = ServerLimits { head_bytes: HEAD_LIMIT_BYTES, idle: IDLE_TIMEOUT };
     task::spawn(async move { server.serve(listener, limits, handler).await });
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -73,6 +73,8 @@
     pub memory_bytes: u64,
     /// File descriptors that the process may open.
     pub max_descriptors: u64,
+    /// Least rate at which request bodies arrive, in bytes per second.
+    pub min_body_rate: u64,
     pub revocation: RevocationOptions,
     /// None if there are no duties.
     pub duties: Option<DutyOptions>,
@@ -116,6 +118,7 @@
             capacity: settings.cpu_share,
             memory_bytes: settings.memory_mb.saturating_mul(BYTES_PER_MB),
             max_descriptors: settings.max_fds,
+            min_body_rate: settings.min_body_rate,
             revocation: RevocationOptions {
                 is_strict: settings.strict_revoke,
                 limit: Duration::from_millis(settings.revoke_ms),
@@ -145,6 +148,7 @@
             ("store", self.store == other.store),
             ("memory_mb", self.memory_bytes == other.memory_bytes),
             ("max_fds", self.max_descriptors == other.max_descriptors),
+            ("min_body_rate", self.min_body_rate == other.min_body_rate),
             ("revoke_ms", self.revocation == other.revocation),
             ("platform_api", self.duties == other.duties),
             ("pace", self.adapts_pace == other.adapts_pace),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,7 @@
 };
 use gooseberry_platform::{engine, front};
 use gooseberry_transport::body::{BodyError, ResponseBody};
-use http::{header, Response, StatusCode};
+use http::{header, Extensions, Response, StatusCode};
 use http_body_util::BodyExt;
 use smol_str::SmolStr;
 
@@ -47,6 +47,8 @@
     chunks: async_channel::Sender<Result<bytes::Bytes, BodyError>>,
     has_events: bool,
     prefill_guard: Option<PrefillGuard>,
+    /// Extensions of the caller's request.
+    caller: Extensions,
 }
 
 /// Counts, events and pauses of a stream's chunks.
@@ -122,6 +124,7 @@
         chunks: sender,
         has_events,
         prefill_guard,
+        caller: call.parts.extensions.clone(),
     };
     task::spawn(task.run(answer));
     head
@@ -241,6 +244,7 @@
             if self.has_events && statistics.events.open_bytes() > EVENT_LIMIT_BYTES {
                 return StreamEnd::Cut;
             }
+            let data = self.gateway.memory.hold_part(&data, &self.caller).await;
             if self.chunks.send(Ok(data)).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -12,6 +12,8 @@
 use hyper::rt;
 use rustix::net::sockopt;
 
+use crate::handle::ConnectionHandle;
+
 /// Most bytes read from the socket at once.
 const READ_CHUNK_BYTES: usize = 8192;
 /// Time for which sent data may stay unacknowledged before the kernel closes
@@ -28,6 +30,8 @@
 #[derive(Debug)]
 pub struct StreamIo {
     stream: TcpStream,
+    /// Learns when the peer doesn't take what is written; none for outgoing connections.
+    handle: Option<ConnectionHandle>,
 }
 
 impl StreamIo {
@@ -45,7 +49,19 @@
         sockopt::set_tcp_keepidle(&stream, PROBE_INTERVAL)?;
         sockopt::set_tcp_keepintvl(&stream, PROBE_INTERVAL)?;
         sockopt::set_tcp_keepcnt(&stream, PROBE_COUNT)?;
-        Ok(Self { stream })
+        Ok(Self { stream, handle: None })
+    }
+
+    /// Reports to a handle when the peer doesn't take what is written.
+    pub fn observed_by(self, handle: ConnectionHandle) -> Self {
+        Self { handle: Some(handle), ..self }
+    }
+
+    fn record_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let (Some(handle), Poll::Pending) = (&self.handle, &written) {
+            handle.record_blocked();
+        }
+        written
     }
 }
 
@@ -77,10 +93,29 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(written)
+    }
+
+    /// Without vectored writes hyper copies each body into its own buffer.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(written)
     }
 
+    /// Is called when everything has been written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(handle) = &self.handle {
+            handle.record_flushed();
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod body;
 pub mod client;
+pub mod handle;
 pub mod io;
 pub mod pool;
 pub mod server;
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -57,6 +57,9 @@
     pub memory_mb: u64,
     #[doc = "IP address and port of the metrics."]
     pub metrics_listen: ::std::string::String,
+    #[doc = "Least rate at which the body of a request must arrive over each 5 s, in bytes per second."]
+    #[serde(default = "defaults::default_u64::<u64, 1024>")]
+    pub min_body_rate: u64,
     #[doc = "Name of the VM."]
     pub name: ::std::string::String,
     #[doc = "Whether the pace of a server that has started or recovered is found from its responses."]
