--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod cache_fetches;
 pub mod call_rate;
+pub mod caller_memory;
 pub mod candidates;
 pub mod configuration;
 pub mod connections;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,26 +9,20 @@
 use gooseberry_core::serving::shutdown;
 use gooseberry_platform::front::{self as platform_front, LocalResponse, RequestHead};
 use gooseberry_transport::body::ResponseBody;
-use http::{header, request, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{header, HeaderValue, Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
 use crate::{
     accounts::AccountRefusal,
-    call::{Call, CallSource, ExecutionState},
+    call::{self, Call, CallSource, ExecutionState},
+    caller_memory::{BodyLimits, BodyRefusal},
     gateway::Gateway,
 };
 
 /// Largest request body, in bytes, until a configuration states one. Bodies are held in memory.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
-/// Timeout of reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Largest part of a refused request's body that is read and discarded, in bytes. The bodies of the
-/// deployments' requests have up to 60 kB.
-const DISCARD_LIMIT_BYTES: usize = 64 * 1024;
-/// Time for which the body of a refused request is read.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the deadline in which an engine's own timeout response may still arrive.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
@@ -84,19 +78,11 @@
     };
     let access = match gateway.account_gate().authorize(&mut parts, &head) {
         Ok(access) => access,
-        Err(refusal) => return refuse(gateway, &parts, &head, body, &refusal).await,
+        Err(refusal) => return refuse(&head, &body, &refusal),
     };
-    let limit = body_limit(gateway);
-    let body = match gateway.clock.timeout(BODY_TIMEOUT, read_body(body, limit)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(answer)) => {
-            tracing::info!(request = %head.request_id, ?answer, limit, "request body can't be read");
-            return answer.encode(&head.request_id);
-        }
-        Err(_) => {
-            tracing::info!(request = %head.request_id, "request body timed out");
-            return LocalResponse::BodyTimeout.encode(&head.request_id);
-        }
+    let body = match read_body(gateway, body).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse_body(&head.request_id, &refusal),
     };
     let time_left = head.time_left;
     let mut call = Call {
@@ -152,23 +138,20 @@
     response
 }
 
-/// Refuses a request that isn't authorized. A small body is read, so that the caller gets the response
-/// instead of a reset.
-async fn refuse(
-    gateway: &Gateway,
-    parts: &request::Parts,
-    head: &RequestHead,
-    body: Incoming,
-    refusal: &AccountRefusal,
-) -> Response<ResponseBody> {
-    refusal.log(&head.request_id);
-    let mut response = refusal.response().encode(&head.request_id);
-    response.extensions_mut().insert(refusal.decision);
-    let is_read = !platform_front::holds_body_back(&parts.headers, DISCARD_LIMIT_BYTES as u64) && {
-        let reading = Limited::new(body, DISCARD_LIMIT_BYTES).collect();
-        matches!(gateway.clock.timeout(DISCARD_TIMEOUT, reading).await, Ok(Ok(_)))
-    };
-    if !is_read {
+/// Refuses a request that isn't authorized. Its body isn't read.
+fn refuse(head: &RequestHead, body: &Incoming, refusal: &AccountRefusal) -> Response<ResponseBody> {
+    let answer = refusal.response();
+    tracing::info!(
+        request = %head.request_id,
+        ?answer,
+        key = %refusal.key,
+        account = refusal.account.as_deref(),
+        version = refusal.version,
+        age_ms = refusal.age.map(|age| age.as_millis() as u64),
+        "request not authorized"
+    );
+    let mut response = answer.encode(&head.request_id);
+    if !body.is_end_stream() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -179,13 +162,22 @@
     state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT_BYTES, |row| row.limits.body_bytes)
 }
 
-async fn read_body(body: Incoming, limit: u64) -> Result<Bytes, LocalResponse> {
-    match Limited::new(body, limit as usize).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(LocalResponse::BodyTooLarge),
-        Err(error) => {
-            tracing::debug!(%error, "request body ended early");
-            Err(LocalResponse::BadRequest)
-        }
-    }
+async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, BodyRefusal> {
+    let limits = BodyLimits { bytes: body_limit(gateway), min_rate: gateway.options.min_body_rate };
+    gateway.memory.read_body(body, limits).await
+}
+
+/// Returns the response for a request whose body isn't read to its end. The connection can't be
+/// used further.
+fn refuse_body(request_id: &str, refusal: &BodyRefusal) -> Response<ResponseBody> {
+    let answer = match refusal {
+        BodyRefusal::TooLong(_) => LocalResponse::BodyTooLarge,
+        BodyRefusal::TooSlow => LocalResponse::BodyTimeout,
+        BodyRefusal::Shed | BodyRefusal::Exhausted(_) => call::unavailable(),
+        BodyRefusal::Truncated(_) => LocalResponse::BadRequest,
+    };
+    tracing::info!(request = %request_id, ?answer, %refusal, "request body can't be read");
+    let mut response = answer.encode(request_id);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod call;
+pub mod caller_memory;
 pub mod changes;
 pub mod crashes;
 pub mod duties;
