core: plan the engines of each domain by load and price

Engines of a service have a fixed number, and all are paid at the regular price, also where the platform offers reclaimable ones for a fraction. The planner gives each domain a target that follows the measured load, and exchanges regular engines for reclaimable ones above a core in each domain. Engines are removed only once those that replace them serve.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -10,6 +10,8 @@
 pub mod budget;
 pub mod cache_fetches;
 pub mod candidates;
+pub mod capacity;
+pub mod capacity_demand;
 pub mod configuration;
 pub mod connections;
 pub mod decode_engines;
--- a/crates/core/src/serving/rate.rs
+++ b/crates/core/src/serving/rate.rs
@@ -5,7 +5,7 @@
 use crate::time::Timestamp;
 
 /// Time constant of the average.
-const AVERAGING_WINDOW: Duration = Duration::from_secs(2);
+pub const AVERAGING_WINDOW: Duration = Duration::from_secs(2);
 
 /// Counts events with a weight that halves about every 1.4 seconds.
 #[derive(Clone, Copy, Debug, Default)]
