gateway: order engines of scaled services as a duty of the leader

The planner's orders had no caller. The leader now plans each round and writes its orders under gateway/capacity/SERVICE before it sends them; the write depends on the leader key, so a former leader's late write fails. A new leader repeats what isn't known to be accepted.

Measured: the three tests of gateway/tests/gateway/capacity.rs pass (stored only, no response, response lost). Of the 180 gateway tests 175 passed in one run at a load average above 120; the other five (cut_daemons, leaving, outages, two of poison_parts) passed when run alone right after.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -156,6 +156,14 @@
     pub pools: BTreeMap<EnginePool, PoolCount>,
 }
 
+/// Numbers of the engines of a pool, for metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolStatus {
+    pub desired: u32,
+    pub present: u32,
+    pub booting: u32,
+}
+
 /// State that a new leader needs to continue.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CapacityState {
@@ -267,6 +275,24 @@
         changes
     }
 
+    /// Returns the numbers of the engines of all pools.
+    pub fn statuses(
+        &self,
+        observation: &CapacityObservation,
+        spec: &ScalingSpec,
+        now: Timestamp,
+    ) -> BTreeMap<EnginePool, PoolStatus> {
+        let round = PlanRound { planner: self, observation, spec, now };
+        let status = |pool: &EnginePool| {
+            let present = round.count(pool).present();
+            let desired = self.state.orders.get(pool).map_or(present, |order| order.desired);
+            let booting = round.expected(pool).saturating_sub(present);
+            PoolStatus { desired, present, booting }
+        };
+        let pools = self.state.orders.keys().chain(observation.pools.keys());
+        pools.map(|pool| (pool.clone(), status(pool))).collect()
+    }
+
     /// Finds the pools whose engines were reclaimed or didn't come.
     fn record_losses(
         &mut self,
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -29,9 +29,11 @@
 use smol_str::SmolStr;
 
 use crate::{
+    capacity::{CapacityContext, CapacityDuty},
     duties::{self, DutyAuthority, LeaderLease},
     gateway::Gateway,
     send::{self, SendTarget},
+    settings::DutyKind,
 };
 
 /// Key in the key-value service whose value is the name of the leader.
@@ -143,6 +145,7 @@
     acquired_at: Timestamp,
     /// Permission for the duties, from the end of the wait of a new leader.
     duties: Option<DutyAuthority>,
+    capacity: CapacityDuty,
     /// Revision of the leader key.
     revision: StoreRevision,
     /// Time since which a change to a stage has been planned for an engine of a failure domain.
@@ -179,6 +182,7 @@
         lease: LeaderLease { lease, clock: gateway.clock.clone() },
         acquired_at,
         duties: None,
+        capacity: CapacityDuty::new(gateway.metrics.capacity.clone()),
         revision,
         planned: HashMap::new(),
         demand: HashMap::new(),
@@ -257,8 +261,19 @@
         let Some(authority) = &mut self.duties else {
             return Ok(());
         };
-        // `capacity::step(authority, client, ..)` is called here if the duty is enabled.
-        let _ = (authority, client);
+        if authority.has_duty(DutyKind::Autoscale) {
+            let stage_orders = self.recent_orders.iter().filter_map(|(key, (order, at))| {
+                matches!(order, OrderState::Pending(_)).then_some((*key, *at))
+            });
+            let context = CapacityContext {
+                state: &self.gateway.state,
+                clock: &self.gateway.clock,
+                leader_key: KEY,
+                revision: self.revision,
+                stage_orders: &stage_orders.collect(),
+            };
+            self.capacity.step(context, authority, client).await?;
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`state::GatewayState`].
 
 pub mod call;
+pub mod capacity;
 pub mod changes;
 pub mod crashes;
 pub mod duties;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets, in seconds: around the objectives of 0.12 to 0.8 s and the
@@ -15,6 +15,15 @@
 /// Function that returns the number of lines that the log has dropped.
 pub type LineCounter = Box<dyn Fn() -> u64 + Send + Sync>;
 
+/// Metrics of the orders for engines. Only the leader has any.
+#[derive(Clone, Debug)]
+pub struct CapacityMetrics {
+    /// Engines by service, domain, kind and state (`desired`, `present` or `booting`).
+    pub engines: IntGaugeVec,
+    /// Orders by outcome.
+    pub orders: IntCounterVec,
+}
+
 /// Metrics of one daemon.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -57,6 +66,7 @@
     pub forwards: IntCounterVec,
     /// Requests of other daemons that were taken over.
     pub taken_over: IntCounter,
+    pub capacity: CapacityMetrics,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -85,6 +95,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let engines = IntGaugeVec::new(
+            Opts::new("capacity_engines", "Engines of the services that can be scaled"),
+            &["service", "domain", "kind", "state"],
+        )?;
+        registry.register(Box::new(engines.clone()))?;
+        let orders = counters("capacity_orders_total", "Orders for engines", &["outcome"])?;
         let latency = HistogramVec::new(
             HistogramOpts::new("answer_seconds", "Time to the head of the answer")
                 .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
@@ -136,6 +152,7 @@
                 "Updates of daemons of other builds that aren't known",
                 &["reads"],
             )?,
+            capacity: CapacityMetrics { engines, orders },
             connections,
             lines_dropped: gauge("log_lines_dropped", "Lines that the log has lost")?,
             count_dropped_lines,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway with stand-ins of the platform, on loopback.
 
 mod broken_engines;
+mod capacity;
 mod crashing_engine;
 mod cut_daemons;
 mod endless;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -48,16 +48,7 @@
     /// Starts a gateway on a new store that holds the same keys of the gateways, except those of
     /// running ones: all of them were killed at once.
     pub fn start_after_kill(store: &StandinStore) -> Self {
-        let copy = StandinStore::start();
-        let is_kept = |key: &&String| {
-            let own_key = key.strip_prefix("gateway/");
-            own_key.is_some_and(|key| !key.starts_with("daemons/") && key != "steward")
-        };
-        for key in store.keys().iter().filter(is_kept) {
-            let text = store.value_text(key).expect("a listed key has a value");
-            copy.put(key, &serde_json::from_str(&text).expect("a value in JSON"));
-        }
-        Self::start_on(copy, "daemon-1")
+        Self::start_on(copy_after_kill(store), "daemon-1")
     }
 
     /// Starts another gateway on the same store.
@@ -75,8 +66,13 @@
     }
 
     fn start_on(store: StandinStore, name: &str) -> Self {
+        Self::start_with(store, name, &json!({}))
+    }
+
+    /// Starts a gateway with further settings.
+    pub fn start_with(store: StandinStore, name: &str, further: &Value) -> Self {
         let (callers, ready) = (unused_address(), unused_address());
-        let settings: GatewaySettings = serde_json::from_value(json!({
+        let mut settings = json!({
             "name": name,
             "failure_domain": "a",
             "regions": {"a": "one", "b": "two"},
@@ -85,8 +81,11 @@
             "metrics_listen": unused_address().to_string(),
             "peer_listen": unused_address().to_string(),
             "store": store.address.to_string(),
-        }))
-        .expect("valid settings");
+        });
+        for (key, value) in further.as_object().expect("an object") {
+            settings[key] = value.clone();
+        }
+        let settings: GatewaySettings = serde_json::from_value(settings).expect("valid settings");
         let options = GatewayOptions::new(&settings).expect("valid options");
         let started = async_std::task::block_on(program::start(options, Box::new(|| 0)));
         let (gateway, _) = started.expect("gateway starts");
@@ -136,6 +135,20 @@
     }
 }
 
+/// Returns a new store that holds the same keys of the gateways, except those of running ones.
+pub fn copy_after_kill(store: &StandinStore) -> StandinStore {
+    let copy = StandinStore::start();
+    let is_kept = |key: &&String| {
+        let own_key = key.strip_prefix("gateway/");
+        own_key.is_some_and(|key| !key.starts_with("daemons/") && key != "steward")
+    };
+    for key in store.keys().iter().filter(is_kept) {
+        let text = store.value_text(key).expect("a listed key has a value");
+        copy.put(key, &serde_json::from_str(&text).expect("a value in JSON"));
+    }
+    copy
+}
+
 /// Makes the kernel reset a connection when it is closed.
 pub fn reset_on_close(stream: &TcpStream) {
     rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO)).expect("linger is set");
