--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -13,6 +13,8 @@
 pub mod call_rate;
 pub mod caller_memory;
 pub mod candidates;
+pub mod capacity;
+pub mod capacity_demand;
 pub mod configuration;
 pub mod connections;
 pub mod decode_engines;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod accounts;
 pub mod call;
 pub mod caller_memory;
+pub mod capacity;
 pub mod changes;
 pub mod crashes;
 pub mod duties;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets, in seconds: around the objectives of 0.12 to 0.8 s and the
@@ -34,6 +34,15 @@
     }
 }
 
+/// Metrics of the orders for engines. Only the leader has any.
+#[derive(Clone, Debug)]
+pub struct CapacityMetrics {
+    /// Engines by service, domain, kind and state (`desired`, `present` or `booting`).
+    pub engines: IntGaugeVec,
+    /// Orders by outcome.
+    pub orders: IntCounterVec,
+}
+
 /// Metrics of one daemon.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -78,6 +87,7 @@
     pub taken_over: IntCounter,
     /// Memory that is held for callers.
     pub memory: MemoryMetrics,
+    pub capacity: CapacityMetrics,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -106,6 +116,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let engines = IntGaugeVec::new(
+            Opts::new("capacity_engines", "Engines of the services that can be scaled"),
+            &["service", "domain", "kind", "state"],
+        )?;
+        registry.register(Box::new(engines.clone()))?;
+        let orders = counters("capacity_orders_total", "Orders for engines", &["outcome"])?;
         let latency = HistogramVec::new(
             HistogramOpts::new("answer_seconds", "Time to the head of the answer")
                 .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
@@ -171,6 +187,7 @@
                     &["reason"],
                 )?,
             },
+            capacity: CapacityMetrics { engines, orders },
             connections,
             lines_dropped: gauge("log_lines_dropped", "Lines that the log has lost")?,
             count_dropped_lines,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod broken_engines;
+mod capacity;
 mod crashing_engine;
 mod cut_daemons;
 mod endless;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -48,16 +48,7 @@
     /// Starts a gateway on a new store that holds the same keys of the gateways, except those of
     /// running ones: all of them were killed at once.
     pub fn start_after_kill(store: &StandinStore) -> Self {
-        let copy = StandinStore::start();
-        let is_kept = |key: &&String| {
-            let own_key = key.strip_prefix("gateway/");
-            own_key.is_some_and(|key| !key.starts_with("daemons/") && key != "steward")
-        };
-        for key in store.keys().iter().filter(is_kept) {
-            let text = store.value_text(key).expect("a listed key has a value");
-            copy.put(key, &serde_json::from_str(&text).expect("a value in JSON"));
-        }
-        Self::start_on(copy, "daemon-1")
+        Self::start_on(copy_after_kill(store), "daemon-1")
     }
 
     /// Starts another gateway on the same store.
@@ -143,6 +134,20 @@
     }
 }
 
+/// Returns a new store that holds the same keys of the gateways, except those of running ones.
+pub fn copy_after_kill(store: &StandinStore) -> StandinStore {
+    let copy = StandinStore::start();
+    let is_kept = |key: &&String| {
+        let own_key = key.strip_prefix("gateway/");
+        own_key.is_some_and(|key| !key.starts_with("daemons/") && key != "steward")
+    };
+    for key in store.keys().iter().filter(is_kept) {
+        let text = store.value_text(key).expect("a listed key has a value");
+        copy.put(key, &serde_json::from_str(&text).expect("a value in JSON"));
+    }
+    copy
+}
+
 /// Makes the kernel reset a connection when it is closed.
 pub fn reset_on_close(stream: &TcpStream) {
     rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO)).expect("linger is set");
