--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,12 +92,16 @@
         let daemon = xxh3::xxh3_64_with_seed(options.name.as_bytes(), incarnation);
         let memory_limits = MemoryLimits::new(options.memory_bytes, options.max_descriptors);
         let memory = CallerMemory::new(memory_limits, clock.clone(), metrics.memory.clone());
+        let mut state = GatewayState::new(daemon);
+        if options.adapts_pace {
+            state.fleet.enable_pace(daemon);
+        }
         Self {
             limits: Mutex::new(options.limits),
             store: StoreEndpoint::new(options.store),
             options,
             clock,
-            state: Mutex::new(GatewayState::new(daemon)),
+            state: Mutex::new(state),
             connections: ConnectionPool::default(),
             metrics,
             memory: Arc::new(memory),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,8 @@
     /// Memory that is held for callers.
     pub memory: MemoryMetrics,
     pub capacity: CapacityMetrics,
+    /// Window of each server that is paced, in thousandths of what its peers hold.
+    pub paces: IntGaugeVec,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -122,6 +124,11 @@
         )?;
         registry.register(Box::new(engines.clone()))?;
         let orders = counters("capacity_orders_total", "Orders for engines", &["outcome"])?;
+        let paces = IntGaugeVec::new(
+            Opts::new("server_pace", "Window of a paced server, in thousandths of its peers' work"),
+            &["server"],
+        )?;
+        registry.register(Box::new(paces.clone()))?;
         let latency = HistogramVec::new(
             HistogramOpts::new("answer_seconds", "Time to the head of the answer")
                 .buckets(LATENCY_BUCKETS_SECONDS.to_vec()),
@@ -148,6 +155,7 @@
             IntCounter::new("leaving_servers_total", "Servers that said that they leave")?;
         registry.register(Box::new(leaving_servers.clone()))?;
         Ok(Self {
+            paces,
             leaving_servers,
             held_back,
             quiet_requests,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -40,6 +40,7 @@
 
 mod evidence;
 mod notices;
+mod pace;
 mod reach;
 
 /// Time without updates after which a daemon no longer counts as live.
@@ -156,7 +157,12 @@
                 self.confirm_crash(before, now);
             }
         }
-        self.fleet.put(entry)
+        let id = entry.id.clone();
+        let effect = self.fleet.put(entry);
+        if let Some(key) = self.fleet.key(&id) {
+            self.fleet.record_start(key, effect, now);
+        }
+        effect
     }
 
     /// Returns whether the entry of a known server is missing.
@@ -454,6 +460,7 @@
                     self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
                 }
                 SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
+                SendUpdate::Paced { servers } => self.apply_pace(servers, now),
                 // `origin_responses` and `reach::answer` handle the questions.
                 SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. } => {}
             }
