serving: divide contended services fairly among client accounts

Cause: under overload admission looks at the queue alone, so an account that sends a burst takes the capacity of all others. Change: core::serving::shares counts the work of accounts and gives standings by max-min fair shares, admission::decide limits the queue by standing and priority and spreads Retry-After, daemons exchange their largest accounts (AccountWork), relays send sums. Without accounts in the configuration nothing changes.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -28,6 +28,7 @@
 pub mod relays;
 pub mod request_limit;
 pub mod restored_entries;
+pub mod shares;
 pub mod shutdown;
 pub mod software;
 pub mod stage_demand;
--- a/crates/core/src/serving/admission.rs
+++ b/crates/core/src/serving/admission.rs
@@ -6,10 +6,14 @@
 //! at once, with a retry-after. Queueing late requests at the daemon serves fewer callers: they use
 //! capacity that newer requests need and miss their objective anyway. A request is also refused if
 //! its deadline would leave too little time for the output.
+//!
+//! While a service is contended and the configuration has accounts, the standing of the request's
+//! account and its priority limit the queue behind which it is sent, see
+//! [`shares`](crate::serving::shares).
 
 use std::time::Duration;
 
-use crate::serving::placement::Placement;
+use crate::serving::{placement::Placement, shares::ContendedRequest};
 
 /// Share of the objective that the estimated time to the first event may use. The rest is a margin
 /// for estimation errors.
@@ -20,6 +24,8 @@
 const MIN_OUTPUT_MS: f64 = 800.0;
 /// Shortest and longest retry-after of a refusal.
 const RETRY_AFTER_BOUNDS_MS: (f64, f64) = (200.0, 2000.0);
+/// Shortest time over which the returns of callers that a contended service refuses are spread.
+const MIN_RETURN_SPREAD_MS: f64 = 400.0;
 
 /// Times of a request at its admission.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +36,8 @@
     pub waited: Duration,
     /// Time until the deadline.
     pub time_left: Duration,
+    /// Present if the service is contended and the configuration has accounts.
+    pub contention: Option<ContendedRequest>,
 }
 
 /// Result of the admission of a request.
@@ -49,23 +57,48 @@
     objective_ms * OBJECTIVE_SHARE - request.waited.as_secs_f64() * 1000.0
 }
 
+/// Returns whether a request would be late behind a queue.
+pub fn is_late(request: &AdmissionRequest, placement: &Placement) -> bool {
+    placement.first_event_ms > latest_first_event_ms(request)
+        && placement.wait_ms > LATE_QUEUE_LIMIT_MS
+}
+
+/// Returns whether a request is refused because of the queue and not because of its deadline.
+pub fn is_queue_refusal(decision: AdmissionDecision, placement: &Placement) -> bool {
+    matches!(decision, AdmissionDecision::Refuse { .. }) && placement.wait_ms > LATE_QUEUE_LIMIT_MS
+}
+
 /// Decides whether a request is sent, given its best placement.
 ///
 /// The deadline check leaves out the time in the queue. It refuses only requests that would leave
 /// too little time for the output even if the queue were empty.
 pub fn decide(request: AdmissionRequest, placement: &Placement) -> AdmissionDecision {
     let left_ms = request.time_left.as_secs_f64() * 1000.0;
-    let retry_after = retry_after(placement.wait_ms);
+    let retry_after = match request.contention {
+        Some(contention) => contended_retry_after(&request, placement, &contention),
+        None => retry_after(placement.wait_ms),
+    };
     if placement.first_event_ms - placement.wait_ms + MIN_OUTPUT_MS > left_ms {
         return AdmissionDecision::Refuse { retry_after };
     }
-    if placement.first_event_ms <= latest_first_event_ms(&request) {
-        return AdmissionDecision::Send;
-    }
     if placement.wait_ms <= LATE_QUEUE_LIMIT_MS {
         return AdmissionDecision::Send;
     }
-    AdmissionDecision::Refuse { retry_after }
+    let is_on_time = placement.first_event_ms <= latest_first_event_ms(&request);
+    let is_sent = match request.contention {
+        Some(contention) => {
+            let is_in_share = placement.wait_ms <= wait_limit_ms(&request, &contention);
+            let is_allowed_late =
+                contention.may_be_late && placement.first_event_ms + MIN_OUTPUT_MS <= left_ms;
+            (is_on_time && is_in_share) || is_allowed_late
+        }
+        None => is_on_time,
+    };
+    if is_sent {
+        AdmissionDecision::Send
+    } else {
+        AdmissionDecision::Refuse { retry_after }
+    }
 }
 
 /// Returns the retry-after of a refused request, from the queue time at its best placement.
@@ -73,3 +106,28 @@
     let (min, max) = RETRY_AFTER_BOUNDS_MS;
     Duration::from_millis(wait_ms.clamp(min, max) as u64)
 }
+
+/// Returns the longest queue, in milliseconds, behind which a request to a contended service is sent.
+fn wait_limit_ms(request: &AdmissionRequest, contention: &ContendedRequest) -> f64 {
+    latest_first_event_ms(request).max(0.0) * contention.wait_share
+}
+
+/// Returns the retry-after of a request that a contended service refuses: a point in the time from
+/// when the queue is short enough for the request to when the refused work can be done. Within the
+/// caller's deadline if possible, and never after it.
+fn contended_retry_after(
+    request: &AdmissionRequest,
+    placement: &Placement,
+    contention: &ContendedRequest,
+) -> Duration {
+    let (min, max) = RETRY_AFTER_BOUNDS_MS;
+    let earliest = placement.wait_ms - wait_limit_ms(request, contention);
+    let earliest = earliest.clamp(min, max - MIN_RETURN_SPREAD_MS);
+    let latest = placement.wait_ms + contention.refused_ms;
+    let latest = latest.clamp(earliest + MIN_RETURN_SPREAD_MS, max);
+    let point_ms = earliest + (latest - earliest) * contention.return_position;
+    let left_ms = request.time_left.as_secs_f64() * 1000.0;
+    let service_ms = placement.first_event_ms - placement.wait_ms + MIN_OUTPUT_MS;
+    let last_ms = if left_ms - service_ms >= min { left_ms - service_ms } else { left_ms };
+    Duration::from_millis(point_ms.min(last_ms) as u64)
+}
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -298,6 +298,7 @@
         objective: Duration::from_millis(objective_ms),
         waited: Duration::ZERO,
         time_left: Duration::from_millis(left_ms),
+        contention: None,
     };
     admission::decide(request, placement)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod registration;
 pub mod send;
 pub mod settings;
+pub mod shares;
 pub mod state;
 pub mod store_watch;
 pub mod stored_evidence;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub resumes: IntCounterVec,
     /// Requests refused because a prompt part may crash engines, by the part's status.
     pub part_refusals: IntCounterVec,
+    /// Requests that a contended service refused, by the standing of their account.
+    pub share_refusals: IntCounterVec,
     /// Ended streams by end and by framing of the engine's response.
     pub streams: IntCounterVec,
     /// Retries that the retry budget granted or refused.
@@ -127,6 +129,11 @@
                 "Requests refused for a prompt part",
                 &["status"],
             )?,
+            share_refusals: counters(
+                "share_refusals_total",
+                "Requests that a contended service refused",
+                &["standing"],
+            )?,
             streams: counters("streams_total", "Ended streams", &["end", "framing"])?,
             retries: counters("retries_total", "Further sends", &["verdict"])?,
             store_calls: counters("store_calls_total", "Calls to the store", &["outcome"])?,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,7 +30,7 @@
     gateway::Gateway,
     origin, reach,
     settings::GatewayOptions,
-    stored_evidence,
+    shares, stored_evidence,
     updates::{
         format::{self, DatagramFormat, ReceivedDatagram},
         SendUpdate, UpdateBundle, UpdateDatagram,
@@ -46,6 +46,8 @@
 const RELAY_BATCH_DELAY: Duration = Duration::from_millis(15);
 /// Time between summaries of this daemon's pending prefills and running requests.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of summaries from one record of the accounts' work to the next.
+const SUMMARIES_PER_WORK_RECORD: u32 = 4;
 /// Time without a datagram after which a relay is replaced: 2.5 summary intervals.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1250);
 /// Time for which a relay plan is reused.
@@ -355,6 +357,7 @@
 
     /// Sends summaries, and removes expired state of other daemons.
     async fn publish_summaries(self) {
+        let mut summaries: u32 = 0;
         loop {
             self.gateway.clock.sleep(SUMMARY_INTERVAL).await;
             let now = self.gateway.now();
@@ -382,6 +385,12 @@
             for updates in updates.chunks(BATCH_LIMIT) {
                 self.send(vec![self.bundle(updates.to_vec())], &plan.own_update_targets).await;
             }
+            summaries = summaries.wrapping_add(1);
+            if summaries.is_multiple_of(SUMMARIES_PER_WORK_RECORD) {
+                for (updates, targets) in shares::records(&self.gateway.state, &plan, now) {
+                    self.send(vec![self.bundle(updates)], &targets).await;
+                }
+            }
         }
     }
 
@@ -588,11 +597,13 @@
         if is_relay && (!is_home || is_direct) {
             for bundle in &mut datagram.bundles {
                 bundle.updates.retain(|update| {
-                    let is_question = matches!(
+                    let is_for_relay = matches!(
                         update,
-                        SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. }
+                        SendUpdate::OriginAsked { .. }
+                            | SendUpdate::ReachAsked { .. }
+                            | SendUpdate::AccountWork(_)
                     );
-                    !is_question
+                    !is_for_relay
                 });
             }
             datagram
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -25,7 +25,7 @@
     crashes, origin,
     prefill_guard::{ExportGuard, PrefillGuard},
     send::{self, NotRunReason, SendOutcome, SendTarget},
-    stream,
+    shares, stream,
 };
 
 mod decode;
@@ -106,6 +106,7 @@
         objective: route.row.objective,
         waited: now.since(call.arrived_at),
         time_left: call.time_left(),
+        contention: None,
     };
     let request = PlacementRequest {
         service: &route.service,
@@ -126,7 +127,11 @@
         drop(state);
         return Err(call.no_server(route));
     };
+    let shared = shares::share_request(call, route, &placement, excluded.is_empty());
+    let contention = shared.and_then(|shared| state.shares.assess(&shared, now));
+    let admission = AdmissionRequest { contention, ..admission };
     let decision = admission::decide(admission, &placement);
+    shares::record_decision(gateway, &mut state, shared.as_ref(), &admission, &placement, decision);
     tracing::info!(
         request = %call.head.request_id,
         route = %route.row.name,
@@ -148,6 +153,13 @@
         fetch_ms = placement.fetch.map(|fetch| fetch.fetch_ms as u64),
         first_event_ms = placement.first_event_ms as u64,
         waited_ms = admission.waited.as_millis() as u64,
+        account = call.account.as_ref().map(|account| account.name.as_str()),
+        standing = admission.contention.map(|contention| tracing::field::display(contention.standing)),
+        usage = admission.contention.map(|contention| contention.usage as u64),
+        fair_share = admission.contention.map(|contention| contention.fair_share as u64),
+        wait_share = admission.contention.map(|contention| contention.wait_share),
+        may_be_late = admission.contention.map(|contention| contention.may_be_late),
+        told_age_ms = admission.contention.and_then(|contention| contention.told_age).map(|age| age.as_millis() as u64),
         verdict = ?decision,
         "admission decided"
     );
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -24,6 +24,7 @@
         relays,
         request_limit::ReturnQueue,
         restored_entries::RestoredEntries,
+        shares::ShareTable,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
         store_era::StoreRevision,
     },
@@ -33,6 +34,7 @@
 
 pub use crate::state::evidence::DoubtfulEnd;
 use crate::{
+    shares,
     state::evidence::{ConfirmedCrash, CrashDoubt},
     updates::{PrefillEnd, SendRecord, SendUpdate},
 };
@@ -57,6 +59,8 @@
     pub fleet: ServerFleet,
     pub parts: PartEvidence,
     pub versions: VersionHistory,
+    /// Work of the client accounts, here and at other daemons.
+    pub shares: ShareTable,
     restored_entries: RestoredEntries,
     /// Requests of this daemon whose servers may have ended with them, oldest first.
     doubts: VecDeque<CrashDoubt>,
@@ -452,6 +456,9 @@
                     self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
                 }
                 SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
+                SendUpdate::AccountWork(record) => {
+                    shares::apply_record(&mut self.shares, daemon, record, now);
+                }
                 // `origin_responses` and `reach::answer` handle the questions.
                 SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. } => {}
             }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -72,6 +72,26 @@
     pub response_age_ms: Option<u32>,
 }
 
+/// Work of the client accounts of a service in the last seconds, in tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkRecord {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Number of the [`WorkScope`](gooseberry_core::serving::shares::WorkScope) that the record
+    /// sums up.
+    pub scope: u8,
+    /// Hash, work sent and work asked for of the accounts that ask for the most.
+    pub rows: Vec<(u64, u32, u32)>,
+    /// Work of all other accounts that was sent.
+    pub rest_served: u32,
+    /// Work that all other accounts asked for.
+    pub rest_offered: u32,
+    /// Number of the other accounts.
+    pub rest_accounts: u32,
+    /// Time since a request was last refused, if that was lately.
+    pub contention_age_ms: Option<u32>,
+}
+
 /// One update of a daemon on its own requests. Other builds read it too, so variants are only
 /// appended, and their fields never change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::EnumCount)]
@@ -156,6 +176,9 @@
     ReachAsked {
         service: String,
     },
+    /// Work of client accounts while their service is contended. Relays don't forward this but send
+    /// sums of it.
+    AccountWork(WorkRecord),
 }
 
 /// The updates of one daemon.
