--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -17,7 +17,7 @@
     updates::{
         format::{self, DatagramFormat, FormatError, ReceivedDatagram},
         PaceRecord, PrefillEnd, ReachRecord, SendRecord, SendUpdate, SpeedSample, UpdateBundle,
-        UpdateDatagram,
+        UpdateDatagram, WorkRecord,
     },
 };
 use gooseberry_platform::store::{StoreChange, StoreKey};
@@ -50,6 +50,15 @@
     let reach = ReachRecord { server: 1, incarnation: 2, age_ms: 3, response_age_ms: Some(4) };
     let pace = PaceRecord { server: 1, incarnation: 2, window: 125_000, age_ms: 4 };
     let end = PrefillEnd::Completed(Some(sample));
+    let work = WorkRecord {
+        service: 1,
+        scope: 2,
+        rows: vec![(3, 4, 500)],
+        rest_served: 6,
+        rest_offered: 7,
+        rest_accounts: 8,
+        contention_age_ms: Some(9),
+    };
     let updates = vec![
         SendUpdate::Started(record),
         SendUpdate::Ended { number: 1, server: 2, end },
@@ -68,6 +77,7 @@
         SendUpdate::Reached { servers: vec![reach] },
         SendUpdate::ReachAsked { service: "m".to_owned() },
         SendUpdate::Paced { servers: vec![pace] },
+        SendUpdate::AccountWork(work),
     ];
     assert_eq!(updates.len(), SendUpdate::COUNT);
     updates
@@ -149,6 +159,7 @@
         00ffff7f0202036f6e650107036f6e6501070e010102030104
         00ffff7f0202036f6e650107036f6e6501030f016d
         00ffff7f0202036f6e650107036f6e65010810010102c8d00704
+        00ffff7f0202036f6e650107036f6e65010d110102010304f4030607080109
     "#]],
     );
 }
@@ -160,24 +171,26 @@
     let old: format_one::UpdateDatagram =
         postcard::from_bytes(&bytes).expect("an old build reads it");
     assert_eq!(old.bundles[0].updates.len(), FIRST_FORMAT_UPDATES);
-    let sent = datagram("one", first_format_updates());
     let bytes = postcard::to_stdvec(&old).expect("encodes");
     let received = format::decode(&bytes).expect("decodes");
-    assert_eq!(received, ReceivedDatagram { datagram: sent, reads: None, skipped: 0 });
+    let kept = datagram("one", first_format_updates());
+    assert_eq!(received, ReceivedDatagram { datagram: kept, reads: None, skipped: 0 });
 }
 
 /// A relay decodes what it gets, and encodes it again in the format of each receiver.
 #[test]
 fn updates_pass_through_relays_of_either_build() {
-    let sent = datagram("one", first_format_updates());
+    let sent = datagram("one", all_updates());
     let relay = |datagram: &UpdateDatagram, format| {
         let bytes = format::encode(datagram, format).expect("encodes");
         format::decode(&bytes).expect("decodes").datagram
     };
+    let kept = datagram("one", first_format_updates());
     let by_new = relay(&relay(&sent, DatagramFormat::Unframed), DatagramFormat::Framed);
-    assert_eq!(by_new, sent);
+    assert_eq!(by_new, kept);
     let by_old = relay(&relay(&sent, DatagramFormat::Framed), DatagramFormat::Unframed);
-    assert_eq!(by_old, sent);
+    assert_eq!(by_old, kept);
+    assert_eq!(relay(&sent, DatagramFormat::Framed), sent);
 }
 
 /// Guards against datagrams that are lost as a whole, with every update in them, because the sender's
