gateway: count requests by account, and describe accounts

Cause: metrics and pages knew nothing of accounts; a relay read the age of its list after the changes, so a list that grew in between seemed newer than what was sent, which would have let a member confirm what it didn't know. Tests of the era change, of each kind of authority, of the clock and of explain. The decode test now uses a prompt that is split, since the earlier one ran whole at the decode engine.

--- a/crates/core/src/serving/accounts.rs
+++ b/crates/core/src/serving/accounts.rs
@@ -6,7 +6,7 @@
 //! its configuration is still the newest one, so decisions use the age of what it knows. The table
 //! is built once per version of the configuration.
 
-use std::{fmt, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, fmt, time::Duration};
 
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
@@ -262,3 +262,28 @@
         Some(now.since(confirmed_at))
     }
 }
+
+/// Requests by account.
+#[derive(Clone, Debug, Default)]
+pub struct AccountCounter {
+    counts: HashMap<SmolStr, u64>,
+}
+
+impl AccountCounter {
+    /// Counts a request.
+    pub fn record(&mut self, account: &SmolStr) {
+        if let Some(count) = self.counts.get_mut(account) {
+            *count += 1;
+        } else {
+            self.counts.insert(account.clone(), 1);
+        }
+    }
+
+    /// Returns the counts of the largest accounts, at most `limit`, and the sum of the others.
+    pub fn largest(&self, limit: usize) -> (Vec<(&SmolStr, u64)>, u64) {
+        let mut rows: Vec<_> = self.counts.iter().map(|(name, count)| (name, *count)).collect();
+        rows.sort_by_key(|(name, count)| (Reverse(*count), *name));
+        let others = rows.split_off(limit.min(rows.len()));
+        (rows, others.iter().map(|(_, count)| count).sum())
+    }
+}
--- a/crates/core/tests/serving_accounts.rs
+++ b/crates/core/tests/serving_accounts.rs
@@ -5,7 +5,7 @@
 use gooseberry_core::{
     serving::{
         accounts::{
-            self, AccountDecision, AccountKey, AccountRequest, AccountTable,
+            self, AccountCounter, AccountDecision, AccountKey, AccountRequest, AccountTable,
             ConfigurationKnowledge, KeySecret, KeyState, RevocationPolicy, CONFIRMED_AGE_LIMIT,
         },
         configuration::AccountSpec,
@@ -55,6 +55,23 @@
     assert!(table.find(&secret.digest(b"account-23000")).is_none());
 }
 
+/// Guards against metrics with a label for each of many accounts.
+#[test]
+fn only_the_largest_accounts_are_counted_apart() {
+    let mut counter = AccountCounter::default();
+    for number in 0..23_000 {
+        for _ in 0..if number < 3 { 5 - number } else { 1 } {
+            counter.record(&format!("account-{number:05}").into());
+        }
+    }
+    let (largest, others) = counter.largest(4);
+    let names: Vec<_> = largest.iter().map(|(name, count)| (name.as_str(), *count)).collect();
+    let expected = [("account-00000", 5), ("account-00001", 4), ("account-00002", 3)];
+    assert_eq!(names, [&expected[..], &[("account-00003", 1)]].concat());
+    assert_eq!(others, 23_000 - 4);
+    assert_eq!(AccountCounter::default().largest(4), (Vec::new(), 0));
+}
+
 /// Guards against keys in logs.
 #[test]
 fn no_debug_output_contains_a_key_or_a_digest() {
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -36,3 +36,13 @@
 fn request_without_lines_has_an_empty_timeline() {
     assert!(explain::timeline(LINES.lines(), "r-9").is_empty());
 }
+
+/// The account, and the version and age of the configuration, tell why a daemon refused a key.
+#[test]
+fn timeline_has_what_the_refusal_of_a_key_was_based_on() {
+    let line = r#"edge-1 {"timestamp":"2026-01-10T05:50:51.108000Z","level":"INFO","message":"request not authorized","request":"r-1","decision":"unavailable","key":"valid","account":"red","version":7,"age_ms":4600,"target":"t"}"#;
+    let entries = explain::timeline([line], "r-1");
+    assert_eq!(entries[0].message, "request not authorized");
+    expect!["account=red age_ms=4600 decision=unavailable key=valid version=7"]
+        .assert_eq(&entries[0].details);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -198,6 +198,8 @@
         let gate = self.gateway.account_gate();
         gate.check(&self.head, self.account.as_ref(), self.authority).map_err(|refusal| {
             refusal.log(&self.head.request_id);
+            let decision = refusal.decision.to_string();
+            self.gateway.metrics.access_refusals.with_label_values(&[&decision]).inc();
             refusal.response()
         })
     }
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -182,10 +182,9 @@
         self.state.lock().revision.era
     }
 
-    /// Returns the time since which there may be changes that this log doesn't have. `now` is the time
-    /// in a clock that counts suspension.
-    fn list_age(&self, now: Timestamp) -> Option<Duration> {
-        self.state.lock().listed_at.map(|at| now.since(at))
+    /// Returns the time up to which this log has all changes, in a clock that counts suspension.
+    fn listed_at(&self) -> Option<Timestamp> {
+        self.state.lock().listed_at
     }
 
     /// Returns a receiver whose channel is closed at the next change.
@@ -240,12 +239,16 @@
     };
     let revision = StoreRevision { era, number };
     let changed = log.subscribe();
+    // Read before the changes: the log may get newer ones in between, and the list mustn't seem newer
+    // than it is.
+    let mut listed_at = log.listed_at();
     let mut update = log.changes_after(revision, gateway.store.newest_era(), gateway.now());
     if matches!(&update, Ok(update) if update.revision <= revision) {
         // The result doesn't matter: the log is read again whether a change arrived or the wait
         // timed out.
         let timeout = log.poll_timeout(wanted_wait(request.uri()), gateway.now());
         let _ = gateway.clock.timeout(timeout, changed.recv()).await;
+        listed_at = log.listed_at();
         update = log.changes_after(revision, gateway.store.newest_era(), gateway.now());
     }
     let era = update.as_ref().map_or(gateway.store.newest_era(), |update| update.revision.era);
@@ -259,7 +262,8 @@
     };
     let headers = response.headers_mut();
     headers.insert(ERA_HEADER, era.into());
-    if let Some(age) = log.list_age(gateway.clock.time_since_boot()) {
+    if let Some(listed_at) = listed_at {
+        let age = gateway.clock.time_since_boot().since(listed_at);
         headers.insert(LIST_AGE_HEADER, (age.as_millis() as u64).into());
     }
     response
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -139,6 +139,9 @@
         gateway.record_duration(&name, elapsed);
     }
     gateway.metrics.latency.with_label_values(&[&name]).observe(elapsed.as_secs_f64());
+    if let Some(account) = &call.account {
+        gateway.metrics.account_requests.lock().record(&account.name);
+    }
     let status = response.status();
     gateway.metrics.requests.with_label_values(&[&name, status.as_str()]).inc();
     tracing::info!(
@@ -162,6 +165,8 @@
     refusal: &AccountRefusal,
 ) -> Response<ResponseBody> {
     refusal.log(&head.request_id);
+    let decision = refusal.decision.to_string();
+    gateway.metrics.access_refusals.with_label_values(&[&decision]).inc();
     let mut response = refusal.response().encode(&head.request_id);
     response.extensions_mut().insert(refusal.decision);
     let is_read = !platform_front::holds_body_back(&parts.headers, DISCARD_LIMIT_BYTES as u64) && {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 
+use gooseberry_core::serving::accounts::AccountCounter;
+use parking_lot::Mutex;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bounds of the latency buckets, in seconds: around the objectives of 0.12 to 0.8 s and the
@@ -12,6 +14,11 @@
 const LATENCY_BUCKETS_SECONDS: &[f64] =
     &[0.01, 0.03, 0.06, 0.12, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3.0, 8.0];
 
+/// Number of accounts that have a label of their own. The others share one.
+const ACCOUNT_LABEL_LIMIT: usize = 20;
+/// Label of the accounts that have none of their own.
+const OTHER_ACCOUNTS: &str = "other";
+
 /// Function that returns the number of lines that the log has dropped.
 pub type LineCounter = Box<dyn Fn() -> u64 + Send + Sync>;
 
@@ -22,6 +29,11 @@
     count_dropped_lines: LineCounter,
     /// Ended requests by route and outcome.
     pub requests: IntCounterVec,
+    /// Ended requests by account, of which the largest are served.
+    pub account_requests: Mutex<AccountCounter>,
+    account_gauges: IntGaugeVec,
+    /// Requests refused for their API key, by decision.
+    pub access_refusals: IntCounterVec,
     /// Time to the response head by route.
     pub latency: HistogramVec,
     /// Sends to backend servers by outcome.
@@ -110,6 +122,12 @@
         let leaving_servers =
             IntCounter::new("leaving_servers_total", "Servers that said that they leave")?;
         registry.register(Box::new(leaving_servers.clone()))?;
+        // Not a counter: the sum of the other accounts falls when one of them gets its own label.
+        let account_gauges = IntGaugeVec::new(
+            Opts::new("account_requests", "Ended requests of the largest accounts"),
+            &["account"],
+        )?;
+        registry.register(Box::new(account_gauges.clone()))?;
         Ok(Self {
             leaving_servers,
             held_back,
@@ -119,6 +137,13 @@
             taken_over,
             forwards: counters("forwards_total", "Requests handed to other daemons", &["outcome"])?,
             requests: counters("requests_total", "Ended requests", &["route", "outcome"])?,
+            account_requests: Mutex::default(),
+            account_gauges,
+            access_refusals: counters(
+                "access_refusals_total",
+                "Requests refused for their API key",
+                &["decision"],
+            )?,
             latency,
             sends: counters("sends_total", "Sends to backend servers", &["outcome"])?,
             resumes: counters("resumes_total", "Resumed streams", &["origin"])?,
@@ -144,6 +169,18 @@
         })
     }
 
+    fn set_account_gauges(&self) {
+        let counter = self.account_requests.lock();
+        let (largest, others) = counter.largest(ACCOUNT_LABEL_LIMIT);
+        self.account_gauges.reset();
+        for (name, count) in largest {
+            self.account_gauges.with_label_values(&[name]).add(count as i64);
+        }
+        if others > 0 {
+            self.account_gauges.with_label_values(&[OTHER_ACCOUNTS]).add(others as i64);
+        }
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
@@ -151,6 +188,7 @@
     /// Returns an error if a metric can't be encoded.
     pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
         self.lines_dropped.set((self.count_dropped_lines)() as i64);
+        self.set_account_gauges();
         let mut text = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/crates/gateway/tests/gateway/accounts.rs
+++ b/crates/gateway/tests/gateway/accounts.rs
@@ -7,8 +7,13 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_gateway::gateway::Gateway;
+use gooseberry_core::serving::accounts::AccountDecision;
+use gooseberry_gateway::{
+    accounts::{CallAccount, CallAuthority},
+    gateway::Gateway,
+};
 use gooseberry_harness::proxy::{ProxyState, TestProxy};
+use gooseberry_platform::front;
 use gooseberry_standins::gateway_mocks::{self, StandinStore, StoreBehaviour};
 use serde_json::{json, Value};
 
@@ -79,6 +84,12 @@
     let tenants: Vec<_> = received.iter().map(|request| request.header("x-tenant")).collect();
     assert_eq!(tenants, [Some("red"), Some("blue"), None, None]);
     assert!(received.iter().all(|request| request.header("authorization").is_none()));
+    let metrics = system.gateway.metrics.render().expect("metrics are rendered");
+    let metrics = String::from_utf8(metrics).expect("metrics are text");
+    for line in [r#"account_requests{account="red"} 1"#, r#"account_requests{account="blue"} 1"#] {
+        assert!(metrics.contains(line), "{line} is missing in {metrics}");
+    }
+    assert!(!metrics.contains("red-two") && !metrics.contains("blue-one"), "{metrics}");
 }
 
 /// Guards against a change for deployments without accounts.
@@ -190,8 +201,10 @@
     system.register("reader", "model", &reader, "prefill");
     system.register("writer", "model", &writer, "decode");
     gateway.set(Arc::clone(&system.gateway)).expect("set once");
-    let prompt = gateway_mocks::prompt_headers("aa", "bb");
-    let text = system.send(&get_request("/chat/x", &(prompt + &bearer("red-one"))));
+    // A prompt of this length is prefilled and decoded by different engines.
+    let prompt = "X-Model: m\r\nX-Token-Usage: 9000,5\r\nX-Prompt-Prefix: aa:300,bb:8700\r\n";
+    let headers = prompt.to_owned() + &bearer("red-one");
+    let text = system.send(&get_request("/chat/x", &headers));
     assert_eq!(status_code(&text), "401", "{text}");
     let prefills = reader.received();
     let prefill = prefills.iter().find(|request| request.is_prefill()).expect("a prefill");
@@ -303,3 +316,66 @@
         assert_eq!(request.header("authorization"), None);
     }
 }
+
+/// Guards against knowledge of an era of the store that has ended, and against 401 for a key that is in
+/// force while the keys are read again.
+#[test]
+fn keys_are_accepted_again_after_an_era_change() {
+    let strict = json!({"strict_revoke": true, "revoke_ms": 5000});
+    let system = System::start_with(StandinStore::start(), "daemon-1", strict);
+    system.store.state_era(1);
+    configure(&system, 1, tenants());
+    let server = normal_server();
+    system.register("one", "plain", &server, "");
+    let status =
+        || status_code(&system.send(&get_request("/plain/x", &bearer("red-one")))).to_owned();
+    support::wait_for(|| status() == "200");
+    let copy = system.store.copy();
+    system.store.restore(&copy);
+    let gateway = &system.gateway;
+    support::wait_for(|| {
+        let is_era_known = gateway.store.newest_era() == 2;
+        let status = status();
+        assert!(["200", "503"].contains(&status.as_str()), "{status}");
+        is_era_known && status == "200"
+    });
+    let knowledge = gateway.state.lock().accounts.knowledge;
+    let now = gateway.clock.time_since_boot();
+    assert!(knowledge.age(2, now).is_some());
+    assert_eq!(knowledge.age(3, now), None);
+}
+
+/// Guards against sends on authority that has ended: a configuration that has accounts now, a decision
+/// of another daemon that has expired, and a key that has another account now.
+#[test]
+fn each_authority_is_checked_by_the_newest_configuration() {
+    let system = System::start();
+    configure(&system, 1, tenants());
+    let request = http::Request::get("/plain/x")
+        .header("Host", "host.example")
+        .header("X-Attempt-Id", "a")
+        .header("Authorization", "Bearer blue-one");
+    let mut parts = request.body(()).expect("a request").into_parts().0;
+    let head = front::decode(&parts).expect("a head");
+    let gateway = &system.gateway;
+    let access = gateway.account_gate().authorize(&mut parts, &head).expect("a valid key");
+    assert!(!parts.headers.contains_key("authorization"));
+    let check = |name: &str, authority: CallAuthority| {
+        let account = CallAccount { name: name.into(), priority: None };
+        let checked = gateway.account_gate().check(&head, Some(&account), authority);
+        checked.map_err(|refusal| refusal.decision)
+    };
+    let unavailable = Err(AccountDecision::Unavailable);
+    assert_eq!(check("blue", access.authority), Ok(()));
+    assert_eq!(check("red", access.authority), unavailable);
+    assert_eq!(check("blue", CallAuthority::Unmanaged), unavailable);
+    assert_eq!(check("blue", CallAuthority::Anonymous), unavailable);
+    let now = gateway.clock.time_since_boot();
+    let until = |valid_until| CallAuthority::Daemon { valid_until };
+    assert_eq!(check("blue", until(Some(now + Duration::from_secs(60)))), Ok(()));
+    assert_eq!(check("blue", until(Some(now))), unavailable);
+    assert_eq!(check("gone", until(None)), unavailable);
+    configure(&system, 2, json!([{"name": "blue", "api-keys": []}]));
+    assert_eq!(check("blue", access.authority), Err(AccountDecision::Unauthorized));
+    assert_eq!(check("blue", until(None)), unavailable);
+}
