--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -78,7 +78,7 @@
     };
     let access = match gateway.account_gate().authorize(&mut parts, &head) {
         Ok(access) => access,
-        Err(refusal) => return refuse(&head, &body, &refusal),
+        Err(refusal) => return refuse(gateway, &head, &body, &refusal),
     };
     let body = match read_body(gateway, body).await {
         Ok(body) => body,
@@ -125,6 +125,9 @@
         gateway.record_duration(&name, elapsed);
     }
     gateway.metrics.latency.with_label_values(&[&name]).observe(elapsed.as_secs_f64());
+    if let Some(account) = &call.account {
+        gateway.metrics.account_requests.lock().record(&account.name);
+    }
     let status = response.status();
     gateway.metrics.requests.with_label_values(&[&name, status.as_str()]).inc();
     tracing::info!(
@@ -139,18 +142,17 @@
 }
 
 /// Refuses a request that isn't authorized. Its body isn't read.
-fn refuse(head: &RequestHead, body: &Incoming, refusal: &AccountRefusal) -> Response<ResponseBody> {
-    let answer = refusal.response();
-    tracing::info!(
-        request = %head.request_id,
-        ?answer,
-        key = %refusal.key,
-        account = refusal.account.as_deref(),
-        version = refusal.version,
-        age_ms = refusal.age.map(|age| age.as_millis() as u64),
-        "request not authorized"
-    );
-    let mut response = answer.encode(&head.request_id);
+fn refuse(
+    gateway: &Gateway,
+    head: &RequestHead,
+    body: &Incoming,
+    refusal: &AccountRefusal,
+) -> Response<ResponseBody> {
+    refusal.log(&head.request_id);
+    let decision = refusal.decision.to_string();
+    gateway.metrics.access_refusals.with_label_values(&[&decision]).inc();
+    let mut response = refusal.response().encode(&head.request_id);
+    response.extensions_mut().insert(refusal.decision);
     if !body.is_end_stream() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
