core: decide what the usage reports contain and when they are sent

Cause: Counts come from daemons whose wall clocks are off by seconds and that may be killed, and two different reports of a window must be impossible.

--- a/crates/core/src/serving.rs
+++ b/crates/core/src/serving.rs
@@ -34,4 +34,5 @@
 pub mod stage_demand;
 pub mod stages;
 pub mod store_era;
+pub mod usage;
 pub mod watch_plan;
