gateway: report the usage of each account once per window

Cause: The platform wants the number of requests of each account that began to run in a window, and never two different reports of the same window. Change: Daemons count requests in the path of plain responses and streams and state their wall clocks in summaries. The leader asks them for cumulative counts at their peer address, writes a report's bytes once under gateway/usage/WINDOW while its leader key stands, and sends only what is stored. Stored reports are dropped from watches. The whole test suites of the crates were not run yet.

--- a/crates/core/src/serving/usage.rs
+++ b/crates/core/src/serving/usage.rs
@@ -115,7 +115,7 @@
         offsets.push(own);
         offsets.sort_unstable();
         let middle = offsets.len() / 2;
-        self.median = if offsets.len() % 2 == 0 {
+        self.median = if offsets.len().is_multiple_of(2) {
             offsets[middle - 1] + (offsets[middle] - offsets[middle - 1]) / 2
         } else {
             offsets[middle]
@@ -201,15 +201,36 @@
 }
 
 impl UsageEra {
-    /// Returns the era in which a leader stores reports. `stored` is the record that it has read, and
-    /// `era` is that of its leader key. The record must be written if it differs.
-    pub fn of_term(stored: Option<Self>, era: u64, now: Timestamp) -> Self {
-        stored.filter(|stored| stored.era == era).unwrap_or(Self { era, since: now })
+    /// Returns the era in which a leader stores reports. `stored` is the record that it has read,
+    /// `era` is that of its leader key, `is_first` tells whether no earlier one is known, and
+    /// `acquired_at` is the true time at which it acquired the key. The record must be written if it
+    /// differs.
+    pub fn of_term(stored: Option<Self>, era: u64, is_first: bool, acquired_at: Timestamp) -> Self {
+        let since = if is_first { Timestamp::default() } else { acquired_at };
+        stored.filter(|stored| stored.era == era).unwrap_or(Self { era, since })
     }
 
     /// Returns whether no report of a window can have been stored in an earlier era.
     pub fn has_window(&self, window: u64, plan: &WindowPlan) -> bool {
-        plan.end(window) >= self.since + ERA_RESERVE
+        self.since == Timestamp::default() || plan.end(window) >= self.since + ERA_RESERVE
+    }
+}
+
+/// A round of questions to all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UsageRound {
+    /// True time at which it began.
+    pub began_at: Timestamp,
+    /// Whether all daemons answered.
+    pub is_complete: bool,
+}
+
+impl UsageRound {
+    /// Returns whether the counts of a window are known as well as they will be: all daemons told them
+    /// after its end, or half of the time until the report is due has passed.
+    fn has_settled(&self, window: u64, plan: &WindowPlan) -> bool {
+        let last_wait = plan.settled(window).max(plan.end(window) + plan.delay / 2);
+        self.began_at >= if self.is_complete { plan.settled(window) } else { last_wait }
     }
 }
 
@@ -234,12 +255,12 @@
 }
 
 /// Returns the steps for the windows, oldest first. `states` has the windows whose stored bytes this
-/// daemon knows, and `polled_at` is the true time at which the last complete round of questions began.
+/// daemon knows, and `round` is the last round of questions.
 pub fn steps(
     plan: &WindowPlan,
     era: UsageEra,
     states: &BTreeMap<u64, ReportState>,
-    polled_at: Option<Timestamp>,
+    round: Option<UsageRound>,
     now: Timestamp,
 ) -> Vec<ReportStep> {
     let mut steps = Vec::new();
@@ -255,12 +276,12 @@
             ReportState::Accepted => {}
         }
     }
-    let Some(polled_at) = polled_at else {
+    let Some(round) = round else {
         return steps;
     };
     let mut unstored = Vec::new();
     for window in plan.oldest_useful(now)..plan.window(now) {
-        let is_settled = polled_at >= plan.settled(window);
+        let is_settled = round.has_settled(window, plan);
         let may_be_stored = era.has_window(window, plan) && plan.is_useful(window, now);
         if is_settled && may_be_stored && !states.contains_key(&window) {
             unstored.push(ReportStep::Store(window));
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -94,6 +94,8 @@
     has_run: AtomicBool,
     /// Whether a server may have got the request, or its prefill.
     has_arrived: AtomicBool,
+    /// Whether the request is counted for its account.
+    is_counted: AtomicBool,
     /// Servers that have refused the request, or its prefill.
     refusals: Mutex<Vec<EngineKey>>,
 }
@@ -178,6 +180,15 @@
         shared_parts.chain(hashes.map(PartFingerprint::of_request)).collect()
     }
 
+    /// Counts the request for its account when it begins to run, once for all its sends.
+    pub fn record_usage(&self) {
+        if let Some(account) = &self.account {
+            if !self.execution.is_counted.swap(true, Ordering::Relaxed) {
+                self.gateway.usage.record(&account.name);
+            }
+        }
+    }
+
     /// Returns a hash of the request's id.
     pub fn id_hash(&self) -> u64 {
         xxh3::xxh3_64(self.head.request_id.as_bytes())
@@ -401,6 +412,7 @@
             match sent.await {
                 SendOutcome::Responded(answer) => {
                     self.execution.record_arrival();
+                    self.record_usage();
                     self.read_plain(route.row.kind, target, *answer).await
                 }
                 SendOutcome::NotRun(reason) => {
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -29,7 +29,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::{forward, gateway::Gateway, program};
+use crate::{forward, gateway::Gateway, program, usage};
 
 /// Number of changes that are kept for members that lag behind.
 const CHANGE_LIMIT: usize = 512;
@@ -210,7 +210,9 @@
     program::spawn_server(&server, listener, move |request| {
         let (gateway, log) = (Arc::clone(&gateway), Arc::clone(&log));
         async move {
-            if forward::is_forwarded(&request) {
+            if usage::is_question(&request) {
+                usage::answer(&gateway.usage, &gateway.peer_token, &request)
+            } else if forward::is_forwarded(&request) {
                 forward::take_over(gateway, request).await
             } else {
                 respond(&gateway, &log, &request).await
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
     peers::PeerDirectory,
     settings::{GatewayLimits, GatewayOptions},
     state::GatewayState,
+    usage::UsageLog,
 };
 
 /// Time at the end of the grace period that requests can't use, so that the process exits before
@@ -44,6 +45,8 @@
     pub state: Mutex<GatewayState>,
     pub connections: ConnectionPool,
     pub metrics: GatewayMetrics,
+    /// Requests that began to run, by account.
+    pub usage: Arc<UsageLog>,
     /// Set after the configuration and the servers were read, and ignored once the shutdown has
     /// started.
     is_ready: AtomicBool,
@@ -83,6 +86,7 @@
         Self {
             limits: Mutex::new(options.limits),
             store: StoreEndpoint::new(options.store),
+            usage: Arc::new(UsageLog::new(options.duties.as_ref(), daemon, clock.clone())),
             options,
             clock,
             state: Mutex::new(GatewayState::new(daemon)),
--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -32,6 +32,8 @@
     duties::{self, DutyAuthority, LeaderLease},
     gateway::Gateway,
     send::{self, SendTarget},
+    settings::DutyKind,
+    usage_report::{self, ReportMemory, UsageDuty},
 };
 
 /// Key in the key-value service whose value is the name of the leader.
@@ -121,13 +123,14 @@
 pub async fn run(gateway: Arc<Gateway>, leader_key: Arc<LeaderKey>) {
     let spread = Duration::from_millis(gateway.daemon % ACQUIRE_SPREAD_MS);
     let mut client = gateway.store.client();
+    let mut reports = ReportMemory::default();
     loop {
         gateway.clock.sleep(RENEW_INTERVAL + spread).await;
         let is_cut = gateway.state.lock().is_cut_from_engines();
         if is_cut || !gateway.is_ready() || !leader_key.is_free() {
             continue;
         }
-        match lead(&gateway, &leader_key, &mut client).await {
+        match lead(&gateway, &leader_key, &mut client, &mut reports).await {
             Ok(()) => {}
             Err(StoreError::Conflict) => tracing::debug!("another daemon is the leader"),
             Err(fault) => tracing::info!(%fault, "leadership lost or not acquired"),
@@ -141,6 +144,8 @@
     leader_key: &'a LeaderKey,
     lease: LeaderLease,
     acquired_at: Timestamp,
+    usage: UsageDuty,
+    reports: &'a mut ReportMemory,
     /// Permission for the duties, from the end of the wait of a new leader.
     duties: Option<DutyAuthority>,
     /// Revision of the leader key.
@@ -157,6 +162,7 @@
     gateway: &Gateway,
     leader_key: &LeaderKey,
     client: &mut StoreClient,
+    reports: &mut ReportMemory,
 ) -> Result<(), StoreError> {
     let lease = client.grant_lease(LEASE_TTL, CALL_TIMEOUT).await?;
     let name = gateway.options.name.as_bytes();
@@ -173,11 +179,21 @@
     if gateway.store.has_changed_era() {
         gateway.state.lock().store_evidence_again();
     }
+    let collector = Arc::default();
+    usage_report::start_collecting(
+        &collector,
+        Arc::clone(&gateway.usage),
+        Arc::clone(&gateway.peers),
+        gateway.clock.clone(),
+        gateway.metrics.usage_lost.clone(),
+    );
     let mut term = LeaderTerm {
         gateway,
         leader_key,
         lease: LeaderLease { lease, clock: gateway.clock.clone() },
         acquired_at,
+        usage: UsageDuty::new(collector, revision, gateway.usage.true_time()),
+        reports,
         duties: None,
         revision,
         planned: HashMap::new(),
@@ -257,8 +273,11 @@
         let Some(authority) = &mut self.duties else {
             return Ok(());
         };
-        // `capacity::step(authority, client, ..)` is called here if the duty is enabled.
-        let _ = (authority, client);
+        let (log, metrics) = (&self.gateway.usage, &self.gateway.metrics);
+        if authority.has_duty(DutyKind::UsageReport) {
+            self.usage.step(self.reports, log, metrics, authority, client).await?;
+        }
+        // The duty `DutyKind::Autoscale`: `capacity::step(authority, client, ..)` is called here.
         Ok(())
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,3 +28,5 @@
 pub mod stored_evidence;
 pub mod stream;
 pub mod updates;
+pub mod usage;
+pub mod usage_report;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,12 @@
     pub forwards: IntCounterVec,
     /// Requests of other daemons that were taken over.
     pub taken_over: IntCounter,
+    /// Usage reports that the platform has accepted.
+    pub usage_reported: IntCounter,
+    /// Usage reports that were of no use before the platform accepted them.
+    pub usage_missed: IntCounter,
+    /// Requests that became known after the report of their window was stored.
+    pub usage_lost: IntCounter,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -110,7 +116,15 @@
         let leaving_servers =
             IntCounter::new("leaving_servers_total", "Servers that said that they leave")?;
         registry.register(Box::new(leaving_servers.clone()))?;
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         Ok(Self {
+            usage_reported: counter("usage_reported_total", "Usage reports that were accepted")?,
+            usage_missed: counter("usage_missed_total", "Usage reports that were never accepted")?,
+            usage_lost: counter("usage_lost_total", "Requests that no usage report has")?,
             leaving_servers,
             held_back,
             quiet_requests,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -293,6 +293,12 @@
         is_usable(&target.token).then_some(target)
     }
 
+    /// Returns all daemons that take requests.
+    pub fn forward_targets(&self) -> Vec<ForwardTarget> {
+        let names: Vec<SmolStr> = self.rows.lock().keys().cloned().collect();
+        names.iter().filter_map(|name| self.forward_target(name)).collect()
+    }
+
     /// Records a datagram, and returns the failure domain of its sender if that is known.
     pub fn record_datagram(&self, received: &ReceivedDatagram, now: Timestamp) -> Option<SmolStr> {
         let ReceivedDatagram { datagram, reads, skipped } = received;
@@ -379,6 +385,7 @@
             let plan = self.peers.plan(&self.gateway.options, now);
             let mut updates = vec![SendUpdate::Summary { pending, running }];
             updates.extend(repeated);
+            updates.extend(self.gateway.usage.clock_update());
             for updates in updates.chunks(BATCH_LIMIT) {
                 self.send(vec![self.bundle(updates.to_vec())], &plan.own_update_targets).await;
             }
@@ -578,6 +585,7 @@
             for bundle in &datagram.bundles {
                 state.record_peer_name(bundle.daemon, &bundle.name);
                 state.apply_updates(bundle.daemon, &bundle.updates, now);
+                self.gateway.usage.record_clocks(bundle.daemon, &bundle.updates);
             }
         }
         let plan = self.peers.plan(&self.gateway.options, now);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -453,7 +453,9 @@
                 }
                 SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
                 // `origin_responses` and `reach::answer` handle the questions.
-                SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. } => {}
+                SendUpdate::OriginAsked { .. }
+                | SendUpdate::ReachAsked { .. }
+                | SendUpdate::ClockStated { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -17,6 +17,7 @@
     gateway::Gateway,
     leader::LeaderKey,
     peers::PeerDirectory,
+    usage,
 };
 
 mod keys;
@@ -174,7 +175,8 @@
     }
 
     /// Applies an update that has all changes up to `listed_at`.
-    fn apply_update(&mut self, update: StoreUpdate, source: WatchSource, listed_at: Timestamp) {
+    fn apply_update(&mut self, mut update: StoreUpdate, source: WatchSource, listed_at: Timestamp) {
+        usage::remove_reports(&mut update.changes);
         record_response(&self.gateway, source, listed_at);
         let now = self.gateway.now();
         let listed_era = self.gateway.state.lock().listed_revision.era;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -47,6 +47,8 @@
     chunks: async_channel::Sender<Result<bytes::Bytes, BodyError>>,
     has_events: bool,
     prefill_guard: Option<PrefillGuard>,
+    /// Account for which the request is to be counted at its first event.
+    account: Option<SmolStr>,
 }
 
 /// Counts, events and pauses of a stream's chunks.
@@ -122,7 +124,11 @@
         chunks: sender,
         has_events,
         prefill_guard,
+        account: call.account.as_ref().map(|account| account.name.clone()).filter(|_| has_events),
     };
+    if !has_events {
+        call.record_usage();
+    }
     task::spawn(task.run(answer));
     head
 }
@@ -238,6 +244,11 @@
                 prefill_guard.complete();
             }
             statistics.record(&data, self.gateway.now());
+            if statistics.events.complete_events() > 0 {
+                if let Some(account) = self.account.take() {
+                    self.gateway.usage.record(&account);
+                }
+            }
             if self.has_events && statistics.events.open_bytes() > EVENT_LIMIT_BYTES {
                 return StreamEnd::Cut;
             }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -156,6 +156,10 @@
     ReachAsked {
         service: String,
     },
+    /// The wall clock of the daemon, in milliseconds since the start of 1970.
+    ClockStated {
+        wall_ms: u64,
+    },
 }
 
 /// The updates of one daemon.
--- /dev/null
+++ b/crates/gateway/src/usage.rs
@@ -0,0 +1,240 @@
+//! Counts the requests of each account that began to run at this daemon, and tells the leader.
+//!
+//! The counts are cumulative for as long as the process runs, so that a lost response costs nothing.
+
+use std::{collections::HashMap, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{stream, StreamExt};
+use gooseberry_core::{
+    serving::usage::{WallOffsets, WindowCounts, WindowPlan},
+    time::Timestamp,
+};
+use gooseberry_edges::clock::Clock;
+use gooseberry_platform::store::{StoreChange, StoreKey};
+use gooseberry_transport::{
+    body::{self, ResponseBody},
+    client::{ClientConnection, SendError},
+};
+use http::{header, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+
+use crate::{
+    peers::ForwardTarget,
+    settings::{DutyKind, DutyOptions},
+    updates::SendUpdate,
+};
+
+/// Prefix of the keys with the stored reports.
+pub const KEY_PREFIX: &str = "usage/";
+
+/// Header of the leader's question, with the other daemon's token.
+const TOKEN: HeaderName = HeaderName::from_static("gooseberry-usage-token");
+/// Path of the question. Another format of the answer gets another path.
+const PATH: &str = "/usage/1";
+/// Timeout of a question and its answer; round trips take 16 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of all questions of a round.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Daemons that are asked at a time.
+const CONCURRENCY: usize = 32;
+/// Largest answer, in bytes: the counts of 23,000 accounts in some windows.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// A daemon's answer. Other builds read it too, so it doesn't change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageAnswer {
+    /// Hash of the daemon's name and incarnation.
+    pub daemon: u64,
+    /// Counts since the daemon's start, of the windows whose reports are still of use.
+    pub windows: WindowCounts,
+}
+
+/// Why a daemon didn't tell its counts.
+#[derive(Debug, thiserror::Error)]
+pub enum AnswerError {
+    #[error(transparent)]
+    Send(#[from] SendError),
+    #[error("the daemon's answer can't be read: {0}")]
+    Read(#[from] body::ReadError),
+    #[error("the daemon responded with status {0}")]
+    Status(StatusCode),
+    #[error("the daemon's answer can't be decoded: {0}")]
+    Malformed(#[from] postcard::Error),
+    #[error("the daemon didn't respond in time")]
+    TimedOut,
+}
+
+#[derive(Debug, Default)]
+struct LogState {
+    offsets: WallOffsets,
+    windows: HashMap<u64, HashMap<SmolStr, u64>>,
+}
+
+/// Requests of this daemon that began to run, by window and account.
+#[derive(Debug)]
+pub struct UsageLog {
+    /// None if the usage isn't reported.
+    plan: Option<WindowPlan>,
+    daemon: u64,
+    clock: Clock,
+    started_at: Timestamp,
+    state: Mutex<LogState>,
+}
+
+impl UsageLog {
+    /// Creates an empty log. `daemon` is the hash of this daemon's name and incarnation.
+    pub fn new(options: Option<&DutyOptions>, daemon: u64, clock: Clock) -> Self {
+        let options = options.filter(|row| row.duties.contains(&DutyKind::UsageReport));
+        let plan = options.map(|row| WindowPlan::new(row.report_window, row.report_delay));
+        let mut offsets = WallOffsets::default();
+        offsets.update(clock.wall_time(), clock.boot_time());
+        let started_at = offsets.true_time(clock.boot_time());
+        let state = Mutex::new(LogState { offsets, windows: HashMap::new() });
+        Self { plan, daemon, clock, started_at, state }
+    }
+
+    /// Returns the windows, if the usage is reported.
+    pub fn plan(&self) -> Option<WindowPlan> {
+        self.plan
+    }
+
+    /// Returns the true time.
+    pub fn true_time(&self) -> Timestamp {
+        self.state.lock().offsets.true_time(self.clock.boot_time())
+    }
+
+    /// Returns the true time of this daemon's start.
+    pub fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
+    /// Counts a request that begins to run.
+    pub fn record(&self, account: &SmolStr) {
+        let Some(plan) = self.plan else {
+            return;
+        };
+        let mut state = self.state.lock();
+        let window = plan.window(state.offsets.true_time(self.clock.boot_time()));
+        *state.windows.entry(window).or_default().entry(account.clone()).or_default() += 1;
+    }
+
+    /// Returns the update that states this daemon's wall clock, and removes old counts.
+    pub fn clock_update(&self) -> Option<SendUpdate> {
+        let plan = self.plan?;
+        let (wall, now) = (self.clock.wall_time(), self.clock.boot_time());
+        let mut state = self.state.lock();
+        state.offsets.update(wall, now);
+        let oldest = plan.oldest_useful(state.offsets.true_time(now));
+        state.windows.retain(|window, _| *window >= oldest);
+        Some(SendUpdate::ClockStated { wall_ms: wall.as_millis() })
+    }
+
+    /// Records the wall clock that another daemon states.
+    pub fn record_clocks(&self, daemon: u64, updates: &[SendUpdate]) {
+        for update in updates {
+            if let SendUpdate::ClockStated { wall_ms } = update {
+                self.state.lock().offsets.record(daemon, *wall_ms, self.clock.boot_time());
+            }
+        }
+    }
+
+    /// Returns the counts since the daemon's start.
+    pub fn counts(&self) -> UsageAnswer {
+        let state = self.state.lock();
+        let windows = state.windows.iter().map(|(window, counts)| {
+            (*window, counts.iter().map(|(account, count)| (account.clone(), *count)).collect())
+        });
+        UsageAnswer { daemon: self.daemon, windows: windows.collect() }
+    }
+}
+
+/// Removes the stored reports from what a watch returned. Only the leader reads them, and they are too
+/// large to be kept or passed on.
+pub fn remove_reports(changes: &mut Vec<StoreChange>) {
+    changes.retain(|change| match &change.subject {
+        StoreKey::Own(key) => !key.starts_with(KEY_PREFIX),
+        _ => true,
+    });
+}
+
+/// Returns whether a request of another daemon asks for the counts.
+pub fn is_question(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(TOKEN)
+}
+
+/// Answers the leader's question for the counts.
+pub fn answer(
+    log: &UsageLog,
+    own_token: &str,
+    request: &Request<Incoming>,
+) -> Response<ResponseBody> {
+    let token = request.headers().get(TOKEN);
+    let is_known =
+        token.is_some_and(|token| bool::from(token.as_bytes().ct_eq(own_token.as_bytes())));
+    let is_answered = is_known && request.uri().path() == PATH && log.plan.is_some();
+    let body = match postcard::to_stdvec(&log.counts()) {
+        Ok(body) if is_answered => body,
+        _ => {
+            let mut response = Response::new(ResponseBody::whole(Bytes::new()));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+    };
+    Response::new(ResponseBody::whole(body))
+}
+
+/// The answers of a round of questions.
+#[derive(Debug, Default)]
+pub struct AnswerRound {
+    pub answers: Vec<UsageAnswer>,
+    /// Names of the daemons that didn't answer.
+    pub silent: Vec<SmolStr>,
+}
+
+/// Asks all daemons for their counts.
+pub async fn ask_all(targets: Vec<ForwardTarget>, clock: &Clock) -> AnswerRound {
+    let round = Mutex::new(AnswerRound {
+        answers: Vec::new(),
+        silent: targets.iter().map(|target| target.name.clone()).collect(),
+    });
+    let answered = &round;
+    let questions = stream::iter(targets).for_each_concurrent(CONCURRENCY, |target| async move {
+        let asked = clock.timeout(ANSWER_TIMEOUT, ask(&target)).await;
+        match asked.unwrap_or(Err(AnswerError::TimedOut)) {
+            Ok(answer) => {
+                let mut round = answered.lock();
+                round.silent.retain(|name| *name != target.name);
+                round.answers.push(answer);
+            }
+            Err(fault) => {
+                tracing::debug!(daemon = %target.name, %fault, "daemon didn't tell its usage");
+            }
+        }
+    });
+    // The daemons that haven't answered by then count as silent.
+    let _ = clock.timeout(ROUND_TIMEOUT, questions).await;
+    round.into_inner()
+}
+
+async fn ask(target: &ForwardTarget) -> Result<UsageAnswer, AnswerError> {
+    let mut connection = ClientConnection::connect(target.address, ANSWER_TIMEOUT).await?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(PATH);
+    let headers = request.headers_mut();
+    headers.insert(header::HOST, HeaderValue::from_static("daemon"));
+    if let Ok(token) = HeaderValue::from_str(&target.token) {
+        headers.insert(TOKEN, token);
+    }
+    let response = connection.send(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(AnswerError::Status(response.status()));
+    }
+    let body = body::read_whole(response.into_body(), ANSWER_LIMIT_BYTES).await?;
+    Ok(postcard::from_bytes(&body)?)
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod broken_engines;
 mod crashing_engine;
 mod cut_daemons;
+mod duties;
 mod endless;
 mod format_one;
 mod formats;
--- a/crates/standins/src/gateway_mocks.rs
+++ b/crates/standins/src/gateway_mocks.rs
@@ -204,6 +204,96 @@
     stream.write_all(text.as_bytes()).is_ok()
 }
 
+/// A call of a duty as the platform's API received it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyCall {
+    pub path: String,
+    pub holder: String,
+    pub token: u64,
+    pub body: String,
+}
+
+/// How the platform's API handles calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ApiBehaviour {
+    /// Carries out each call.
+    #[default]
+    Accepting,
+    /// Refuses each call with this status.
+    Refusing(u16),
+    /// Carries out each call and closes the connection without a response.
+    DroppingResponses,
+    /// Closes each connection without reading a call.
+    Down,
+}
+
+/// A mock of the platform's API for the duties. It checks no tokens.
+#[derive(Clone)]
+pub struct StandinApi {
+    pub address: SocketAddr,
+    behaviour: Arc<Mutex<ApiBehaviour>>,
+    calls: Arc<Mutex<Vec<DutyCall>>>,
+}
+
+impl StandinApi {
+    /// Starts an API on a free port that the operating system assigns.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no free port.
+    pub fn start() -> Self {
+        let (listener, address) = bind_listener();
+        let api = Self { address, behaviour: Arc::default(), calls: Arc::default() };
+        let accepting = api.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let api = accepting.clone();
+                thread::spawn(move || api.serve(stream));
+            }
+        });
+        api
+    }
+
+    /// Sets how calls are handled from now on.
+    pub fn set_behaviour(&self, behaviour: ApiBehaviour) {
+        *self.behaviour.lock() = behaviour;
+    }
+
+    /// Returns all calls that arrived, also those that were refused.
+    pub fn calls(&self) -> Vec<DutyCall> {
+        self.calls.lock().clone()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        if *self.behaviour.lock() == ApiBehaviour::Down {
+            return;
+        }
+        while let Some(request) = read_request(&mut stream) {
+            let behaviour = *self.behaviour.lock();
+            let is_known = request.request_line.starts_with("POST ")
+                && matches!(request.path(), "/usage" | "/replicas");
+            let token = request.header("x-fencing-token").and_then(|token| token.parse().ok());
+            let call = DutyCall {
+                path: request.path().to_owned(),
+                holder: request.header("x-duty-holder").unwrap_or_default().to_owned(),
+                token: token.unwrap_or_default(),
+                body: request.body,
+            };
+            self.calls.lock().push(call);
+            let status = match behaviour {
+                _ if !is_known => 404,
+                ApiBehaviour::Accepting => 200,
+                ApiBehaviour::Refusing(status) => status,
+                ApiBehaviour::DroppingResponses | ApiBehaviour::Down => return,
+            };
+            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+            if !write_text(&mut stream, &head) {
+                return;
+            }
+        }
+    }
+}
+
 /// How a store handles calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreBehaviour {
