--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     peers::PeerDirectory,
     settings::{GatewayLimits, GatewayOptions},
     state::GatewayState,
+    usage::UsageLog,
 };
 
 /// Time at the end of the grace period that requests can't use, so that the process exits before
@@ -52,6 +53,8 @@
     pub metrics: GatewayMetrics,
     /// What is held for callers.
     pub memory: Arc<CallerMemory>,
+    /// Requests that began to run, by account.
+    pub usage: Arc<UsageLog>,
     /// Set after the configuration and the servers were read, and ignored once the shutdown has
     /// started.
     is_ready: AtomicBool,
@@ -99,6 +102,7 @@
         Self {
             limits: Mutex::new(options.limits),
             store: StoreEndpoint::new(options.store),
+            usage: Arc::new(UsageLog::new(options.duties.as_ref(), daemon, clock.clone())),
             options,
             clock,
             state: Mutex::new(state),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -104,6 +104,12 @@
     pub capacity: CapacityMetrics,
     /// Window of each server that is paced, in thousandths of what its peers hold.
     pub paces: IntGaugeVec,
+    /// Usage reports that the platform has accepted.
+    pub usage_reported: IntCounter,
+    /// Usage reports that were of no use before the platform accepted them.
+    pub usage_missed: IntCounter,
+    /// Requests that became known after the report of their window was stored.
+    pub usage_lost: IntCounter,
     /// Version of the current configuration.
     pub version: IntGauge,
 }
@@ -174,8 +180,16 @@
             &["account"],
         )?;
         registry.register(Box::new(account_gauges.clone()))?;
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         Ok(Self {
             paces,
+            usage_reported: counter("usage_reported_total", "Usage reports that were accepted")?,
+            usage_missed: counter("usage_missed_total", "Usage reports that were never accepted")?,
+            usage_lost: counter("usage_lost_total", "Requests that no usage report has")?,
             leaving_servers,
             held_back,
             quiet_requests,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -469,7 +469,9 @@
                     shares::apply_record(&mut self.shares, daemon, record, now);
                 }
                 // `origin_responses` and `reach::answer` handle the questions.
-                SendUpdate::OriginAsked { .. } | SendUpdate::ReachAsked { .. } => {}
+                SendUpdate::OriginAsked { .. }
+                | SendUpdate::ReachAsked { .. }
+                | SendUpdate::ClockStated { .. } => {}
             }
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -17,6 +17,7 @@
     gateway::Gateway,
     leader::LeaderKey,
     peers::PeerDirectory,
+    usage,
 };
 
 mod keys;
@@ -193,11 +194,12 @@
     /// clock that counts suspension.
     fn apply_update(
         &mut self,
-        update: StoreUpdate,
+        mut update: StoreUpdate,
         source: WatchSource,
         listed_at: Timestamp,
         listed_since_boot: Option<Timestamp>,
     ) {
+        usage::remove_reports(&mut update.changes);
         record_response(&self.gateway, source, listed_at);
         let now = self.gateway.now();
         let listed_era = self.gateway.state.lock().listed_revision.era;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -49,6 +49,8 @@
     prefill_guard: Option<PrefillGuard>,
     /// Extensions of the caller's request.
     caller: Extensions,
+    /// Account for which the request is to be counted at its first event.
+    account: Option<SmolStr>,
 }
 
 /// Counts, events and pauses of a stream's chunks.
@@ -125,7 +127,11 @@
         has_events,
         prefill_guard,
         caller: call.parts.extensions.clone(),
+        account: call.account.as_ref().map(|account| account.name.clone()).filter(|_| has_events),
     };
+    if !has_events {
+        call.record_usage();
+    }
     task::spawn(task.run(answer));
     head
 }
@@ -246,6 +252,11 @@
                 send::record_response(&self.gateway, self.target.key, sent_at);
             }
             statistics.record(&data, self.gateway.now());
+            if statistics.events.complete_events() > 0 {
+                if let Some(account) = self.account.take() {
+                    self.gateway.usage.record(&account);
+                }
+            }
             if self.has_events && statistics.events.open_bytes() > EVENT_LIMIT_BYTES {
                 return StreamEnd::Cut;
             }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -195,6 +195,10 @@
     /// Work of client accounts while their service is contended. Relays don't forward this but send
     /// sums of it.
     AccountWork(WorkRecord),
+    /// The wall clock of the daemon, in milliseconds since the start of 1970.
+    ClockStated {
+        wall_ms: u64,
+    },
 }
 
 /// The updates of one daemon.
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -19,6 +19,7 @@
         PaceRecord, PrefillEnd, ReachRecord, SendRecord, SendUpdate, SpeedSample, UpdateBundle,
         UpdateDatagram, WorkRecord,
     },
+    usage::UsageAnswer,
 };
 use gooseberry_platform::store::{StoreChange, StoreKey};
 use proptest::prelude::*;
@@ -78,6 +79,7 @@
         SendUpdate::ReachAsked { service: "m".to_owned() },
         SendUpdate::Paced { servers: vec![pace] },
         SendUpdate::AccountWork(work),
+        SendUpdate::ClockStated { wall_ms: 300 },
     ];
     assert_eq!(updates.len(), SendUpdate::COUNT);
     updates
@@ -160,10 +162,20 @@
         00ffff7f0202036f6e650107036f6e6501030f016d
         00ffff7f0202036f6e650107036f6e65010810010102c8d00704
         00ffff7f0202036f6e650107036f6e65010d110102010304f4030607080109
+        00ffff7f0202036f6e650107036f6e65010312ac02
     "#]],
     );
 }
 
+/// Guards against counts that a leader of another build takes for others.
+#[test]
+fn the_bytes_of_a_usage_answer_never_change() {
+    let counts = [("a".into(), 2)].into_iter().collect();
+    let answer = UsageAnswer { daemon: 7, windows: [(3, counts)].into_iter().collect() };
+    let bytes = postcard::to_stdvec(&answer).expect("encodes");
+    assert_eq!(hex(&bytes), "07010301016102");
+}
+
 #[test]
 fn daemons_of_the_first_format_and_of_this_build_exchange_its_updates() {
     let sent = datagram("one", all_updates());
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod crashing_engine;
 mod cut_daemons;
+mod duties;
 mod endless;
 mod format_one;
 mod formats;
