--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -181,6 +181,9 @@
     paused_until: BTreeMap<EnginePool, Timestamp>,
     /// Time of the last removal in each domain.
     removed_at: BTreeMap<SmolStr, Timestamp>,
+    /// Whether an earlier leader has planned before. The traffic may then have lasted for longer than
+    /// this one has measured it.
+    is_restored: bool,
     /// Engines of each pool at the last observation.
     last_present: BTreeMap<EnginePool, u32>,
 }
@@ -208,7 +211,7 @@
                 paused_until.insert(pool.clone(), now + REFUSAL_PAUSE);
             }
         }
-        Self { state, paused_until, ..Self::default() }
+        Self { state, paused_until, is_restored: true, ..Self::default() }
     }
 
     /// Returns the state to store before orders are sent.
@@ -627,7 +630,10 @@
 
     /// Returns whether engines may be removed without much loss of caches.
     fn is_early(&self) -> bool {
-        self.planner.demand.loaded_for(self.now).is_none_or(|elapsed| elapsed < EARLY_TRAFFIC)
+        match self.planner.demand.loaded_for(self.now) {
+            Some(elapsed) => !self.planner.is_restored && elapsed < EARLY_TRAFFIC,
+            None => true,
+        }
     }
 
     /// Returns how many engines of a domain with an excess may be removed during traffic.
