core: add only reclaimable engines in a burst

The limit of reclaimable engines followed the momentary load, and the core grew with each target. A burst of 1.9 times the load therefore ordered 32 regular engines, for a reclaim in the same seconds. The limit is now a share of the total, the core grows only below 0.12, and a step is no trend.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -32,6 +32,9 @@
 
 /// Share of a domain's engines that are regular: the core that goes on if the others are reclaimed.
 const REGULAR_SHARE: f64 = 0.2;
+/// Share of a domain's engines below which regular ones are added. A burst adds reclaimable ones only,
+/// unless the core gets too small.
+const LEAST_REGULAR_SHARE: f64 = 0.12;
 /// Highest utilisation while the reclaimable engines of one domain are missing. Replacements take
 /// seconds to boot, in which the others serve their load.
 const RECLAIM_UTILISATION: f64 = 0.65;
@@ -405,19 +408,16 @@
     }
 
     /// Returns the smallest number of regular engines of a domain.
-    fn regular_floor(&self, target: u32) -> u32 {
-        let share = (f64::from(target) * REGULAR_SHARE).ceil() as u32;
-        share.max(self.spec.min).min(target)
+    fn regular_floor(&self, target: u32, share: f64) -> u32 {
+        let number = (f64::from(target) * share).round() as u32;
+        number.max(self.spec.min).max(1).min(target)
     }
 
     /// Returns the largest number of reclaimable engines of a domain, with which the others serve the
-    /// load if these are reclaimed. Without a measured load the engines are taken to be right for it.
+    /// load for which the total is right if these are reclaimed. The load itself doesn't count: during
+    /// a burst, the expensive regular engines would be ordered for a reclaim at the same time.
     fn reclaimable_limit(&self, total: u32) -> u32 {
-        let total = f64::from(total);
-        let demand = &self.planner.demand;
-        let busy =
-            if demand.is_measured() { demand.busy_engines() } else { total * PREFILL_UTILISATION };
-        (total - busy / RECLAIM_UTILISATION).max(0.0) as u32
+        (f64::from(total) * (1.0 - PREFILL_UTILISATION / RECLAIM_UTILISATION)) as u32
     }
 
     /// Returns the number of engines that each domain should have.
@@ -561,7 +561,7 @@
             let next = target + 1;
             let fits = next <= most.min(self.spec.max)
                 && !self.is_paused(&EnginePool::new(domain.clone(), kind));
-            fits && (!is_reclaimable || next - self.regular_floor(next) <= limit)
+            fits && (!is_reclaimable || next - self.regular_floor(next, REGULAR_SHARE) <= limit)
         };
         let domains = targets.iter().filter(|(domain, target)| has_room(domain, **target));
         let weight = |domain, target| self.weight(domain, target + 1);
@@ -576,7 +576,8 @@
         let regular = EnginePool::new(domain.clone(), EngineKind::Regular);
         let reclaimable = EnginePool::new(domain.clone(), EngineKind::Reclaimable);
         let total = self.planner.state.targets.values().sum();
-        let floor = self.regular_floor(target);
+        let least = self.regular_floor(target, LEAST_REGULAR_SHARE).max(count.regular);
+        let floor = self.regular_floor(target, REGULAR_SHARE).min(least);
         let mut wanted = if self.spec.reclaimable_price.is_some() {
             (target - floor).min(self.reclaimable_limit(total).max(count.reclaimable))
         } else {
--- a/crates/core/src/serving/capacity_demand.rs
+++ b/crates/core/src/serving/capacity_demand.rs
@@ -34,8 +34,11 @@
 /// Time over which a trend is measured: most of the period of the shortest wave of the load, 11 s, so that
 /// the rise of a wave is no trend.
 const TREND_WINDOW: Duration = Duration::from_secs(9);
-/// Relative growth per second from which traffic counts as ramping.
-const RAMP_RATE: f64 = 0.05;
+/// Ratio of the load to its average from which traffic counts as ramping. Samples differ by some
+/// percent without a ramp.
+const RAMP_RATIO: f64 = 1.1;
+/// Shortest time between two points of a trend, in seconds.
+const MIN_ELAPSED_S: f64 = 0.1;
 /// Busy engines below which there is no load. Probes and single requests tell nothing.
 const MIN_BUSY_ENGINES: f64 = 0.1;
 /// Weight of the newest sample in the smoothed load. One sample holds the work of about a second, in
@@ -142,9 +145,10 @@
         self.points.iter().map(|point| point.need).reduce(f64::max)
     }
 
-    /// Returns whether the load is growing.
+    /// Returns whether the load is above its average of the last seconds.
     pub fn is_ramping(&self) -> bool {
-        self.growth() > RAMP_RATE * self.busy_engines().max(MIN_BUSY_ENGINES)
+        let (prefill, decode) = self.sustained();
+        self.busy_engines() > (prefill + decode) * RAMP_RATIO
     }
 
     /// Returns the prefill load since the last sample. The samples are averages that follow the load
@@ -161,8 +165,8 @@
         ((sample.prefill_engines - last.prefill_engines * kept) / (1.0 - kept)).max(0.0)
     }
 
-    /// Returns the growth of the busy engines per second. It is the lower one of the older and the
-    /// newer half of the window, so that a single step is no trend.
+    /// Returns the growth of the busy engines per second. It is the lowest one of the thirds of the
+    /// window, so that a single step is no trend.
     fn growth(&self) -> f64 {
         let Some(last) = self.points.back() else {
             return 0.0;
@@ -170,18 +174,16 @@
         let window_start = last.at - TREND_WINDOW;
         let recent: Vec<&LoadPoint> =
             self.points.iter().filter(|point| point.at >= window_start).collect();
-        let (Some(first), Some(middle)) = (recent.first(), recent.get(recent.len() / 2)) else {
+        let count = recent.len();
+        if count < 4 {
             return 0.0;
-        };
-        let slope = |from: &LoadPoint, to: &LoadPoint| {
-            let elapsed = to.at.since(from.at).as_secs_f64();
-            if elapsed > 0.0 {
-                (to.busy() - from.busy()) / elapsed
-            } else {
-                0.0
-            }
-        };
-        slope(first, middle).min(slope(middle, last))
+        }
+        let corners = [0, count / 3, count * 2 / 3, count - 1].map(|index| recent[index]);
+        let slopes = corners.windows(2).map(|pair| {
+            let elapsed = pair[1].at.since(pair[0].at).as_secs_f64();
+            (pair[1].busy() - pair[0].busy()) / elapsed.max(MIN_ELAPSED_S)
+        });
+        slopes.fold(f64::INFINITY, f64::min)
     }
 
     /// Returns the average load of the last seconds, in prefill and in decode engines.
--- a/crates/core/tests/serving_capacity.rs
+++ b/crates/core/tests/serving_capacity.rs
@@ -266,7 +266,8 @@
     assert_eq!(removals.count(), 0);
 }
 
-/// Guards against a burst that leaves fewer engines than it needs, or more than that for long.
+/// Guards against a burst that leaves fewer engines than it needs, or more than that for long, and against
+/// regular engines for it, which cost five times as much.
 #[test]
 fn a_burst_is_served_and_forgotten() {
     let mut world = World::morning();
@@ -275,6 +276,7 @@
     world.play_until(30_000);
     let most = f64::from(world.total());
     assert!(world.busy / most < 0.65, "{most} engines");
+    assert!(DOMAINS.iter().all(|domain| world.count(&regular(domain)) == 3));
     world.busy = 36.0;
     world.play_until(80_000);
     let after = f64::from(world.total());
