core: count engines that may not have been told to leave

The room of a domain for further engines followed from its orders. While the API didn't respond, an order to remove regular engines counted although it may not have arrived, and further orders exceeded the limit of the domain. The room now follows from the larger one of order and presence.

--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -588,8 +588,12 @@
         }
         let wanted_regular = target - wanted;
         let lack = target.saturating_sub(count.regular + count.reclaimable);
-        // Engines that leave make room only once they have left.
-        let room = self.spec.max.saturating_sub(count.regular);
+        // Engines make room only once they leave: an order to remove them may not have arrived.
+        let most = |pool: &EnginePool, other: &EnginePool, raised: u32| {
+            let taken = self.expected(other).max(self.count(other).present()) + raised;
+            self.spec.max.saturating_sub(taken).max(self.expected(pool))
+        };
+        let room = most(&reclaimable, &regular, 0);
         let may_exchange = self.may_exchange(count.regular.saturating_sub(wanted_regular), target);
         let mut changes = Vec::new();
         let mut push = |pool: &EnginePool, desired, reason| {
@@ -607,8 +611,7 @@
             }
         }
         let missing = lack.saturating_sub(raised);
-        let most_regular = self.spec.max.saturating_sub(count.reclaimable + raised);
-        let desired = (count.regular + missing).min(most_regular);
+        let desired = (count.regular + missing).min(most(&regular, &reclaimable, raised));
         if desired > count.regular && !self.is_paused(&regular) {
             push(&regular, desired, ChangeReason::Lack);
         }
--- a/crates/core/tests/serving_capacity.rs
+++ b/crates/core/tests/serving_capacity.rs
@@ -452,3 +452,19 @@
         }
     }
 }
+
+/// Guards against orders above the limit of a domain: regular engines may still be there although they
+/// were ordered to leave.
+#[test]
+fn orders_without_a_response_make_no_room() {
+    let mut world = World::new(spec());
+    world.play_until(9_000);
+    world.api = Api::Unresponsive;
+    world.play_until(14_000);
+    world.busy = 50.0;
+    // Each round checks that no order exceeds the limit.
+    world.play_until(20_000);
+    world.api = Api::Accepting;
+    world.play_until(40_000);
+    assert!(world.busy * 1.1 / f64::from(world.total()) < 0.5);
+}
