--- a/crates/core/src/serving/capacity.rs
+++ b/crates/core/src/serving/capacity.rs
@@ -32,6 +32,9 @@
 
 /// Share of a domain's engines that are regular: the core that goes on if the others are reclaimed.
 const REGULAR_SHARE: f64 = 0.2;
+/// Share of a domain's engines below which regular ones are added. A burst adds reclaimable ones only,
+/// unless the core gets too small.
+const LEAST_REGULAR_SHARE: f64 = 0.12;
 /// Highest utilisation while the reclaimable engines of one domain are missing. Replacements take
 /// seconds to boot, in which the others serve their load.
 const RECLAIM_UTILISATION: f64 = 0.65;
@@ -181,6 +184,9 @@
     paused_until: BTreeMap<EnginePool, Timestamp>,
     /// Time of the last removal in each domain.
     removed_at: BTreeMap<SmolStr, Timestamp>,
+    /// Whether an earlier leader has planned before. The traffic may then have lasted for longer than
+    /// this one has measured it.
+    is_restored: bool,
     /// Engines of each pool at the last observation.
     last_present: BTreeMap<EnginePool, u32>,
 }
@@ -208,7 +214,7 @@
                 paused_until.insert(pool.clone(), now + REFUSAL_PAUSE);
             }
         }
-        Self { state, paused_until, ..Self::default() }
+        Self { state, paused_until, is_restored: true, ..Self::default() }
     }
 
     /// Returns the state to store before orders are sent.
@@ -402,19 +408,16 @@
     }
 
     /// Returns the smallest number of regular engines of a domain.
-    fn regular_floor(&self, target: u32) -> u32 {
-        let share = (f64::from(target) * REGULAR_SHARE).ceil() as u32;
-        share.max(self.spec.min).min(target)
+    fn regular_floor(&self, target: u32, share: f64) -> u32 {
+        let number = (f64::from(target) * share).round() as u32;
+        number.max(self.spec.min).max(1).min(target)
     }
 
     /// Returns the largest number of reclaimable engines of a domain, with which the others serve the
-    /// load if these are reclaimed. Without a measured load the engines are taken to be right for it.
+    /// load for which the total is right if these are reclaimed. The load itself doesn't count: during
+    /// a burst, the expensive regular engines would be ordered for a reclaim at the same time.
     fn reclaimable_limit(&self, total: u32) -> u32 {
-        let total = f64::from(total);
-        let demand = &self.planner.demand;
-        let busy =
-            if demand.is_measured() { demand.busy_engines() } else { total * PREFILL_UTILISATION };
-        (total - busy / RECLAIM_UTILISATION).max(0.0) as u32
+        (f64::from(total) * (1.0 - PREFILL_UTILISATION / RECLAIM_UTILISATION)) as u32
     }
 
     /// Returns the number of engines that each domain should have.
@@ -558,7 +561,7 @@
             let next = target + 1;
             let fits = next <= most.min(self.spec.max)
                 && !self.is_paused(&EnginePool::new(domain.clone(), kind));
-            fits && (!is_reclaimable || next - self.regular_floor(next) <= limit)
+            fits && (!is_reclaimable || next - self.regular_floor(next, REGULAR_SHARE) <= limit)
         };
         let domains = targets.iter().filter(|(domain, target)| has_room(domain, **target));
         let weight = |domain, target| self.weight(domain, target + 1);
@@ -573,7 +576,8 @@
         let regular = EnginePool::new(domain.clone(), EngineKind::Regular);
         let reclaimable = EnginePool::new(domain.clone(), EngineKind::Reclaimable);
         let total = self.planner.state.targets.values().sum();
-        let floor = self.regular_floor(target);
+        let least = self.regular_floor(target, LEAST_REGULAR_SHARE).max(count.regular);
+        let floor = self.regular_floor(target, REGULAR_SHARE).min(least);
         let mut wanted = if self.spec.reclaimable_price.is_some() {
             (target - floor).min(self.reclaimable_limit(total).max(count.reclaimable))
         } else {
@@ -584,8 +588,12 @@
         }
         let wanted_regular = target - wanted;
         let lack = target.saturating_sub(count.regular + count.reclaimable);
-        // Engines that leave make room only once they have left.
-        let room = self.spec.max.saturating_sub(count.regular);
+        // Engines make room only once they leave: an order to remove them may not have arrived.
+        let most = |pool: &EnginePool, other: &EnginePool, raised: u32| {
+            let taken = self.expected(other).max(self.count(other).present()) + raised;
+            self.spec.max.saturating_sub(taken).max(self.expected(pool))
+        };
+        let room = most(&reclaimable, &regular, 0);
         let may_exchange = self.may_exchange(count.regular.saturating_sub(wanted_regular), target);
         let mut changes = Vec::new();
         let mut push = |pool: &EnginePool, desired, reason| {
@@ -603,8 +611,7 @@
             }
         }
         let missing = lack.saturating_sub(raised);
-        let most_regular = self.spec.max.saturating_sub(count.reclaimable + raised);
-        let desired = (count.regular + missing).min(most_regular);
+        let desired = (count.regular + missing).min(most(&regular, &reclaimable, raised));
         if desired > count.regular && !self.is_paused(&regular) {
             push(&regular, desired, ChangeReason::Lack);
         }
@@ -627,7 +634,10 @@
 
     /// Returns whether engines may be removed without much loss of caches.
     fn is_early(&self) -> bool {
-        self.planner.demand.loaded_for(self.now).is_none_or(|elapsed| elapsed < EARLY_TRAFFIC)
+        match self.planner.demand.loaded_for(self.now) {
+            Some(elapsed) => !self.planner.is_restored && elapsed < EARLY_TRAFFIC,
+            None => true,
+        }
     }
 
     /// Returns how many engines of a domain with an excess may be removed during traffic.
