gateway: tell a window only by the daemon that changed it last

Cause: every daemon repeated every window in each summary, so the bytes grew with the number of daemons; nothing tested a late update, a daemon that starts later or a prompt too large. Change: a daemon that took over a window, or made the same change later, doesn't tell it.

--- a/crates/core/src/serving/pace.rs
+++ b/crates/core/src/serving/pace.rs
@@ -121,6 +121,8 @@
 pub struct ServerPace {
     /// The window, or none if the server was never paced.
     statement: Option<PaceStatement>,
+    /// Whether another daemon tells the others this window.
+    is_told_by_other: bool,
     has_decreased: bool,
     /// Whether at least half of the window was in use since its last change.
     was_used: bool,
@@ -261,6 +263,9 @@
                 let is_later = changed_at > own.changed_at + CHANGE_INTERVAL / 2;
                 let is_earlier = own.changed_at > changed_at + CHANGE_INTERVAL / 2;
                 if is_earlier || (!is_later && window >= own.window) {
+                    // Of daemons that made the same change, only the first one goes on telling it.
+                    self.is_told_by_other |=
+                        window == own.window && !is_earlier && changed_at <= own.changed_at;
                     return;
                 }
                 let is_released = own.window >= 1.0;
@@ -270,14 +275,20 @@
             }
         }
         self.has_decreased |= window < self.window() && self.statement.is_some();
-        self.change(window, PaceReason::Told, now);
+        if window != self.window() {
+            self.change(window, PaceReason::Told, now);
+        }
         self.statement = Some(PaceStatement { window, changed_at });
+        self.is_told_by_other = true;
     }
 
-    /// Returns the window if other daemons are to be told: while the server is paced, and for a while
-    /// afterwards.
+    /// Returns the window if this daemon is to tell the others: while the server is paced, and for a
+    /// while afterwards, if the last change was this daemon's. Otherwise all daemons would repeat it.
     pub fn statement(&self, now: Timestamp) -> Option<PaceStatement> {
         let is_due = |statement: &PaceStatement| {
+            if self.is_told_by_other {
+                return false;
+            }
             statement.window < 1.0 || now.since(statement.changed_at) < RELEASE_TIME
         };
         self.statement.filter(is_due)
@@ -371,6 +382,7 @@
         let from = self.window();
         let age = self.statement.map_or(Duration::ZERO, |it| now.since(it.changed_at));
         self.statement = Some(PaceStatement { window, changed_at: now });
+        self.is_told_by_other = false;
         self.was_used = false;
         self.change = Some(PaceChange { from, to: window, reason, age });
     }
--- a/crates/core/tests/serving_pace.rs
+++ b/crates/core/tests/serving_pace.rs
@@ -75,6 +75,7 @@
     messages: Vec<(u64, usize, Message)>,
     ends: Vec<(u64, usize, usize, SendId, u64)>,
     loses_paces: bool,
+    update_ms: u64,
     next: u64,
 }
 
@@ -106,6 +107,7 @@
             messages: Vec::new(),
             ends: Vec::new(),
             loses_paces: false,
+            update_ms: UPDATE_MS,
             next: 0,
         }
     }
@@ -153,7 +155,7 @@
         model.free_at = model.free_at.max(now as f64) + f64::from(TOKENS) / model.speed;
         let ms = if was_alone { (model.free_at - now as f64) as u64 } else { 0 };
         self.ends.push((model.free_at as u64, daemon, engine, send_id, ms));
-        self.messages.push((now + UPDATE_MS, daemon, Message::Started(engine, send_id)));
+        self.messages.push((now + self.update_ms, daemon, Message::Started(engine, send_id)));
     }
 
     fn deliver(&mut self, now: u64) {
@@ -168,7 +170,7 @@
                 self.fleets[daemon].server_mut(key).running -= 1;
                 self.fleets[daemon].record_paced_end(key, at(now));
             }
-            self.messages.push((now + UPDATE_MS, daemon, Message::Ended(engine, send_id, ms)));
+            self.messages.push((now + self.update_ms, daemon, Message::Ended(engine, send_id, ms)));
         }
         let (due, later) =
             std::mem::take(&mut self.messages).into_iter().partition(|it| it.0 <= now);
@@ -204,7 +206,7 @@
         };
         let rows: Vec<_> = fleet.pace_statements(at(now)).into_iter().map(row).collect();
         if !rows.is_empty() && !self.loses_paces {
-            self.messages.push((now + UPDATE_MS, daemon, Message::Paces(rows)));
+            self.messages.push((now + self.update_ms, daemon, Message::Paces(rows)));
         }
     }
 
@@ -295,6 +297,26 @@
     assert!(joined.longest_queue <= 8, "{joined:?}");
 }
 
+/// Guards against sends that pile up while updates are on their way. A slot of 100 ms covers them.
+#[test]
+fn late_updates_do_not_overload_an_engine() {
+    let mut model = Model::new(20, 1.0);
+    model.update_ms = 90;
+    let joined = model.run(8);
+    assert!(joined.half_share_ms.is_some_and(|ms| ms <= 6_000), "{joined:?}");
+    assert!(joined.longest_queue <= 8, "{joined:?}");
+}
+
+/// Guards against windows that an update from long ago sets back.
+#[test]
+fn an_update_that_arrives_late_does_not_count() {
+    let mut pace = paced(0.5, at(5_000));
+    pace.apply(PaceStatement { window: 0.125, changed_at: at(3_000) }, at(5_100));
+    assert!((pace.window() - 0.5).abs() < 1e-9);
+    pace.apply(PaceStatement { window: 0.25, changed_at: at(4_900) }, at(5_100));
+    assert!((pace.window() - 0.25).abs() < 1e-9, "made at about the same time, and smaller");
+}
+
 #[test]
 fn a_service_that_starts_as_a_whole_is_not_paced() {
     let mut fleet = ServerFleet::default();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod news;
 mod odd_entries;
 mod outages;
+mod pace;
 mod plain_crashes;
 mod poison_parts;
 mod poison_world;
