--- a/crates/core/src/serving/shares.rs
+++ b/crates/core/src/serving/shares.rs
@@ -10,6 +10,7 @@
 //! A service that isn't contended treats all accounts alike.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
@@ -34,6 +35,12 @@
 pub const LAST_SHARES_DURATION: Duration = Duration::from_secs(20);
 /// Largest number of accounts in the updates that a daemon sends at once, for all services together.
 pub const ROW_LIMIT: usize = 16;
+/// Largest number of services in these updates.
+const REPORTED_SERVICE_LIMIT: usize = 4;
+/// The same limits for a relay, which sends to up to 46 daemons at the target size: 6 KB/s allow
+/// 260 bytes for each each 2 s.
+const RELAY_ROW_LIMIT: usize = 10;
+const RELAY_SERVICE_LIMIT: usize = 2;
 /// Largest number of accounts of a service. Further ones are counted as one account.
 const ACCOUNT_LIMIT: usize = 32_768;
 /// Largest number of services for which counts of other daemons are kept.
@@ -110,11 +117,12 @@
 
 impl AccountStanding {
     /// Returns the part of the time in which capacity becomes free, from 0 to 1, in which refused
-    /// callers of this standing return.
-    fn return_part(self) -> (f64, f64) {
+    /// callers of this standing return. `is_small` states whether the account asks for no more than
+    /// its fair share. If all accounts ask for more, their returns need the whole time.
+    fn return_part(self, is_small: bool) -> (f64, f64) {
         match self {
-            Self::Starved => (0.0, 0.3),
-            Self::Below => (0.0, 0.5),
+            Self::Starved | Self::Below if is_small => (0.0, 0.5),
+            Self::Starved | Self::Below => (0.0, 1.0),
             Self::Fair => (0.25, 1.0),
             Self::Above => (0.5, 1.0),
         }
@@ -349,7 +357,7 @@
     pub fn record_send(&mut self, request: &ShareRequest, is_late: bool, now: Timestamp) {
         let shares = self.services.entry(request.service).or_default();
         let work = request.work();
-        shares.account_mut(request.account, now).record_served(work, now);
+        shares.account_mut(request.account).record_served(work, now);
         shares.total.record_served(work, now);
         if is_late {
             shares.late.record_served(work, now);
@@ -379,8 +387,12 @@
         let mut contended: Vec<_> =
             contended.filter(|(_, shares)| shares.is_contended(REPORT_DURATION, now)).collect();
         contended.sort_by(|one, other| other.1.total.offered.total_cmp(&one.1.total.offered));
-        contended.truncate(ROW_LIMIT);
-        let rows = ROW_LIMIT / contended.len().max(1);
+        let (services, rows) = match scope {
+            WorkScope::Daemon => (REPORTED_SERVICE_LIMIT, ROW_LIMIT),
+            WorkScope::Domain | WorkScope::Fleet => (RELAY_SERVICE_LIMIT, RELAY_ROW_LIMIT),
+        };
+        contended.truncate(services);
+        let rows = rows / contended.len().max(1);
         let report = |(service, shares): (&ServiceHash, &ServiceShares)| {
             (*service, shares.report(scope, rows, now))
         };
@@ -424,11 +436,7 @@
         refused_at.is_some_and(|at| now.since(at) < duration)
     }
 
-    fn account_mut(&mut self, account: AccountHash, now: Timestamp) -> &mut WorkCount {
-        let is_full = self.accounts.len() >= ACCOUNT_LIMIT;
-        if is_full && !self.accounts.contains_key(&account) {
-            self.remove_expired(now);
-        }
+    fn account_mut(&mut self, account: AccountHash) -> &mut WorkCount {
         let has_room = self.accounts.len() < ACCOUNT_LIMIT || self.accounts.contains_key(&account);
         let account = if has_room { account } else { AccountHash::OVERFLOW };
         self.accounts.entry(account).or_default()
@@ -436,7 +444,7 @@
 
     fn record_offered(&mut self, request: &ShareRequest, now: Timestamp) {
         let work = request.work();
-        self.account_mut(request.account, now).record_offered(work, now);
+        self.account_mut(request.account).record_offered(work, now);
         self.priorities.entry(request.priority).or_default().record_offered(work, now);
         self.total.record_offered(work, now);
     }
@@ -546,11 +554,19 @@
         // An account may exceed its share by one request: work can't be divided further.
         let request_work = (total.served / total.served_requests.max(1.0)).max(REQUEST_WORK);
         let usage = (sums.served - request_work).max(0.0) / self.view.fair_share.max(1.0);
-        let is_starved = own.served_part() < total.served_part() * STARVED_PART
+        let position = request.request_hash as f64 / u64::MAX as f64;
+        // Most daemons see too few requests of a small account to tell whether it is starved. Among
+        // those with less urgent requests only a part is sent, so that the order of urgency holds.
+        let (more_urgent, _) = self.other_priorities(request.priority, now);
+        let is_tried =
+            more_urgent == 0 || own.offered_requests >= STARVED_SAMPLE || position < STARVED_PART;
+        let is_starved = is_tried
+            && own.served_part() < total.served_part() * STARVED_PART
             && (usage < FAIR_USAGE.0 || own.offered_requests >= STARVED_SAMPLE);
+        let is_small = sums.offered <= self.view.fair_share;
         let standing = if is_starved {
             AccountStanding::Starved
-        } else if sums.offered <= self.view.fair_share || usage < FAIR_USAGE.0 {
+        } else if is_small || usage < FAIR_USAGE.0 {
             AccountStanding::Below
         } else if usage <= FAIR_USAGE.1 {
             AccountStanding::Fair
@@ -568,8 +584,7 @@
         let refused_ms = (total.offered - total.served).max(0.0) / total.served.max(1.0)
             * DECAY_TIME.as_secs_f64()
             * 1000.0;
-        let (earliest, latest) = standing.return_part();
-        let position = request.request_hash as f64 / u64::MAX as f64;
+        let (earliest, latest) = standing.return_part(is_small);
         ContendedRequest {
             standing,
             wait_share,
@@ -598,15 +613,20 @@
     /// Maps a wait share into the band of a priority, so that each request goes before all less
     /// urgent ones. Bands are of equal width, one for each priority with relevant work.
     fn urgency_band(&self, priority: u8, wait_share: f64, now: Timestamp) -> f64 {
+        let (more_urgent, less_urgent) = self.other_priorities(priority, now);
+        (f64::from(less_urgent) + wait_share) / f64::from(more_urgent + less_urgent + 1)
+    }
+
+    /// Returns how many more urgent and less urgent priorities have relevant work.
+    fn other_priorities(&self, priority: u8, now: Timestamp) -> (u32, u32) {
         let relevant = self.total.at(now).offered * RELEVANT_PART;
         let is_relevant = |count: &WorkCount| count.at(now).offered > relevant;
-        let others = self.priorities.iter().filter(|(other, _)| **other != priority);
-        let others = others.filter(|(_, count)| is_relevant(count));
-        let (mut more_urgent, mut less_urgent) = (0.0, 0.0);
-        for (other, _) in others {
-            *(if *other < priority { &mut more_urgent } else { &mut less_urgent }) += 1.0;
-        }
-        (less_urgent + wait_share) / (more_urgent + less_urgent + 1.0)
+        let relevant = self.priorities.iter().filter(|(_, count)| is_relevant(count));
+        relevant.fold((0, 0), |(more, less), (other, _)| match other.cmp(&priority) {
+            Ordering::Less => (more + 1, less),
+            Ordering::Equal => (more, less),
+            Ordering::Greater => (more, less + 1),
+        })
     }
 
     fn report(&self, scope: WorkScope, limit: usize, now: Timestamp) -> WorkReport {
