serving: don't count deadline refusals as contention

Cause: a request refused because its deadline is too short marked its service as contended if there was any queue. Change: only requests that an empty queue would serve in time count.

--- a/crates/core/src/serving/admission.rs
+++ b/crates/core/src/serving/admission.rs
@@ -63,9 +63,15 @@
         && placement.wait_ms > LATE_QUEUE_LIMIT_MS
 }
 
-/// Returns whether a request is refused because of the queue and not because of its deadline.
-pub fn is_queue_refusal(decision: AdmissionDecision, placement: &Placement) -> bool {
-    matches!(decision, AdmissionDecision::Refuse { .. }) && placement.wait_ms > LATE_QUEUE_LIMIT_MS
+/// Returns whether a refused request could be served in time if the queue were empty.
+pub fn is_queue_refusal(request: &AdmissionRequest, placement: &Placement) -> bool {
+    placement.wait_ms > LATE_QUEUE_LIMIT_MS && !exceeds_deadline(request, placement)
+}
+
+/// Returns whether a request would have too little time for the output even if the queue were empty.
+fn exceeds_deadline(request: &AdmissionRequest, placement: &Placement) -> bool {
+    let left_ms = request.time_left.as_secs_f64() * 1000.0;
+    placement.first_event_ms - placement.wait_ms + MIN_OUTPUT_MS > left_ms
 }
 
 /// Decides whether a request is sent, given its best placement.
@@ -78,7 +84,7 @@
         Some(contention) => contended_retry_after(&request, placement, &contention),
         None => retry_after(placement.wait_ms),
     };
-    if placement.first_event_ms - placement.wait_ms + MIN_OUTPUT_MS > left_ms {
+    if exceeds_deadline(&request, placement) {
         return AdmissionDecision::Refuse { retry_after };
     }
     if placement.wait_ms <= LATE_QUEUE_LIMIT_MS {
--- a/crates/core/tests/serving_shares.rs
+++ b/crates/core/tests/serving_shares.rs
@@ -143,7 +143,7 @@
                 None
             }
             AdmissionDecision::Refuse { retry_after } => {
-                if admission::is_queue_refusal(decision, &placement) {
+                if admission::is_queue_refusal(&admission, &placement) {
                     table.record_refusal(&request, now);
                 }
                 let returns_at = now_ms + retry_after.as_millis() as u64;
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -68,7 +68,7 @@
             state.shares.record_send(request, admission::is_late(admission, placement), now);
         }
         AdmissionDecision::Refuse { .. } => {
-            if admission::is_queue_refusal(decision, placement) {
+            if admission::is_queue_refusal(admission, placement) {
                 state.shares.record_refusal(request, now);
             }
             if let Some(contention) = admission.contention {
