gateway: shed for connections of daemons too, and test the largest body

Cause: connections of other daemons were limited, but with all of them stalled nothing was shed for a new one. No process test showed that one body of 4 MiB is served with 120 MB, or that a refused caller gets its 413.

Change: the server for daemons sheds like the one for callers. Two process tests: five bodies of 4 MiB one after the other with memory_mb 120, and a 413 for a caller that sends 128 KiB after the head. Floods and bounds are as before.

Not run: other tests of the daemon, slots, spill and stream of core, the harness and the soak.

--- a/crates/daemon/tests/caller_memory.rs
+++ b/crates/daemon/tests/caller_memory.rs
@@ -71,6 +71,10 @@
 
 impl FloodedGateway {
     fn start(name: &str) -> Self {
+        Self::start_with(name, MEMORY_MB)
+    }
+
+    fn start_with(name: &str, memory_mb: u64) -> Self {
         let turn = FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
         let store = StandinStore::start();
         let server = ScriptedServer::start(|request, stream| {
@@ -85,7 +89,7 @@
         let text = format!(
             "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {callers}\n\
              ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\nstore: {}\n\
-             memory_mb: {MEMORY_MB}\nmax_fds: {MAX_DESCRIPTORS}\n",
+             memory_mb: {memory_mb}\nmax_fds: {MAX_DESCRIPTORS}\n",
             unused_address(),
             unused_address(),
             unused_address(),
@@ -322,3 +326,43 @@
     }
     gateway.check(&streams);
 }
+
+/// Sends one request with a body of 4 MiB, whose head has this header, and returns the response. The
+/// body is sent whatever the process responds.
+fn send_largest_body(gateway: &FloodedGateway, header: &str, bytes: usize) -> String {
+    let mut stream = TcpStream::connect(gateway.callers).expect("a connection");
+    let head = format!(
+        "POST /plain/x HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: largest\r\n\
+         X-Deadline-Ms: 4000\r\nConnection: close\r\n{header}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("a head");
+    // A refused body isn't read to its end.
+    let _ = stream.write_all(&vec![b'x'; bytes]);
+    let mut response = Vec::new();
+    let read = stream.read_to_end(&mut response);
+    let text = String::from_utf8_lossy(&response).into_owned();
+    assert!(!text.is_empty(), "no response: {read:?}");
+    text
+}
+
+/// Guards against a bound that refuses a body of the largest legal size although nothing else is
+/// held, also when such bodies come one after the other.
+#[test]
+fn the_smallest_vm_serves_bodies_of_the_largest_size() {
+    let gateway = FloodedGateway::start_with("largest", 120);
+    for _ in 0..5 {
+        let bytes = 4 * 1024 * 1024;
+        let response = send_largest_body(&gateway, &format!("Content-Length: {bytes}"), bytes);
+        assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    }
+    assert!(gateway.peak_memory() < 120_000_000, "{} bytes resident", gateway.peak_memory());
+}
+
+/// Guards against a refusal that is lost because the process closes the connection while the caller
+/// still sends.
+#[test]
+fn a_body_that_is_announced_over_the_limit_gets_a_response() {
+    let gateway = FloodedGateway::start("refused");
+    let response = send_largest_body(&gateway, "Content-Length: 4194305", 128 * 1024);
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+}
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -207,7 +207,7 @@
         TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))?;
     let (server, gateway, log) =
         (gateway.peer_server.clone(), Arc::clone(gateway), Arc::clone(log));
-    let limits = program::server_limits(gateway.memory.limits().peer_connections);
+    let limits = program::shedding_limits(&gateway, gateway.memory.limits().peer_connections);
     program::spawn_server(&server, listener, limits, move |request| {
         let (gateway, log) = (Arc::clone(&gateway), Arc::clone(&log));
         async move {
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -159,11 +159,7 @@
         let gateway = Arc::clone(gateway);
         move |request| front::respond(Arc::clone(&gateway), request)
     };
-    let memory = Arc::clone(&gateway.memory);
-    let limits = ServerLimits {
-        make_room: Some(Arc::new(move || memory.shed_for_connection())),
-        ..server_limits(gateway.memory.limits().connections)
-    };
+    let limits = shedding_limits(gateway, gateway.memory.limits().connections);
     spawn_server(&server, listener, limits, handler);
     Ok(server)
 }
@@ -203,10 +199,18 @@
 }
 
 /// Returns the limits of a server for a number of connections.
-pub fn server_limits(connections: usize) -> ServerLimits {
+fn server_limits(connections: usize) -> ServerLimits {
     ServerLimits { head_bytes: HEAD_LIMIT_BYTES, idle: IDLE_TIMEOUT, connections, make_room: None }
 }
 
+/// Returns the same limits for a server that sheds what is held for stalled callers when there are
+/// too many connections.
+pub fn shedding_limits(gateway: &Gateway, connections: usize) -> ServerLimits {
+    let memory = Arc::clone(&gateway.memory);
+    let make_room = move || memory.shed_for_connection();
+    ServerLimits { make_room: Some(Arc::new(make_room)), ..server_limits(connections) }
+}
+
 /// Starts a task that serves the connections of a listener.
 pub fn spawn_server<S, F>(
     server: &HttpServer,
