gateway: keep the usage modules out of the import cycle

Cause: usage.rs imported peers, which imports the gateway, which holds the log. Change: The questions to the daemons move to usage_poll, and the leader's key is passed to the duty.

--- a/crates/gateway/src/leader.rs
+++ b/crates/gateway/src/leader.rs
@@ -192,7 +192,7 @@
         leader_key,
         lease: LeaderLease { lease, clock: gateway.clock.clone() },
         acquired_at,
-        usage: UsageDuty::new(collector, revision, gateway.usage.true_time()),
+        usage: UsageDuty::new(collector, KEY, revision, gateway.usage.true_time()),
         reports,
         duties: None,
         revision,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod stream;
 pub mod updates;
 pub mod usage;
+pub mod usage_poll;
 pub mod usage_report;
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -2,22 +2,17 @@
 //!
 //! The counts are cumulative for as long as the process runs, so that a lost response costs nothing.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use bytes::Bytes;
-use futures_util::{stream, StreamExt};
 use gooseberry_core::{
     serving::usage::{WallOffsets, WindowCounts, WindowPlan},
     time::Timestamp,
 };
 use gooseberry_edges::clock::Clock;
 use gooseberry_platform::store::{StoreChange, StoreKey};
-use gooseberry_transport::{
-    body::{self, ResponseBody},
-    client::{ClientConnection, SendError},
-};
-use http::{header, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
-use http_body_util::Full;
+use gooseberry_transport::body::ResponseBody;
+use http::{HeaderName, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -25,7 +20,6 @@
 use subtle::ConstantTimeEq;
 
 use crate::{
-    peers::ForwardTarget,
     settings::{DutyKind, DutyOptions},
     updates::SendUpdate,
 };
@@ -34,18 +28,9 @@
 pub const KEY_PREFIX: &str = "usage/";
 
 /// Header of the leader's question, with the other daemon's token.
-const TOKEN: HeaderName = HeaderName::from_static("gooseberry-usage-token");
+pub const TOKEN: HeaderName = HeaderName::from_static("gooseberry-usage-token");
 /// Path of the question. Another format of the answer gets another path.
-const PATH: &str = "/usage/1";
-/// Timeout of a question and its answer; round trips take 16 ms.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of all questions of a round.
-const ROUND_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Daemons that are asked at a time.
-const CONCURRENCY: usize = 32;
-/// Largest answer, in bytes: the counts of 23,000 accounts in some windows.
-const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
-
+pub const PATH: &str = "/usage/1";
 /// A daemon's answer. Other builds read it too, so it doesn't change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageAnswer {
@@ -55,21 +40,6 @@
     pub windows: WindowCounts,
 }
 
-/// Why a daemon didn't tell its counts.
-#[derive(Debug, thiserror::Error)]
-pub enum AnswerError {
-    #[error(transparent)]
-    Send(#[from] SendError),
-    #[error("the daemon's answer can't be read: {0}")]
-    Read(#[from] body::ReadError),
-    #[error("the daemon responded with status {0}")]
-    Status(StatusCode),
-    #[error("the daemon's answer can't be decoded: {0}")]
-    Malformed(#[from] postcard::Error),
-    #[error("the daemon didn't respond in time")]
-    TimedOut,
-}
-
 #[derive(Debug, Default)]
 struct LogState {
     offsets: WallOffsets,
@@ -188,53 +158,3 @@
     };
     Response::new(ResponseBody::whole(body))
 }
-
-/// The answers of a round of questions.
-#[derive(Debug, Default)]
-pub struct AnswerRound {
-    pub answers: Vec<UsageAnswer>,
-    /// Names of the daemons that didn't answer.
-    pub silent: Vec<SmolStr>,
-}
-
-/// Asks all daemons for their counts.
-pub async fn ask_all(targets: Vec<ForwardTarget>, clock: &Clock) -> AnswerRound {
-    let round = Mutex::new(AnswerRound {
-        answers: Vec::new(),
-        silent: targets.iter().map(|target| target.name.clone()).collect(),
-    });
-    let answered = &round;
-    let questions = stream::iter(targets).for_each_concurrent(CONCURRENCY, |target| async move {
-        let asked = clock.timeout(ANSWER_TIMEOUT, ask(&target)).await;
-        match asked.unwrap_or(Err(AnswerError::TimedOut)) {
-            Ok(answer) => {
-                let mut round = answered.lock();
-                round.silent.retain(|name| *name != target.name);
-                round.answers.push(answer);
-            }
-            Err(fault) => {
-                tracing::debug!(daemon = %target.name, %fault, "daemon didn't tell its usage");
-            }
-        }
-    });
-    // The daemons that haven't answered by then count as silent.
-    let _ = clock.timeout(ROUND_TIMEOUT, questions).await;
-    round.into_inner()
-}
-
-async fn ask(target: &ForwardTarget) -> Result<UsageAnswer, AnswerError> {
-    let mut connection = ClientConnection::connect(target.address, ANSWER_TIMEOUT).await?;
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(PATH);
-    let headers = request.headers_mut();
-    headers.insert(header::HOST, HeaderValue::from_static("daemon"));
-    if let Ok(token) = HeaderValue::from_str(&target.token) {
-        headers.insert(TOKEN, token);
-    }
-    let response = connection.send(request).await?;
-    if response.status() != StatusCode::OK {
-        return Err(AnswerError::Status(response.status()));
-    }
-    let body = body::read_whole(response.into_body(), ANSWER_LIMIT_BYTES).await?;
-    Ok(postcard::from_bytes(&body)?)
-}
--- a/crates/gateway/src/usage_report.rs
+++ b/crates/gateway/src/usage_report.rs
@@ -28,10 +28,10 @@
 
 use crate::{
     duties::{DutyAuthority, DutyOutcome},
-    leader,
     metrics::GatewayMetrics,
     peers::PeerDirectory,
-    usage::{self as usage_log, AnswerRound, UsageLog, KEY_PREFIX},
+    usage::{UsageLog, KEY_PREFIX},
+    usage_poll::{self, AnswerRound},
 };
 
 /// Key with the era in which reports are stored, a [`UsageEraRecord`].
@@ -85,7 +85,7 @@
     task::spawn(async move {
         while collector.strong_count() > 0 {
             let polled_at = log.true_time();
-            let mut round = usage_log::ask_all(peers.forward_targets(), &clock).await;
+            let mut round = usage_poll::ask_all(peers.forward_targets(), &clock).await;
             round.answers.push(log.counts());
             let Some(collector) = collector.upgrade() else {
                 return;
@@ -133,7 +133,8 @@
 pub struct UsageDuty {
     collector: Arc<UsageCollector>,
     era: Option<UsageEra>,
-    /// Revision of the leader key.
+    /// Key of the leader, and its revision.
+    leader_key: &'static str,
     term: StoreRevision,
     /// True time at which it was acquired.
     acquired_at: Timestamp,
@@ -147,10 +148,19 @@
     /// Creates the duty of a term that begins.
     pub fn new(
         collector: Arc<UsageCollector>,
+        leader_key: &'static str,
         term: StoreRevision,
         acquired_at: Timestamp,
     ) -> Self {
-        Self { collector, era: None, term, acquired_at, keys: HashMap::new(), checked_before: None }
+        Self {
+            leader_key,
+            collector,
+            era: None,
+            term,
+            acquired_at,
+            keys: HashMap::new(),
+            checked_before: None,
+        }
     }
 
     /// Stores, sends and removes reports.
@@ -292,7 +302,7 @@
         }
         let body = duties::usage_body(window, &counts);
         let key = format!("{KEY_PREFIX}{window}");
-        let condition = PutCondition::MissingWhile { key: leader::KEY, revision: self.term };
+        let condition = PutCondition::MissingWhile { key: self.leader_key, revision: self.term };
         let put = StorePut { key: &key, value: &body, lease: None, condition };
         let mut is_new = true;
         let (body, revision) = match client.put(&put, CALL_TIMEOUT).await {
