--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -39,11 +39,10 @@
         Some(account) => AccountHash::of_account(service, &account.name),
         None => AccountHash::of_route(service, &route.row.name),
     };
-    let priority = call.account.as_ref().and_then(|account| account.priority);
     Some(ShareRequest {
         service,
         account,
-        priority: priority.unwrap_or(route.row.priority),
+        priority: call.priority(route),
         prefill_tokens: placement.prefill_tokens,
         request_hash: call.id_hash(),
         is_first,
