--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,8 +9,9 @@
 use gooseberry_core::serving::shutdown;
 use gooseberry_platform::front::{self as platform_front, LocalResponse, RequestHead};
 use gooseberry_transport::body::ResponseBody;
-use http::{header, HeaderValue, Request, Response};
+use http::{header, request, HeaderValue, Request, Response};
 use http_body::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
@@ -23,6 +24,10 @@
 
 /// Largest request body, in bytes, until a configuration states one. Bodies are held in memory.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
+/// Largest body of a request that isn't authorized, in bytes, that is read and discarded.
+const DISCARD_LIMIT_BYTES: u64 = 64 * 1024;
+/// Longest time for which such a body is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time after the deadline in which an engine's own timeout response may still arrive.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(60);
 
@@ -78,7 +83,7 @@
     };
     let access = match gateway.account_gate().authorize(&mut parts, &head) {
         Ok(access) => access,
-        Err(refusal) => return refuse(gateway, &head, &body, &refusal),
+        Err(refusal) => return refuse(gateway, &parts, &head, body, &refusal).await,
     };
     let body = match read_body(gateway, body).await {
         Ok(body) => body,
@@ -141,11 +146,13 @@
     response
 }
 
-/// Refuses a request that isn't authorized. Its body isn't read.
-fn refuse(
+/// Refuses a request that isn't authorized. A small body is read and discarded, so that the connection
+/// can be used further.
+async fn refuse(
     gateway: &Gateway,
+    parts: &request::Parts,
     head: &RequestHead,
-    body: &Incoming,
+    body: Incoming,
     refusal: &AccountRefusal,
 ) -> Response<ResponseBody> {
     refusal.log(&head.request_id);
@@ -153,12 +160,26 @@
     gateway.metrics.access_refusals.with_label_values(&[&decision]).inc();
     let mut response = refusal.response().encode(&head.request_id);
     response.extensions_mut().insert(refusal.decision);
-    if !body.is_end_stream() {
+    // A client that expects to be asked for the body sends none after a refusal.
+    let is_small = body.size_hint().exact().is_some_and(|length| length <= DISCARD_LIMIT_BYTES)
+        && !parts.headers.contains_key(header::EXPECT);
+    let discarded = async { is_small && discard(body).await };
+    if !matches!(gateway.clock.timeout(DISCARD_TIMEOUT, discarded).await, Ok(true)) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
+/// Reads a body without keeping it. Returns whether it arrived as a whole.
+async fn discard(mut body: Incoming) -> bool {
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 fn body_limit(gateway: &Gateway) -> u64 {
     let state = gateway.state.lock();
     state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT_BYTES, |row| row.limits.body_bytes)
