--- a/crates/gateway/src/store_watch/keys.rs
+++ b/crates/gateway/src/store_watch/keys.rs
@@ -93,7 +93,7 @@
         }
     };
     let version = configuration.version;
-    // The table is built before the state is locked: 23,000 digests take a slow VM 0.1 s.
+    // The table is built before the state is locked, since it may have tens of thousands of digests.
     let table = AccountTable::new(&configuration.accounts, gateway.key_secret());
     for account in &mut configuration.accounts {
         account.keys = Vec::new();
