gateway: refuse a prompt that no engine can hold with 503 instead of 413

The configuration allows such a prompt, and a 4xx of the gateway says that the request is wrong. Its longest output was counted too, although most outputs are shorter, so prompts that engines could have run were refused. Only the prompt counts now, and the response is that of a service without room.

--- a/crates/core/src/serving/prompt.rs
+++ b/crates/core/src/serving/prompt.rs
@@ -93,11 +93,10 @@
         Self { parts, shared_parts, prompt_tokens, output_tokens }
     }
 
-    /// Returns whether the prompt and its longest output fit into an engine's KV cache. A capacity of 0
-    /// tokens isn't known.
+    /// Returns whether the prompt fits into an engine's KV cache. The output isn't counted, since most
+    /// are shorter than their limit. A capacity of 0 tokens isn't known.
     pub fn fits(&self, kv_tokens: u64) -> bool {
-        let tokens = u64::from(self.prompt_tokens) + u64::from(self.output_tokens);
-        kv_tokens == 0 || tokens <= kv_tokens
+        kv_tokens == 0 || u64::from(self.prompt_tokens) <= kv_tokens
     }
 
     /// Returns the work of a prefill of all but the cached tokens.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -564,7 +564,6 @@
         LocalResponse::BadRequest
         | LocalResponse::UnknownRoute
         | LocalResponse::BodyTooLarge
-        | LocalResponse::PromptTooLarge
         | LocalResponse::BodyTimeout => "the request was not accepted",
     }
 }
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -47,8 +47,9 @@
     spec: EngineSpec,
 ) -> Result<Response<ResponseBody>, LocalResponse> {
     if !call.head.prompt.fits(spec.kv_tokens) {
-        let reason = "the prompt and its output exceed the memory of an engine";
-        return Ok(call.refuse(LocalResponse::PromptTooLarge, reason));
+        // The configuration allows the request, so it gets the response of a service without room.
+        let reason = "the prompt exceeds the memory of an engine";
+        return Ok(call.refuse(call::unavailable(), reason));
     }
     call.admit().await?;
     let software = if call.head.is_resumption {
