--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,8 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# With TROUBLE=0 it does the same without the disruption.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/gooseberryd ] && [ -x target/release/slow-readers ] || exit 2
 timeout -k 5 110 target/release/slow-readers review/7
