transport: give way to other tasks, and bound bytes that lead to nothing

The HTTP library decodes in loops that end only when the socket is empty, so the connection's task kept the only thread, and neither the timeout of the send nor the abort of the task took effect. The adapter of streams gives way after eight ready polls, and ends a connection on which 128 KiB were read without a head or data being decoded. It serves servers, the store, relays, daemons and callers; the datagram and accept loops and the product's own interface give way too.

--- a/crates/edges/src/listener.rs
+++ b/crates/edges/src/listener.rs
@@ -23,6 +23,7 @@
 };
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use gooseberry_core::time::Timestamp;
+use gooseberry_transport::budget::ReadyBudget;
 use parking_lot::Mutex;
 
 use crate::{clock::Clock, stop::StopSignal};
@@ -333,11 +334,12 @@
     inner: TcpStream,
     clock: Clock,
     activity: Arc<ConnectionActivity>,
+    budget: ReadyBudget,
 }
 
 impl MonitoredStream {
     fn new(inner: TcpStream, clock: Clock) -> Self {
-        Self { inner, clock, activity: Arc::default() }
+        Self { inner, clock, activity: Arc::default(), budget: ReadyBudget::default() }
     }
 }
 
@@ -353,7 +355,8 @@
             self.activity.has_unread_body.store(true, Ordering::SeqCst);
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        let Self { inner, budget, .. } = &mut *self;
+        let read = budget.poll(context, |context| Pin::new(inner).poll_read(context, buffer));
         if let Poll::Ready(Ok(length)) = read {
             let received_bytes =
                 self.activity.received_bytes.fetch_add(length, Ordering::SeqCst) + length;
--- a/crates/edges/src/unframed.rs
+++ b/crates/edges/src/unframed.rs
@@ -14,6 +14,7 @@
     io::{AsyncReadExt, BufReader, Cursor},
     ready, AsyncRead, AsyncWrite,
 };
+use gooseberry_transport::budget::ReadyBudget;
 use http_types::{
     headers::{CONTENT_LENGTH, TRANSFER_ENCODING},
     Body, Method, Response, StatusCode,
@@ -33,6 +34,8 @@
 pub struct RecordingStream {
     stream: TcpStream,
     received: ReceivedBytes,
+    /// The framing of a body may go on without end.
+    budget: ReadyBudget,
 }
 
 /// The copy of what was read from a [`RecordingStream`].
@@ -47,7 +50,7 @@
     pub fn new(stream: TcpStream) -> (Self, ReceivedHead) {
         let received: ReceivedBytes = Arc::new(Mutex::new(Some(Vec::new())));
         let head = ReceivedHead { stream: stream.clone(), received: Arc::clone(&received) };
-        (Self { stream, received }, head)
+        (Self { stream, received, budget: ReadyBudget::default() }, head)
     }
 }
 
@@ -87,7 +90,9 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let length = ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let Self { stream, budget, .. } = &mut *self;
+        let read = budget.poll(context, |context| Pin::new(stream).poll_read(context, buffer));
+        let length = ready!(read)?;
         if let Some(received) = &mut *self.received.lock() {
             if received.len() + length > HEAD_LIMIT_BYTES {
                 let error = io::Error::new(io::ErrorKind::InvalidData, "the head is too long");
--- a/crates/edges/tests/http.rs
+++ b/crates/edges/tests/http.rs
@@ -106,7 +106,7 @@
 
 /// Sends a head and then the same text until the client closes; returns the number of bytes that the
 /// connection took, and whether the client gave up by itself.
-fn read_endless(head: &str, endless: &str) -> (usize, bool) {
+fn read_endless(head: &str, endless: &str, limit: Duration) -> (usize, bool) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address").to_string();
     let (head, chunk) = (head.to_owned(), endless.repeat(64 * 1024 / endless.len()));
@@ -124,8 +124,8 @@
         let url = Url::parse(&format!("http://{address}/x")).expect("a URL");
         let call = HttpCall::new(Request::new(Method::Get, url));
         let client = HttpClient::new(Clock::system());
-        let answer = client.send(&address, &call, ConnectionUse::New, LIMIT).await?;
-        answer.into_bytes(LIMIT).await
+        let answer = client.send(&address, &call, ConnectionUse::New, limit).await?;
+        answer.into_bytes(limit).await
     });
     let gave_up = matches!(result, Err(HttpError::ResponseLost { .. }));
     (serving.join().expect("the server ends"), gave_up)
@@ -142,11 +142,21 @@
         (head.to_owned() + "Content-Length: 99999999999\r\n\r\n", "a length without sense"),
         (head.to_owned() + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"),
     ] {
-        let (written, gave_up) = read_endless(&head, endless);
+        let (written, gave_up) = read_endless(&head, endless, LIMIT);
         assert!(gave_up && written < 48 * 1024 * 1024, "{head:?}: {written} bytes, {gave_up}");
     }
 }
 
+/// Guards against a decoder that never gives way, so that the time limit doesn't take effect.
+#[test]
+fn framing_without_end_is_closed_at_the_time_limit() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (rest, endless) in [("", "0"), ("1;", "extension"), ("0\r\n", "X-More: and more\r\n")] {
+        // The server's thread ends only when the client has closed the connection.
+        read_endless(&format!("{head}{rest}"), endless, Duration::from_secs(1));
+    }
+}
+
 #[test]
 fn a_line_of_a_stream_without_end_is_an_error() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -23,9 +23,8 @@
     engine::{self, SendOptions, SendPhase, SentAccount},
     front::{self, LocalResponse, RequestHead},
 };
-use gooseberry_transport::body::{ReadError, ResponseBody};
+use gooseberry_transport::body::{ArrivingBody, ReadError, ResponseBody};
 use http::{request, Response};
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use xxhash_rust::xxh3;
@@ -487,7 +486,7 @@
         outcome
     }
 
-    async fn read_response(&self, body: Incoming) -> Result<Bytes, ReadError> {
+    async fn read_response(&self, body: ArrivingBody) -> Result<Bytes, ReadError> {
         let memory = &self.gateway.memory;
         memory.read_response(body, PLAIN_RESPONSE_LIMIT_BYTES, &self.parts.extensions).await
     }
--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -18,11 +18,13 @@
     time::Timestamp,
 };
 use gooseberry_edges::clock::Clock;
-use gooseberry_transport::{body::ReadError, handle::ConnectionHandle};
+use gooseberry_transport::{
+    body::{ArrivingBody, ReadError},
+    handle::ConnectionHandle,
+};
 use http::Extensions;
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 
 use crate::metrics::MemoryMetrics;
@@ -140,7 +142,7 @@
     /// Returns an error that tells why the body isn't read to its end.
     pub async fn read_body(
         self: &Arc<Self>,
-        mut body: Incoming,
+        mut body: ArrivingBody,
         limits: BodyLimits,
     ) -> Result<Bytes, BodyRefusal> {
         let announced = body.size_hint().exact();
@@ -231,7 +233,7 @@
     /// Returns an error if the body is longer or ends early. Its connection must then be dropped.
     pub async fn read_response(
         self: &Arc<Self>,
-        mut body: Incoming,
+        mut body: ArrivingBody,
         limit_bytes: usize,
         caller: &Extensions,
     ) -> Result<Bytes, ReadError> {
@@ -367,7 +369,7 @@
 
 /// Waits for the next part of a body, or until the body is shed. Returns `None` at its end.
 async fn next_frame(
-    body: &mut Incoming,
+    body: &mut ArrivingBody,
     shed: &Receiver<()>,
 ) -> Result<Option<Bytes>, BodyRefusal> {
     let shed = async {
--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -20,12 +20,11 @@
 };
 use gooseberry_platform::store::{StoreChange, StoreUpdate};
 use gooseberry_transport::{
-    body::{self, ReadError, ResponseBody},
+    body::{self, ArrivingBody, ReadError, ResponseBody},
     client::{ClientConnection, SendError},
 };
 use http::{header, HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -227,7 +226,7 @@
 async fn respond(
     gateway: &Gateway,
     log: &ChangeLog,
-    request: &Request<Incoming>,
+    request: &Request<ArrivingBody>,
 ) -> Response<ResponseBody> {
     let Ok(number) = request.uri().path().trim_start_matches('/').parse() else {
         return program::status_response(StatusCode::NOT_FOUND);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,12 +15,11 @@
 use gooseberry_core::serving::accounts::AccountDecision;
 use gooseberry_platform::front::{self as platform_front, LocalResponse};
 use gooseberry_transport::{
-    body::{BodyError, ResponseBody},
+    body::{ArrivingBody, BodyError, ResponseBody},
     client::{ClientConnection, SendError},
 };
 use http::{header, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
@@ -198,7 +197,7 @@
     route: &CallRoute,
     target: &ForwardTarget,
     is_counted: bool,
-) -> Result<(Response<Incoming>, ClientConnection), SendError> {
+) -> Result<(Response<ArrivingBody>, ClientConnection), SendError> {
     // Always a new connection: a request that may run only once must not get lost on an old one.
     let mut connection = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await?;
     let mut request = platform_front::forward(&call.parts, &call.body, call.time_left());
@@ -221,7 +220,7 @@
 /// Returns the caller's response and starts a task that forwards the body to it.
 fn stream(
     call: &Call,
-    response: Response<Incoming>,
+    response: Response<ArrivingBody>,
     connection: ClientConnection,
     guard: ForwardGuard,
 ) -> Response<ResponseBody> {
@@ -261,14 +260,14 @@
 }
 
 /// Returns whether a request was handed over by another daemon.
-pub fn is_forwarded(request: &Request<Incoming>) -> bool {
+pub fn is_forwarded(request: &Request<ArrivingBody>) -> bool {
     request.headers().contains_key(TOKEN)
 }
 
 /// Handles a request of another daemon's caller.
 pub async fn take_over(
     gateway: Arc<Gateway>,
-    mut request: Request<Incoming>,
+    mut request: Request<ArrivingBody>,
 ) -> Response<ResponseBody> {
     let headers = request.headers_mut();
     let token = headers.remove(TOKEN);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -8,11 +8,10 @@
 use bytes::Bytes;
 use gooseberry_core::serving::shutdown;
 use gooseberry_platform::front::{self as platform_front, LocalResponse, RequestHead};
-use gooseberry_transport::body::ResponseBody;
+use gooseberry_transport::body::{ArrivingBody, ResponseBody};
 use http::{header, request, HeaderValue, Request, Response};
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 
 use crate::{
@@ -48,14 +47,17 @@
 }
 
 /// Handles a caller's request and returns the response, whose body may still be streaming.
-pub async fn respond(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn respond(
+    gateway: Arc<Gateway>,
+    request: Request<ArrivingBody>,
+) -> Response<ResponseBody> {
     respond_to(gateway, request, CallSource::Caller).await
 }
 
 /// Handles a request that came directly or from another daemon.
 pub async fn respond_to(
     gateway: Arc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<ArrivingBody>,
     source: CallSource,
 ) -> Response<ResponseBody> {
     let running = RunningGuard::new(&gateway);
@@ -69,7 +71,7 @@
 
 async fn handle(
     gateway: &Arc<Gateway>,
-    request: Request<Incoming>,
+    request: Request<ArrivingBody>,
     source: CallSource,
 ) -> Response<ResponseBody> {
     let arrived_at = gateway.now();
@@ -152,7 +154,7 @@
     gateway: &Gateway,
     parts: &request::Parts,
     head: &RequestHead,
-    body: Incoming,
+    body: ArrivingBody,
     refusal: &AccountRefusal,
 ) -> Response<ResponseBody> {
     refusal.log(&head.request_id);
@@ -171,7 +173,7 @@
 }
 
 /// Reads a body without keeping it. Returns whether it arrived as a whole.
-async fn discard(mut body: Incoming) -> bool {
+async fn discard(mut body: ArrivingBody) -> bool {
     while let Some(frame) = body.frame().await {
         if frame.is_err() {
             return false;
@@ -185,7 +187,7 @@
     state.configuration.as_ref().map_or(DEFAULT_BODY_LIMIT_BYTES, |row| row.limits.body_bytes)
 }
 
-async fn read_body(gateway: &Gateway, body: Incoming) -> Result<Bytes, BodyRefusal> {
+async fn read_body(gateway: &Gateway, body: ArrivingBody) -> Result<Bytes, BodyRefusal> {
     let limits = BodyLimits { bytes: body_limit(gateway), min_rate: gateway.options.min_body_rate };
     gateway.memory.read_body(body, limits).await
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -497,6 +497,8 @@
                     continue;
                 }
             };
+            // While datagrams keep arriving, the socket is always ready.
+            task::yield_now().await;
             match format::decode(&buffer[..length]) {
                 Ok(received) => {
                     let metrics = &self.gateway.metrics;
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -12,11 +12,10 @@
 };
 use gooseberry_platform::front as platform_front;
 use gooseberry_transport::{
-    body::ResponseBody,
+    body::{ArrivingBody, ResponseBody},
     server::{HttpServer, ServerLimits},
 };
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::{
     changes, front,
@@ -169,7 +168,7 @@
     let gateway = Arc::clone(gateway);
     let limits = server_limits(CONTROL_CONNECTIONS);
     let server = HttpServer::default();
-    spawn_server(&server, listener, limits, move |request: Request<Incoming>| {
+    spawn_server(&server, listener, limits, move |request: Request<ArrivingBody>| {
         let response = if request.uri().path() == platform_front::READY_PATH {
             platform_front::readiness(gateway.is_ready())
         } else {
@@ -185,7 +184,7 @@
     let gateway = Arc::clone(gateway);
     let limits = server_limits(CONTROL_CONNECTIONS);
     let server = HttpServer::default();
-    spawn_server(&server, listener, limits, move |_: Request<Incoming>| {
+    spawn_server(&server, listener, limits, move |_: Request<ArrivingBody>| {
         let response = match gateway.metrics.render() {
             Ok(text) => Response::new(ResponseBody::whole(text)),
             Err(error) => {
@@ -218,7 +217,7 @@
     limits: ServerLimits,
     handler: S,
 ) where
-    S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    S: Fn(Request<ArrivingBody>) -> F + Clone + Send + 'static,
     F: std::future::Future<Output = Response<ResponseBody>> + Send + 'static,
 {
     let server = server.clone();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -14,12 +14,11 @@
     self, ConnectionUse, EngineReport, LimitStatement, ResponseClass, SendOptions,
 };
 use gooseberry_transport::{
-    body,
+    body::{self, ArrivingBody},
     client::{ClientConnection, SendError},
 };
 use http::{request, Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use smol_str::SmolStr;
 
 use crate::gateway::Gateway;
@@ -89,7 +88,7 @@
 #[derive(Debug)]
 pub struct SendResponse {
     pub sent_at: Timestamp,
-    pub response: Response<Incoming>,
+    pub response: Response<ArrivingBody>,
     pub connection: ClientConnection,
     pub guard: InFlightGuard,
 }
@@ -210,7 +209,7 @@
     gateway: &Gateway,
     target: &SendTarget,
     request: impl Fn() -> Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ClientConnection), SendError> {
+) -> Result<(Response<ArrivingBody>, ClientConnection), SendError> {
     if gateway.state.lock().record_send(target.key, gateway.now()) {
         gateway.wake_publisher();
     }
@@ -233,7 +232,7 @@
 
 /// The head of a response, which isn't known to be that of the request.
 struct Exchange {
-    response: Response<Incoming>,
+    response: Response<ArrivingBody>,
     connection: ClientConnection,
     connection_use: ConnectionUse,
 }
@@ -288,7 +287,7 @@
 fn record_statements(
     gateway: &Gateway,
     target: &SendTarget,
-    response: &Response<Incoming>,
+    response: &Response<ArrivingBody>,
     sent_at: Timestamp,
 ) {
     let headers = response.headers();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
     time::Timestamp,
 };
 use gooseberry_platform::{engine, front};
-use gooseberry_transport::body::{BodyError, ResponseBody};
+use gooseberry_transport::body::{ArrivingBody, BodyError, ResponseBody};
 use http::{header, Extensions, Response, StatusCode};
 use http_body_util::BodyExt;
 use smol_str::SmolStr;
@@ -225,7 +225,7 @@
     async fn forward_chunks(
         &mut self,
         sent_at: Timestamp,
-        body: &mut hyper::body::Incoming,
+        body: &mut ArrivingBody,
         statistics: &mut StreamStatistics,
     ) -> StreamEnd {
         loop {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -11,9 +11,8 @@
 };
 use gooseberry_edges::clock::Clock;
 use gooseberry_platform::store::{StoreChange, StoreKey};
-use gooseberry_transport::body::ResponseBody;
+use gooseberry_transport::body::{ArrivingBody, ResponseBody};
 use http::{HeaderName, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -134,7 +133,7 @@
 }
 
 /// Returns whether a request of another daemon asks for the counts.
-pub fn is_question(request: &Request<Incoming>) -> bool {
+pub fn is_question(request: &Request<ArrivingBody>) -> bool {
     request.headers().contains_key(TOKEN)
 }
 
@@ -142,7 +141,7 @@
 pub fn answer(
     log: &UsageLog,
     own_token: &str,
-    request: &Request<Incoming>,
+    request: &Request<ArrivingBody>,
 ) -> Response<ResponseBody> {
     let token = request.headers().get(TOKEN);
     let is_known =
--- a/crates/gateway/tests/gateway/endless.rs
+++ b/crates/gateway/tests/gateway/endless.rs
@@ -1,5 +1,5 @@
-//! Servers, the store and other daemons that send bytes without end, in a head or a body, until the
-//! reader closes the connection.
+//! Servers, the store and other daemons that send bytes without end, before a head, in one or in a
+//! body, until the reader closes the connection.
 
 use std::{
     io::{Read, Write},
@@ -20,6 +20,9 @@
 /// Bytes that a reader may accept until it closes: the largest limit of any response, and what the
 /// buffers of a connection hold.
 const ACCEPTED_LIMIT_BYTES: usize = 48 * 1024 * 1024;
+/// The same for bytes in which neither a head nor data of a body is complete: what the kernel buffers
+/// for a connection on loopback, with some room.
+const ACCEPTED_OVERHEAD_BYTES: usize = 16 * 1024 * 1024;
 /// Time after which a caller must have its response. Requests have a deadline of 3 s.
 const RESPONSE_LIMIT: Duration = Duration::from_secs(4);
 
@@ -30,12 +33,18 @@
     begun: AtomicUsize,
     closed: AtomicUsize,
     most_bytes: AtomicUsize,
+    /// Bytes that a reader may accept, or 0 for [`ACCEPTED_LIMIT_BYTES`].
+    limit_bytes: AtomicUsize,
 }
 
 impl EndlessRecord {
     /// Writes a text, and then another one until the reader closes the connection.
-    fn write(&self, stream: &mut TcpStream, head: &str, endless: &str) {
+    fn write(&self, stream: &mut TcpStream, response: &EndlessResponse) {
+        let EndlessResponse { head, endless, has_data } = response;
         self.begun.fetch_add(1, Ordering::SeqCst);
+        if !has_data {
+            self.limit_bytes.store(ACCEPTED_OVERHEAD_BYTES, Ordering::SeqCst);
+        }
         let chunk = endless.repeat(64 * 1024 / endless.len());
         let mut written = head.len();
         if write_text(stream, head) {
@@ -54,22 +63,50 @@
             begun > 0 && begun == self.closed.load(Ordering::SeqCst)
         });
         let most_bytes = self.most_bytes.load(Ordering::SeqCst);
-        assert!(most_bytes <= ACCEPTED_LIMIT_BYTES, "a reader accepted {most_bytes} bytes");
+        let limit_bytes = match self.limit_bytes.load(Ordering::SeqCst) {
+            0 => ACCEPTED_LIMIT_BYTES,
+            limit_bytes => limit_bytes,
+        };
+        assert!(most_bytes <= limit_bytes, "a reader accepted {most_bytes} bytes");
+    }
+}
+
+/// A head, or the beginning of one, and the text that follows it without end.
+struct EndlessResponse {
+    head: String,
+    endless: &'static str,
+    /// Whether the text has data of a body.
+    has_data: bool,
+}
+
+impl EndlessResponse {
+    fn has_whole_head(&self) -> bool {
+        self.head.contains("\r\n\r\n")
     }
 }
 
-/// Heads, each with the text that follows it without end.
-fn endless_responses(id: &str) -> Vec<(String, &'static str)> {
+fn endless_responses(id: &str) -> Vec<EndlessResponse> {
     let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n");
-    vec![
+    let chunked = head.clone() + "Transfer-Encoding: chunked\r\n\r\n";
+    let with_data = [
+        (head.clone() + "\r\n", "neither a length nor chunks"),
+        (head.clone() + "Content-Length: 99999999999\r\n\r\n", "a length without sense"),
+        (chunked.clone(), "10\r\n0123456789abcdef\r\n"),
+    ];
+    let without_data = [
         (head.clone(), "X-More: and more of it\r\n"),
-        (head.clone() + "X-More: ", "and more"),
+        (head + "X-More: ", "and more"),
         ("HTTP/1.1 200 O".to_owned(), "K"),
         (String::new(), "no HTTP at all, and no end of a line"),
-        (head.clone() + "\r\n", "neither a length nor chunks"),
-        (head.clone() + "Content-Length: 99999999999\r\n\r\n", "a length without sense"),
-        (head + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"),
-    ]
+        (String::new(), "HTTP/1.1 100 .\r\n\r\n"),
+        (String::new(), "HTTP/1.1 103 Early Hints\r\nX-More: and more of it\r\n\r\n"),
+        (String::new(), "\r\n"),
+        (chunked.clone(), "0"),
+        (chunked.clone() + "1;", "extension"),
+        (chunked + "0\r\n", "X-More: and more of it\r\n"),
+    ];
+    let response = |has_data| move |(head, endless)| EndlessResponse { head, endless, has_data };
+    with_data.map(response(true)).into_iter().chain(without_data.map(response(false))).collect()
 }
 
 /// Starts a gateway with a server that answers its first kind of requests without end, in the way
@@ -91,8 +128,7 @@
                 return request.is_prefill()
                     && gateway_mocks::write_prefill_response(request, stream);
             }
-            let (head, endless) = endless_responses(request.id()).swap_remove(number);
-            record.write(stream, &head, endless);
+            record.write(stream, &endless_responses(request.id())[number]);
             false
         })
     };
@@ -124,7 +160,7 @@
 
 #[test]
 fn an_endless_stream_is_closed() {
-    for number in 0..endless_responses("").len() {
+    for (number, response) in endless_responses("").iter().enumerate() {
         let (system, record, _server) = start("model", "decode", number, |_| true);
         let headers = gateway_mocks::prompt_headers("aa", "bb");
         // The events of a stream are forwarded, so the caller sees that it is broken off.
@@ -134,7 +170,7 @@
         let mut chunk = vec![0; 64 * 1024];
         while caller.read(&mut chunk).is_ok_and(|length| length > 0) {
             assert!(sent_at.elapsed() < RESPONSE_LIMIT, "the stream goes on");
-            if record.closed.load(Ordering::SeqCst) == 1 && number < 4 {
+            if record.closed.load(Ordering::SeqCst) == 1 && !response.has_whole_head() {
                 break;
             }
         }
@@ -174,7 +210,7 @@
 fn an_endless_report_is_closed() {
     let is_report = |request: &ReceivedRequest| request.id().is_empty();
     // Engines of one stage, one of which is to change it, are asked for a report.
-    let (system, record, _server) = start("model", "prefill", 4, is_report);
+    let (system, record, _server) = start("model", "prefill", 0, is_report);
     let other = ScriptedServer::start(|request, stream| {
         gateway_mocks::write_rejection(request, stream, "")
     });
@@ -216,8 +252,7 @@
             let record = Arc::clone(&record);
             thread::spawn(move || {
                 let _ = stream.read(&mut [0; 4096]);
-                let (head, endless) = endless_responses("x").swap_remove(number);
-                record.write(&mut stream, &head, endless);
+                record.write(&mut stream, &endless_responses("x")[number]);
             });
         }
     });
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -12,6 +12,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::budget::OverheadMeter;
+
 /// The reason why a response body ended early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
@@ -32,12 +34,50 @@
     Truncated(hyper::Error),
 }
 
+/// The body of a request or a response as it arrives.
+#[derive(Debug)]
+pub struct ArrivingBody {
+    body: Incoming,
+    /// Counts what is read from the connection without data of the body being decoded.
+    meter: OverheadMeter,
+}
+
+impl ArrivingBody {
+    pub(crate) fn new(body: Incoming, meter: OverheadMeter) -> Self {
+        Self { body, meter }
+    }
+}
+
+impl Body for ArrivingBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(_))) = &polled {
+            self.meter.record_progress();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Reads a whole body of at most `limit_bytes`. A server in trouble may send bytes without end.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is longer or ends early. Its connection must then be dropped.
-pub async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, ReadError> {
+pub async fn read_whole(mut body: ArrivingBody, limit_bytes: usize) -> Result<Bytes, ReadError> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(ReadError::Truncated)?.into_data().unwrap_or_default();
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -11,12 +11,13 @@
 use futures_util::future::{AbortHandle, Abortable};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
+use hyper::client::conn::http1::{self, SendRequest};
 
-use crate::io::{self, StreamIo};
+use crate::{
+    body::ArrivingBody,
+    budget::OverheadMeter,
+    io::{self, StreamIo},
+};
 
 /// Largest head of a response, in bytes.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 64 * 1024;
@@ -55,6 +56,7 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: OverheadMeter,
     /// Another handle of the socket.
     socket: TcpStream,
     /// Time at which the last response on this connection was complete.
@@ -78,7 +80,8 @@
         let not_connected = |reason| SendError::NotConnected { address, reason };
         let stream = TcpStream::connect(address).or(timeout).await.map_err(not_connected)?;
         let socket = stream.clone();
-        let io = StreamIo::new(stream).map_err(not_connected)?;
+        let meter = OverheadMeter::default();
+        let io = StreamIo::new(stream, meter.clone()).map_err(not_connected)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_LIMIT_BYTES)
             .handshake(io)
@@ -89,7 +92,15 @@
             // The sender returns the same error from its pending request.
             let _ = Abortable::new(connection, registration).await;
         });
-        Ok(Self { address, sender, driver, socket, idle_since: Instant::now(), idle_limit: None })
+        Ok(Self {
+            address,
+            sender,
+            driver,
+            meter,
+            socket,
+            idle_since: Instant::now(),
+            idle_limit: None,
+        })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -101,16 +112,17 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<Response<ArrivingBody>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent(self.address));
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            match error.take_message() {
-                Some(_) => SendError::NotSent(self.address),
-                None => SendError::Unanswered { address: self.address, reason: error.into_error() },
-            }
-        })
+        self.meter.record_progress();
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent(self.address),
+            None => SendError::Unanswered { address: self.address, reason: error.into_error() },
+        })?;
+        Ok(response.map(|body| ArrivingBody::new(body, self.meter.clone())))
     }
 
     /// Makes the kernel discard what it hasn't sent when the connection is closed. Otherwise it goes on
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -12,7 +12,10 @@
 use hyper::rt;
 use rustix::net::sockopt;
 
-use crate::handle::ConnectionHandle;
+use crate::{
+    budget::{OverheadMeter, ReadyBudget},
+    handle::ConnectionHandle,
+};
 
 /// Most bytes read from the socket at once.
 const READ_CHUNK_BYTES: usize = 8192;
@@ -32,16 +35,18 @@
     stream: TcpStream,
     /// Learns when the peer doesn't take what is written; none for outgoing connections.
     handle: Option<ConnectionHandle>,
+    budget: ReadyBudget,
+    meter: OverheadMeter,
 }
 
 impl StreamIo {
     /// Wraps a stream and sets the socket options with which the kernel detects
-    /// an unresponsive peer.
+    /// an unresponsive peer. The meter counts what is read.
     ///
     /// # Errors
     ///
     /// Returns an error if a socket option can't be set.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
+    pub fn new(stream: TcpStream, meter: OverheadMeter) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         let limit = UNACKNOWLEDGED_TIMEOUT.as_millis() as u32;
         sockopt::set_tcp_user_timeout(&stream, limit)?;
@@ -49,7 +54,7 @@
         sockopt::set_tcp_keepidle(&stream, PROBE_INTERVAL)?;
         sockopt::set_tcp_keepintvl(&stream, PROBE_INTERVAL)?;
         sockopt::set_tcp_keepcnt(&stream, PROBE_COUNT)?;
-        Ok(Self { stream, handle: None })
+        Ok(Self { stream, handle: None, budget: ReadyBudget::default(), meter })
     }
 
     /// Reports to a handle when the peer doesn't take what is written.
@@ -57,11 +62,20 @@
         Self { handle: Some(handle), ..self }
     }
 
-    fn record_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if let (Some(handle), Poll::Pending) = (&self.handle, &written) {
-            handle.record_blocked();
-        }
-        written
+    /// Writes with a function, and records whether the peer doesn't take the data.
+    fn poll_writing<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let Self { stream, handle, budget, .. } = self;
+        budget.poll(context, |context| {
+            let written = write(Pin::new(stream), context);
+            if let (Some(handle), Poll::Pending) = (handle, &written) {
+                handle.record_blocked();
+            }
+            written
+        })
     }
 }
 
@@ -81,7 +95,11 @@
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_CHUNK_BYTES];
         let length = cursor.remaining().min(READ_CHUNK_BYTES);
-        let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut chunk[..length]))?;
+        let Self { stream, budget, .. } = &mut *self;
+        let read = budget
+            .poll(context, |context| Pin::new(stream).poll_read(context, &mut chunk[..length]));
+        let read = ready!(read)?;
+        self.meter.record_read(read)?;
         cursor.put_slice(&chunk[..read]);
         Poll::Ready(Ok(()))
     }
@@ -93,8 +111,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_write(written)
+        self.poll_writing(context, |stream, context| stream.poll_write(context, bytes))
     }
 
     /// Without vectored writes hyper copies each body into its own buffer.
@@ -107,8 +124,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record_write(written)
+        self.poll_writing(context, |stream, context| stream.poll_write_vectored(context, slices))
     }
 
     /// Is called when everything has been written.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 //! distinguishes a complete response from a truncated one.
 
 pub mod body;
+pub mod budget;
 pub mod client;
 pub mod handle;
 pub mod io;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -28,7 +28,8 @@
 use parking_lot::Mutex;
 
 use crate::{
-    body::{BodyError, ResponseBody},
+    body::{ArrivingBody, BodyError, ResponseBody},
+    budget::OverheadMeter,
     handle::ConnectionHandle,
     io::{self, StreamIo},
     timer::RuntimeTimer,
@@ -221,12 +222,14 @@
     /// Accepts connections and serves them with a handler; never returns.
     pub async fn serve<S, F>(&self, listener: TcpListener, limits: ServerLimits, handler: S)
     where
-        S: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        S: Fn(Request<ArrivingBody>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    // Under a flood of connections there is always a further one.
+                    task::yield_now().await;
                     if !self.has_room(&limits).await {
                         tracing::debug!(limits.connections, "no room for another connection");
                         continue;
@@ -266,12 +269,13 @@
 
     async fn serve_stream<S, F>(&self, stream: TcpStream, limits: &ServerLimits, handler: S)
     where
-        S: Fn(Request<Incoming>) -> F + Send + 'static,
+        S: Fn(Request<ArrivingBody>) -> F + Send + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
         let mut socket = stream.clone();
         let handle = ConnectionHandle::default();
-        let io = match StreamIo::new(stream) {
+        let meter = OverheadMeter::default();
+        let io = match StreamIo::new(stream, meter.clone()) {
             Ok(io) => io.observed_by(handle.clone()),
             Err(error) => {
                 tracing::debug!(%error, "failed to set socket options on an accepted connection");
@@ -293,6 +297,8 @@
                 let guard = RequestGuard::new(&place);
                 request.extensions_mut().insert(handle.clone());
                 end.lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+                meter.record_progress();
+                let request = request.map(|body| ArrivingBody::new(body, meter.clone()));
                 let (end, answer) = (Arc::clone(&end), handler(request));
                 async move {
                     let answer = answer.await;
