caller_memory: keep the sockets of one test out of the processes of others

Cause: the slow readers' 280 sockets had no close-on-exec flag, and the next test's process inherits those that aren't closed yet when it starts. The turn of a test ends before its sockets are dropped.

--- a/crates/daemon/tests/caller_memory.rs
+++ b/crates/daemon/tests/caller_memory.rs
@@ -21,7 +21,7 @@
 use gooseberry_standins::gateway_mocks::{
     configuration, server_entry, write_response, ScriptedServer, StandinStore,
 };
-use rustix::net::{sockopt, AddressFamily, SocketType};
+use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 
 /// Memory of the VM in the settings, in megabytes; the bound on `VmHWM`.
 const MEMORY_MB: u64 = 64;
@@ -302,10 +302,11 @@
     let mut gateway = FloodedGateway::start("slow-readers");
     let mut streams = Vec::new();
     for number in 0..CONNECTIONS {
-        let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None);
+        let flags = SocketFlags::CLOEXEC;
+        let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None);
         let socket = socket.expect("a socket");
         sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES).expect("the buffer");
-        if rustix::net::connect(&socket, &gateway.callers).is_err() {
+        if net::connect(&socket, &gateway.callers).is_err() {
             continue;
         }
         let mut stream = TcpStream::from(socket);
