transport: let callers read late, until the deadline of their request

TCP_USER_TIMEOUT, set to detect lost peers, also counts the time in which a live peer keeps its window shut. All four tests of slow_readers.rs fail on the base. Accepted connections have no user timeout now. A connection ends if its peer has taken nothing for 1.5 s and the deadline has passed, which is logged; keep-alive still detects lost peers of idle connections within 2 s. An upload of over 64 KiB that may run only once may stay unread until its deadline; other requests to servers keep the 1.5 s.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -321,10 +321,12 @@
     /// Returns which connections a send of the request to a server may use. `may_repeat` states whether
     /// what is sent may run more than once.
     pub fn connection_choice(&self, server: EngineKey, may_repeat: bool) -> ConnectionChoice {
-        if may_repeat && !self.execution.refusals.lock().contains(&server) {
-            ConnectionChoice::Pooled
+        if !may_repeat {
+            ConnectionChoice::New { unread: Some(self.time_left()) }
+        } else if self.execution.refusals.lock().contains(&server) {
+            ConnectionChoice::New { unread: None }
         } else {
-            ConnectionChoice::New
+            ConnectionChoice::Pooled
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -200,6 +200,9 @@
 ) -> Result<(Response<ArrivingBody>, ClientConnection), SendError> {
     // Always a new connection: a request that may run only once must not get lost on an old one.
     let mut connection = ClientConnection::connect(target.address, CONNECT_TIMEOUT).await?;
+    if !route.row.kind.is_idempotent() {
+        connection.allow_unread(call.time_left());
+    }
     let mut request = platform_front::forward(&call.parts, &call.body, call.time_left());
     let headers = request.headers_mut();
     if let Ok(token) = HeaderValue::from_str(&target.token) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use gooseberry_core::serving::shutdown;
 use gooseberry_platform::front::{self as platform_front, LocalResponse, RequestHead};
-use gooseberry_transport::body::{ArrivingBody, ResponseBody};
+use gooseberry_transport::{
+    body::{ArrivingBody, ResponseBody},
+    handle::ConnectionHandle,
+};
 use http::{header, request, HeaderValue, Request, Response};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -114,6 +117,9 @@
     };
     let timeout = route.row.timeout;
     call.deadline = arrived_at + time_left.map_or(timeout, |time_left| time_left.min(timeout));
+    if let Some(connection) = call.parts.extensions.get::<ConnectionHandle>() {
+        connection.set_deadline(gateway.instant() + call.time_left());
+    }
     let name = route.row.name.clone();
     if let Some(progress) = gateway.shutdown_progress() {
         let longest = gateway.longest_duration(&name);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -125,7 +125,12 @@
     /// may have become unresponsive. Nor is one that this server has refused before: the refusal may
     /// arrive again, with the same id. The response to a request without an id is known only by its
     /// connection.
-    New,
+    New {
+        /// Time for which the server may leave the request unread, if it is longer than the time in
+        /// which a lost connection is detected. Only for a request that may run once: another one is
+        /// sent to the next server instead.
+        unread: Option<Duration>,
+    },
 }
 
 /// Sends a request, reads the response head and records failures in the server's health.
@@ -215,7 +220,7 @@
     }
     let sent_at = gateway.now();
     let Exchange { response, connection, .. } =
-        exchange(gateway, target, request, ConnectionChoice::New).await?;
+        exchange(gateway, target, request, ConnectionChoice::New { unread: None }).await?;
     // A misdirected response comes from another server.
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         record_statements(gateway, target, &response, sent_at);
@@ -245,9 +250,11 @@
     request: impl Fn() -> Request<Full<Bytes>>,
     choice: ConnectionChoice,
 ) -> Result<Exchange, SendError> {
-    let pooled = match choice {
-        ConnectionChoice::Pooled => gateway.connections.take(target.address, gateway.instant()),
-        ConnectionChoice::New => None,
+    let (pooled, unread) = match choice {
+        ConnectionChoice::Pooled => {
+            (gateway.connections.take(target.address, gateway.instant()), None)
+        }
+        ConnectionChoice::New { unread } => (None, unread),
     };
     if let Some(mut connection) = pooled {
         match connection.send(request()).await {
@@ -259,6 +266,9 @@
         }
     }
     let mut connection = connect(gateway, target).await?;
+    if let Some(unread) = unread {
+        connection.allow_unread(unread);
+    }
     let response = connection.send(request()).await?;
     Ok(Exchange { response, connection, connection_use: ConnectionUse::First })
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -177,6 +177,9 @@
             .inc();
         drop(guard);
         self.prefill_guard = None;
+        // A caller that doesn't read takes the error late, and the engine mustn't wait for it.
+        let connection = (end == StreamEnd::Whole && !closes).then_some(connection);
+        drop(body);
         if matches!(end, StreamEnd::Whole | StreamEnd::TimedOut) {
             let duration = self.gateway.now().since(self.arrived_at);
             self.gateway.record_duration(&self.route, duration);
@@ -185,7 +188,7 @@
             StreamEnd::Whole => {
                 send::record_success(&self.gateway, self.target.key);
                 self.record_completion(status, framing);
-                if !closes {
+                if let Some(connection) = connection {
                     send::return_connection(&self.gateway, self.target.key, connection, idle).await;
                 }
             }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod restored_store;
 mod server_limits;
 mod shutdown;
+mod slow_readers;
 mod support;
 mod truncation;
 mod versions;
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 use futures_util::future::{AbortHandle, Abortable};
 use http::{Request, Response};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 
@@ -22,6 +23,10 @@
 /// Largest head of a response, in bytes.
 const RESPONSE_HEAD_LIMIT_BYTES: usize = 64 * 1024;
 
+/// Receive window of a server with the kernel's default settings, in bytes. A shorter request is
+/// acknowledged although the server doesn't read it.
+const RECEIVE_WINDOW_BYTES: u64 = 64 * 1024;
+
 /// The reason why a request got no response, and whether it may have been executed.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -57,6 +62,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     meter: OverheadMeter,
+    /// Time for which the server may leave a long request unread.
+    unread_limit: Option<Duration>,
     /// Another handle of the socket.
     socket: TcpStream,
     /// Time at which the last response on this connection was complete.
@@ -81,7 +88,7 @@
         let stream = TcpStream::connect(address).or(timeout).await.map_err(not_connected)?;
         let socket = stream.clone();
         let meter = OverheadMeter::default();
-        let io = StreamIo::new(stream, meter.clone()).map_err(not_connected)?;
+        let io = StreamIo::outgoing(stream, meter.clone()).map_err(not_connected)?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(RESPONSE_HEAD_LIMIT_BYTES)
             .handshake(io)
@@ -97,6 +104,7 @@
             sender,
             driver,
             meter,
+            unread_limit: None,
             socket,
             idle_since: Instant::now(),
             idle_limit: None,
@@ -117,7 +125,15 @@
             return Err(SendError::NotSent(self.address));
         }
         self.meter.record_progress();
+        let length = request.body().size_hint().exact().unwrap_or_default();
+        let unread_limit = self.unread_limit.filter(|_| length > RECEIVE_WINDOW_BYTES);
+        if let Some(limit) = unread_limit {
+            self.set_unacknowledged_timeout(limit);
+        }
         let sent = self.sender.try_send_request(request).await;
+        if unread_limit.is_some() {
+            self.set_unacknowledged_timeout(io::UNACKNOWLEDGED_TIMEOUT);
+        }
         let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent(self.address),
             None => SendError::Unanswered { address: self.address, reason: error.into_error() },
@@ -125,6 +141,18 @@
         Ok(response.map(|body| ArrivingBody::new(body, self.meter.clone())))
     }
 
+    /// Lets the server leave a request unread for this long, if it is longer than its receive window.
+    /// Such a server can't be told from a lost connection, which is then detected as late.
+    pub fn allow_unread(&mut self, limit: Duration) {
+        self.unread_limit = Some(limit).filter(|limit| *limit > io::UNACKNOWLEDGED_TIMEOUT);
+    }
+
+    fn set_unacknowledged_timeout(&self, limit: Duration) {
+        if let Err(error) = io::set_unacknowledged_timeout(&self.socket, limit) {
+            tracing::debug!(%error, "failed to change the timeout of a connection");
+        }
+    }
+
     /// Makes the kernel discard what it hasn't sent when the connection is closed. Otherwise it goes on
     /// sending it, so that a request may arrive after its timeout.
     pub fn discard_unsent_on_close(&self) {
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -19,47 +19,75 @@
 
 /// Most bytes read from the socket at once.
 const READ_CHUNK_BYTES: usize = 8192;
-/// Time for which sent data may stay unacknowledged before the kernel closes
-/// the connection (`TCP_USER_TIMEOUT`). Half of the shortest `stable-ms` in the
+/// Time for which sent data may stay unacknowledged, or the peer's window shut, before the kernel
+/// closes an outgoing connection (`TCP_USER_TIMEOUT`). Half of the shortest `stable-ms` in the
 /// deployments' settings (3 s).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time before the first keep-alive probe, and the interval between
 /// probes. The kernel takes whole seconds only.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unacknowledged keep-alive probes after which the kernel closes the connection.
-const PROBE_COUNT: u32 = 2;
+/// Unacknowledged keep-alive probes after which the kernel closes the connection, on outgoing and on
+/// accepted connections. Both take 2 s: where there is a user timeout, it decides instead.
+const PROBE_COUNTS: (u32, u32) = (2, 1);
+
+/// Who watches whether the peer takes what is written.
+#[derive(Debug)]
+enum PeerWatch {
+    /// The handle of an accepted connection. A caller may read late, so the kernel sets no limit.
+    Handle(ConnectionHandle),
+    /// The kernel. A server that can't be reached has to be known soon, so that others get its
+    /// requests.
+    Kernel,
+}
 
 /// A TCP stream that implements hyper's I/O traits.
 #[derive(Debug)]
 pub struct StreamIo {
     stream: TcpStream,
-    /// Learns when the peer doesn't take what is written; none for outgoing connections.
-    handle: Option<ConnectionHandle>,
+    watch: PeerWatch,
     budget: ReadyBudget,
     meter: OverheadMeter,
 }
 
 impl StreamIo {
-    /// Wraps a stream and sets the socket options with which the kernel detects
-    /// an unresponsive peer. The meter counts what is read.
+    /// Wraps an accepted stream and sets the socket options with which the kernel detects an
+    /// unresponsive peer. The meter counts what is read, and the handle learns when the peer doesn't
+    /// take what is written.
     ///
     /// # Errors
     ///
     /// Returns an error if a socket option can't be set.
-    pub fn new(stream: TcpStream, meter: OverheadMeter) -> io::Result<Self> {
+    pub fn accepted(
+        stream: TcpStream,
+        meter: OverheadMeter,
+        handle: ConnectionHandle,
+    ) -> io::Result<Self> {
+        Self::new(stream, meter, PeerWatch::Handle(handle))
+    }
+
+    /// Wraps an outgoing stream in the same way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a socket option can't be set.
+    pub fn outgoing(stream: TcpStream, meter: OverheadMeter) -> io::Result<Self> {
+        Self::new(stream, meter, PeerWatch::Kernel)
+    }
+
+    fn new(stream: TcpStream, meter: OverheadMeter, watch: PeerWatch) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        let limit = UNACKNOWLEDGED_TIMEOUT.as_millis() as u32;
-        sockopt::set_tcp_user_timeout(&stream, limit)?;
         sockopt::set_socket_keepalive(&stream, true)?;
         sockopt::set_tcp_keepidle(&stream, PROBE_INTERVAL)?;
         sockopt::set_tcp_keepintvl(&stream, PROBE_INTERVAL)?;
-        sockopt::set_tcp_keepcnt(&stream, PROBE_COUNT)?;
-        Ok(Self { stream, handle: None, budget: ReadyBudget::default(), meter })
-    }
-
-    /// Reports to a handle when the peer doesn't take what is written.
-    pub fn observed_by(self, handle: ConnectionHandle) -> Self {
-        Self { handle: Some(handle), ..self }
+        let probe_count = match watch {
+            PeerWatch::Kernel => {
+                set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT)?;
+                PROBE_COUNTS.0
+            }
+            PeerWatch::Handle(_) => PROBE_COUNTS.1,
+        };
+        sockopt::set_tcp_keepcnt(&stream, probe_count)?;
+        Ok(Self { stream, watch, budget: ReadyBudget::default(), meter })
     }
 
     /// Writes with a function, and records whether the peer doesn't take the data.
@@ -68,17 +96,43 @@
         context: &mut Context<'_>,
         write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
-        let Self { stream, handle, budget, .. } = self;
+        let Self { stream, watch, budget, .. } = self;
         budget.poll(context, |context| {
             let written = write(Pin::new(stream), context);
-            if let (Some(handle), Poll::Pending) = (handle, &written) {
-                handle.record_blocked();
-            }
+            watch.record_write(written.is_pending());
             written
         })
     }
 }
 
+impl PeerWatch {
+    /// Records a write, which may be blocked because the peer doesn't take the data.
+    fn record_write(&self, is_blocked: bool) {
+        match self {
+            Self::Handle(handle) if is_blocked => handle.record_blocked(),
+            Self::Handle(handle) => handle.record_taken(),
+            Self::Kernel => {}
+        }
+    }
+
+    /// Records that everything has been written.
+    fn record_flushed(&self) {
+        match self {
+            Self::Handle(handle) => handle.record_flushed(),
+            Self::Kernel => {}
+        }
+    }
+}
+
+/// Sets for how long sent data may stay unacknowledged, or the peer's window shut.
+///
+/// # Errors
+///
+/// Returns an error if the socket option can't be set.
+pub fn set_unacknowledged_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    Ok(sockopt::set_tcp_user_timeout(stream, limit.as_millis() as u32)?)
+}
+
 /// Makes the kernel reset the connection when its last handle is dropped, instead of ending it in
 /// order.
 pub fn reset_on_close(stream: &TcpStream) {
@@ -129,9 +183,7 @@
 
     /// Is called when everything has been written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if let Some(handle) = &self.handle {
-            handle.record_flushed();
-        }
+        self.watch.record_flushed();
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -5,6 +5,7 @@
     convert::Infallible,
     fmt,
     future::Future,
+    net::SocketAddr,
     pin::{pin, Pin},
     sync::{
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -227,9 +228,7 @@
     {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    // Under a flood of connections there is always a further one.
-                    task::yield_now().await;
+                Ok((stream, peer)) => {
                     if !self.has_room(&limits).await {
                         tracing::debug!(limits.connections, "no room for another connection");
                         continue;
@@ -237,7 +236,7 @@
                     let (server, handler, limits) = (self.clone(), handler.clone(), limits.clone());
                     server.open.fetch_add(1, Ordering::Relaxed);
                     task::spawn(async move {
-                        server.serve_stream(stream, &limits, handler).await;
+                        server.serve_stream(stream, peer, &limits, handler).await;
                         server.open.fetch_sub(1, Ordering::Relaxed);
                     });
                 }
@@ -267,16 +266,21 @@
         !is_full()
     }
 
-    async fn serve_stream<S, F>(&self, stream: TcpStream, limits: &ServerLimits, handler: S)
-    where
+    async fn serve_stream<S, F>(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: &ServerLimits,
+        handler: S,
+    ) where
         S: Fn(Request<ArrivingBody>) -> F + Send + 'static,
         F: Future<Output = Response<ResponseBody>> + Send + 'static,
     {
         let mut socket = stream.clone();
         let handle = ConnectionHandle::default();
         let meter = OverheadMeter::default();
-        let io = match StreamIo::new(stream, meter.clone()) {
-            Ok(io) => io.observed_by(handle.clone()),
+        let io = match StreamIo::accepted(stream, meter.clone(), handle.clone()) {
+            Ok(io) => io,
             Err(error) => {
                 tracing::debug!(%error, "failed to set socket options on an accepted connection");
                 return;
@@ -291,13 +295,14 @@
         place.enter();
         let end = Arc::new(ConnectionEnd::default());
         let answer = {
-            let (end, handle) = (Arc::clone(&end), handle.clone());
+            let (end, handle, idle) = (Arc::clone(&end), handle.clone(), limits.idle);
             let place = Arc::clone(&place);
             service::service_fn(move |mut request: Request<Incoming>| {
                 let guard = RequestGuard::new(&place);
                 request.extensions_mut().insert(handle.clone());
                 end.lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
                 meter.record_progress();
+                handle.set_deadline(Instant::now() + idle);
                 let request = request.map(|body| ArrivingBody::new(body, meter.clone()));
                 let (end, answer) = (Arc::clone(&end), handler(request));
                 async move {
@@ -318,34 +323,34 @@
                 .serve_connection(io, answer);
             let mut connection = pin!(connection);
             let shutdown = pin!(self.close.wait());
-            let aborted = pin!(handle.aborted());
-            match future::select(future::select(connection.as_mut(), shutdown), aborted).await {
-                Either::Left((Either::Left((result, _)), _)) => Some(result),
-                Either::Left((Either::Right(_), aborted)) => {
+            let cut = pin!(wait_for_cut(&handle));
+            match future::select(future::select(connection.as_mut(), shutdown), cut).await {
+                Either::Left((Either::Left((result, _)), _)) => Ok(result),
+                Either::Left((Either::Right(_), cut)) => {
                     connection.as_mut().graceful_shutdown();
-                    match future::select(connection, aborted).await {
-                        Either::Left((result, _)) => Some(result),
-                        Either::Right(_) => None,
+                    match future::select(connection, cut).await {
+                        Either::Left((result, _)) => Ok(result),
+                        Either::Right((reason, _)) => Err(reason),
                     }
                 }
-                Either::Right(_) => None,
+                Either::Right((reason, _)) => Err(reason),
             }
         };
         match result {
-            Some(Ok(())) if end.is_last.load(Ordering::Relaxed) => {
+            Ok(Ok(())) if end.is_last.load(Ordering::Relaxed) => {
                 let discard = discard(&mut socket);
                 discard.or(handle.aborted()).await;
             }
-            Some(Ok(())) => {}
-            Some(Err(error)) => {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
                 tracing::debug!(%error, "caller's connection closed with an error");
                 if error.is_user() && end.lacks_chunks.load(Ordering::Relaxed) {
                     // The response body failed, and an orderly end would make it look complete.
                     io::reset_on_close(&socket);
                 }
             }
-            None => {
-                tracing::debug!("caller's connection closed to make room");
+            Err(reason) => {
+                tracing::info!(%peer, %reason, "caller's connection cut");
                 // What was written of a response must not look complete, and what the kernel holds
                 // of it is freed.
                 io::reset_on_close(&socket);
@@ -354,6 +359,28 @@
     }
 }
 
+/// Why a connection is cut, whatever it is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum CutReason {
+    /// Room or memory is needed.
+    Shed,
+    /// The caller takes nothing of a response whose deadline has passed.
+    Unread,
+}
+
+async fn wait_for_cut(handle: &ConnectionHandle) -> CutReason {
+    let shed = async {
+        handle.aborted().await;
+        CutReason::Shed
+    };
+    let unread = async {
+        handle.stalled().await;
+        CutReason::Unread
+    };
+    shed.or(unread).await
+}
+
 /// Reads and discards what a caller still sends after the last response, within bounds.
 async fn discard(socket: &mut TcpStream) {
     let timeout = task::sleep(DISCARD_TIMEOUT);
