fleet: ignore entries that are older than what is known of their server

The store carried out a write of an engine's earlier start seconds late; the daemons took it for a new start, sent streams to the engine and recorded the version before for them. Entries state their start and the number of their write, and neither was compared: a_late_write_in_the_store_changes_no_version finds v1 instead of v2 on the base. put_server now ignores an entry of an earlier start or an earlier write of the same start, so it changes neither the version nor what the server has said, its health, pace, speed, caches and evidence; one test for each.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -52,6 +52,8 @@
     /// Start of the server, in milliseconds since the epoch. A new value under the same id means
     /// that the server has restarted and lost its state.
     pub started_at_ms: Option<u64>,
+    /// Number of the write, which rises until the server starts again.
+    pub sequence: u64,
 }
 
 impl ServerEntry {
--- a/crates/core/src/serving/fleet.rs
+++ b/crates/core/src/serving/fleet.rs
@@ -214,6 +214,8 @@
     Unchanged,
     /// Another field changed.
     Updated,
+    /// The entry is older than what is known of the server, which stays as it is.
+    Outdated,
 }
 
 /// Why an entry is older than what is known of its server.
@@ -221,6 +223,8 @@
 pub enum OutdatedEntry {
     /// The server has started again since.
     EarlierStart,
+    /// The server has written its entry again since, in the same start.
+    EarlierWrite,
     /// The entry of this start was removed.
     Removed,
 }
@@ -268,8 +272,8 @@
 }
 
 impl ServerFleet {
-    /// Adds or updates a server from its entry in the key-value service. A server that was draining
-    /// stays so until it starts again.
+    /// Adds or updates a server from its entry in the key-value service, which isn't
+    /// [outdated](Self::outdated). A server that was draining stays so until it starts again.
     pub fn put(&mut self, mut entry: ServerEntry) -> EntryEffect {
         let hash = server_hash(&entry.id);
         let group_speed = self.group_speed(&entry.service, entry.stage);
@@ -305,7 +309,7 @@
         if !old.is_draining && entry.is_draining {
             return EntryEffect::Draining;
         }
-        if old == *entry {
+        if (ServerEntry { sequence: entry.sequence, ..old }) == *entry {
             EntryEffect::Unchanged
         } else {
             EntryEffect::Updated
@@ -326,9 +330,13 @@
         if starts.is_some_and(|(known, other)| other < known) {
             return Some(OutdatedEntry::EarlierStart);
         }
-        let is_removed =
-            server.presence == ServerPresence::Gone && server.entry.is_same_start(entry);
-        is_removed.then_some(OutdatedEntry::Removed)
+        if !server.entry.is_same_start(entry) {
+            return None;
+        }
+        if entry.sequence < server.entry.sequence {
+            return Some(OutdatedEntry::EarlierWrite);
+        }
+        (server.presence == ServerPresence::Gone).then_some(OutdatedEntry::Removed)
     }
 
     /// Records that an entry is missing. Returns the new presence of the server if it changed.
--- a/crates/core/tests/serving_restored_entries.rs
+++ b/crates/core/tests/serving_held_entries.rs
@@ -6,7 +6,7 @@
     serving::{
         directory::{EngineStage, ServerEntry},
         fleet::{OutdatedEntry, ServerFleet},
-        restored_entries::RestoredEntries,
+        held_entries::HeldEntries,
     },
     time::Timestamp,
 };
@@ -25,6 +25,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: Some(started_at_ms),
+        sequence: 1,
     }
 }
 
@@ -51,7 +52,7 @@
 /// this daemon read the restored keys.
 #[test]
 fn an_entry_that_does_not_expire_counts_in_the_end() {
-    let mut restored = RestoredEntries::default();
+    let mut restored = HeldEntries::default();
     restored.hold(entry(5), START);
     let after = |seconds| START + Duration::from_secs(seconds);
     assert_eq!(restored.take_confirmed(after(9)), []);
@@ -61,3 +62,14 @@
     restored.discard("one");
     assert_eq!(restored.take_confirmed(after(40)), []);
 }
+
+#[test]
+fn an_entry_of_an_earlier_write_is_outdated() {
+    let mut fleet = ServerFleet::default();
+    fleet.put(ServerEntry { sequence: 3, ..entry(5) });
+    let written = |sequence| ServerEntry { sequence, ..entry(5) };
+    assert_eq!(fleet.outdated(&written(2)), Some(OutdatedEntry::EarlierWrite));
+    assert_eq!(fleet.outdated(&written(3)), None);
+    // The count starts anew with each start.
+    assert_eq!(fleet.outdated(&ServerEntry { sequence: 1, ..entry(6) }), None);
+}
--- a/crates/core/tests/serving_news_delay.rs
+++ b/crates/core/tests/serving_news_delay.rs
@@ -57,6 +57,7 @@
         stage,
         is_reclaimable: false,
         started_at_ms: Some(1),
+        sequence: 1,
     };
     for number in 0..PREFILL_ENGINES {
         fleet.put(entry(format!("read-{number}"), EngineStage::Prefill));
--- a/crates/core/tests/serving_pace.rs
+++ b/crates/core/tests/serving_pace.rs
@@ -42,6 +42,7 @@
         stage: STAGE,
         is_reclaimable: false,
         started_at_ms: Some(start),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/serving_placement.rs
+++ b/crates/core/tests/serving_placement.rs
@@ -45,6 +45,7 @@
         stage,
         is_reclaimable: false,
         started_at_ms: Some(1),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/serving_presence.rs
+++ b/crates/core/tests/serving_presence.rs
@@ -31,6 +31,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: Some(1),
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/serving_software.rs
+++ b/crates/core/tests/serving_software.rs
@@ -30,6 +30,7 @@
         stage: EngineStage::Decode,
         is_reclaimable: false,
         started_at_ms: None,
+        sequence: 1,
     }
 }
 
--- a/crates/core/tests/serving_stage_demand.rs
+++ b/crates/core/tests/serving_stage_demand.rs
@@ -82,6 +82,7 @@
                     stage,
                     is_reclaimable: false,
                     started_at_ms: Some(1),
+                    sequence: 1,
                 });
             }
         }
--- a/crates/core/tests/serving_tables.rs
+++ b/crates/core/tests/serving_tables.rs
@@ -90,6 +90,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: Some(born),
+        sequence: 1,
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,13 +17,13 @@
         connections,
         directory::{ServerEntry, ServerPresence},
         fleet::{self, EntryEffect, OutdatedEntry, ServerFleet},
+        held_entries::HeldEntries,
         part_evidence::{EngineIncarnation, PartConviction, PartEvidence, VerdictChanges},
         prompt::PartFingerprint,
         rate::EventRate,
         reach::ServiceReach,
         relays,
         request_limit::ReturnQueue,
-        restored_entries::RestoredEntries,
         shares::ShareTable,
         software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
         store_era::StoreRevision,
@@ -64,7 +64,7 @@
     pub versions: VersionHistory,
     /// Work of the client accounts, here and at other daemons.
     pub shares: ShareTable,
-    restored_entries: RestoredEntries,
+    held_entries: HeldEntries,
     /// Requests of this daemon whose servers may have ended with them, oldest first.
     doubts: VecDeque<CrashDoubt>,
     /// Crashes that this daemon has confirmed lately, oldest first.
@@ -133,24 +133,48 @@
     /// what is known of its server. It counts as missing until the server writes it again. Returns
     /// whether it is held back.
     pub fn hold_outdated_server(&mut self, entry: ServerEntry, now: Timestamp) -> bool {
-        let Some(reason) = self.fleet.outdated(&entry) else {
-            return false;
-        };
-        self.remove_server(&entry.id, now);
-        if reason == OutdatedEntry::Removed {
-            self.restored_entries.hold(entry, now);
+        match self.fleet.outdated(&entry) {
+            None => return false,
+            // Its server has written it since, and writes it again.
+            Some(OutdatedEntry::EarlierWrite) => {}
+            Some(OutdatedEntry::EarlierStart) => {
+                self.remove_server(&entry.id, now);
+            }
+            Some(OutdatedEntry::Removed) => {
+                self.remove_server(&entry.id, now);
+                self.held_entries.hold(entry, now);
+            }
         }
         true
     }
 
-    /// Takes the restored entries whose servers live although they didn't seem to.
-    pub fn take_confirmed_entries(&mut self, now: Timestamp) -> Vec<ServerEntry> {
-        self.restored_entries.take_confirmed(now)
+    /// Uses the servers whose entries were held back and that live although they didn't seem to.
+    /// Returns their ids.
+    pub fn put_confirmed_servers(&mut self, now: Timestamp) -> Vec<SmolStr> {
+        let entries = self.held_entries.take_confirmed(now);
+        let put = |entry: ServerEntry| {
+            let id = entry.id.clone();
+            self.apply_entry(entry, now);
+            id
+        };
+        entries.into_iter().map(put).collect()
     }
 
-    /// Adds or updates a server from its entry.
+    /// Adds or updates a server from its entry, unless the entry is older than what is known of the
+    /// server: a write may be carried out seconds late.
     pub fn put_server(&mut self, entry: ServerEntry, now: Timestamp) -> EntryEffect {
-        self.restored_entries.discard(&entry.id);
+        match self.fleet.outdated(&entry) {
+            Some(OutdatedEntry::EarlierStart) => {
+                self.held_entries.hold_earlier_start(entry, now);
+                EntryEffect::Outdated
+            }
+            Some(OutdatedEntry::EarlierWrite) => EntryEffect::Outdated,
+            Some(OutdatedEntry::Removed) | None => self.apply_entry(entry, now),
+        }
+    }
+
+    fn apply_entry(&mut self, entry: ServerEntry, now: Timestamp) -> EntryEffect {
+        self.held_entries.discard(&entry.id);
         if let Some(key) = self.fleet.key(&entry.id) {
             let old = &self.fleet.server(key).entry;
             if SoftwareKey::of(old) != SoftwareKey::of(&entry) {
@@ -177,7 +201,7 @@
 
     /// Records that a server's entry is missing. Returns the server's new presence if it changed.
     pub fn remove_server(&mut self, id: &str, now: Timestamp) -> Option<ServerPresence> {
-        self.restored_entries.discard(id);
+        self.held_entries.discard(id);
         let presence = self.fleet.remove(id, now)?;
         self.record_departure(id, now);
         Some(presence)
@@ -185,7 +209,7 @@
 
     /// Records that a server's entry names no server to use. Returns whether that is news.
     pub fn reject_server(&mut self, id: &str, now: Timestamp) -> bool {
-        self.restored_entries.discard(id);
+        self.held_entries.discard(id);
         let is_news = self.fleet.reject(id);
         if is_news {
             self.record_departure(id, now);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -81,7 +81,7 @@
     async fn step(&mut self) {
         let (now, called_since_boot) = (self.gateway.now(), self.gateway.clock.time_since_boot());
         give_up_missing(&self.gateway);
-        confirm_restored(&self.gateway);
+        confirm_held(&self.gateway);
         self.end_era(now);
         // A daemon that has just started reads all keys from the service itself.
         let relay = self.relay(now).filter(|_| self.revision.is_some());
@@ -251,14 +251,10 @@
     }
 }
 
-fn confirm_restored(gateway: &Gateway) {
-    let now = gateway.now();
-    let mut state = gateway.state.lock();
-    let entries = state.take_confirmed_entries(now);
-    for entry in entries {
-        let id = entry.id.clone();
-        state.put_server(entry, now);
-        tracing::info!(server = %id, "restored server entry hasn't expired; using the server");
+fn confirm_held(gateway: &Gateway) {
+    let confirmed = gateway.state.lock().put_confirmed_servers(gateway.now());
+    for id in confirmed {
+        tracing::info!(server = %id, "server entry that was held back hasn't expired; using the server");
     }
 }
 
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -386,6 +386,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: Some(1),
+        sequence: 1,
     };
     let hashes = [
         ("server", fleet::server_hash("i-1")),
--- a/crates/gateway/tests/gateway/limit_world.rs
+++ b/crates/gateway/tests/gateway/limit_world.rs
@@ -56,6 +56,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: None,
+        sequence: 1,
     };
     state.put_server(entry, at(0));
     state
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod format_one;
 mod formats;
 mod framing;
+mod late_writes;
 mod leaving;
 mod limit_world;
 mod news;
--- a/crates/gateway/tests/gateway/news.rs
+++ b/crates/gateway/tests/gateway/news.rs
@@ -44,6 +44,7 @@
         stage: EngineStage::Prefill,
         is_reclaimable: false,
         started_at_ms: None,
+        sequence: 1,
     };
     state.put_server(entry, START);
     state
--- a/crates/gateway/tests/gateway/pace.rs
+++ b/crates/gateway/tests/gateway/pace.rs
@@ -28,6 +28,7 @@
         stage: EngineStage::Mixed,
         is_reclaimable: false,
         started_at_ms: Some(started_at.as_millis()),
+        sequence: 1,
     };
     state.put_server(entry, now);
 }
