registration: write a daemon's registration again if it is that of an earlier start

Other daemons couldn't hand requests to a daemon for up to 20 s, until a lease ended, if the store carried out a write of its earlier start late: the registration then has the token of then.

--- a/crates/gateway/src/store_watch/keys.rs
+++ b/crates/gateway/src/store_watch/keys.rs
@@ -182,7 +182,7 @@
     } else if let Some(name) = key.strip_prefix(peers::KEY_PREFIX) {
         if name != gateway.options.name {
             put_peer(gateway, &keys.peers, name, value);
-        } else if value.is_some() {
+        } else if value.is_some_and(|value| is_own_registration(gateway, &value)) {
             gateway.clear_lost_registration();
         } else {
             gateway.record_lost_registration();
@@ -190,6 +190,13 @@
     }
 }
 
+/// Returns whether a registration is that of this process. A write of an earlier one may be carried out
+/// late, with the token of then.
+fn is_own_registration(gateway: &Gateway, value: &[u8]) -> bool {
+    let record = serde_json::from_slice::<PeerRecord>(value);
+    record.is_ok_and(|record| record.daemon == gateway.daemon && record.token == gateway.peer_token)
+}
+
 fn put_first_era(gateway: &Arc<Gateway>, leader_key: &LeaderKey, value: Option<Vec<u8>>) {
     let record = value.map(|value| serde_json::from_slice::<FirstEraRecord>(&value)).transpose();
     let stored = match record {
--- a/crates/gateway/tests/gateway/late_writes.rs
+++ b/crates/gateway/tests/gateway/late_writes.rs
@@ -236,3 +236,18 @@
     let key = state.fleet.key("one").expect("a known server");
     assert_eq!(state.fleet.server(key).entry.software, "v2");
 }
+
+/// Guards against a daemon to which others can't hand requests, because its earlier start's registration
+/// was written late with the token of then.
+#[test]
+fn a_late_registration_of_a_daemon_is_replaced() {
+    let system = System::start();
+    let key = "gateway/daemons/daemon-1";
+    support::wait_for(|| system.store.value_text(key).is_some());
+    let registered = system.store.value_text(key).expect("a registration");
+    let mut late: serde_json::Value = serde_json::from_str(&registered).expect("a record");
+    late["token"] = json!("00");
+    late["daemon"] = json!(1);
+    system.store.put(key, &late);
+    support::wait_for(|| system.store.value_text(key).as_ref() == Some(&registered));
+}
