transport: treat a response with an invalid status as lost

Here callers got 101, 600 and 999: the first one ends their connection, the others aren't valid. The HTTP library checks only the number of digits, and takes 101 for final although no request asks to switch protocols.

--- a/crates/edges/src/http.rs
+++ b/crates/edges/src/http.rs
@@ -171,6 +171,11 @@
         let answered = self.clock.timeout(limit, exchange).await;
         let address = SmolStr::new(address);
         match answered {
+            // `async_h1` doesn't skip interim responses, and no request asks to switch protocols.
+            Ok(Ok(response)) if response.status().is_informational() => {
+                let detail = format!("the status {} isn't final", response.status());
+                Err(HttpError::ResponseLost { address, detail })
+            }
             Ok(Ok(mut response)) => {
                 let is_unframed = head.restore_body(call.head.method(), &mut response);
                 Ok(HttpResponse { response, is_unframed, stream, address, client: self.clone() })
--- a/crates/edges/tests/http.rs
+++ b/crates/edges/tests/http.rs
@@ -104,6 +104,16 @@
     }
 }
 
+/// Guards against a status that no final response can have, which would be taken for an answer.
+#[test]
+fn an_invalid_status_is_an_error() {
+    for status in ["000", "099", "100", "101", "199", "600", "999", "1000", "20"] {
+        let response = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok");
+        let result = get(&response, CloseKind::InOrder);
+        assert!(matches!(result, Err(HttpError::ResponseLost { .. })), "{status}: {result:?}");
+    }
+}
+
 /// Sends a head and then the same text until the client closes; returns the number of bytes that the
 /// connection took, and whether the client gave up by itself.
 fn read_endless(head: &str, endless: &str, limit: Duration) -> (usize, bool) {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashing_engine;
 mod cut_daemons;
 mod duties;
+mod early_responses;
 mod endless;
 mod format_one;
 mod formats;
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_util::future::{AbortHandle, Abortable};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -40,6 +40,10 @@
     /// request may have been executed.
     #[error("request sent to {address}, but no response arrived: {reason}")]
     Unanswered { address: SocketAddr, reason: hyper::Error },
+    /// The response has a status that no final response can have; the request may have been
+    /// executed.
+    #[error("request sent to {address}, but its response has the invalid status {status}")]
+    InvalidStatus { address: SocketAddr, status: StatusCode },
 }
 
 impl SendError {
@@ -47,7 +51,7 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             Self::NotConnected { .. } | Self::NotSent(_) => true,
-            Self::Unanswered { .. } => false,
+            Self::Unanswered { .. } | Self::InvalidStatus { .. } => false,
         }
     }
 }
@@ -138,6 +142,10 @@
             Some(_) => SendError::NotSent(self.address),
             None => SendError::Unanswered { address: self.address, reason: error.into_error() },
         })?;
+        let status = response.status();
+        if !is_final(status) {
+            return Err(SendError::InvalidStatus { address: self.address, status });
+        }
         Ok(response.map(|body| ArrivingBody::new(body, self.meter.clone())))
     }
 
@@ -176,6 +184,12 @@
     }
 }
 
+/// Returns whether a final response may have a status (RFC 9110, section 15). No request asks to switch
+/// protocols, and codes from 600 on are invalid.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl Drop for ClientConnection {
     fn drop(&mut self) {
         self.driver.abort();
