transport: don't take the end after a failed write for an orderly one

StreamIo now remembers that a write has failed and returns an error instead. a_reset_that_a_write_has_met_is_no_orderly_end failed before ("the reset looks like an end") and passes now.

--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -47,6 +47,9 @@
     watch: PeerWatch,
     budget: ReadyBudget,
     meter: OverheadMeter,
+    /// Whether a write has failed. The kernel reports a reset once, and a read after that finds what
+    /// looks like an orderly end.
+    has_failed: bool,
 }
 
 impl StreamIo {
@@ -87,7 +90,7 @@
             PeerWatch::Handle(_) => PROBE_COUNTS.1,
         };
         sockopt::set_tcp_keepcnt(&stream, probe_count)?;
-        Ok(Self { stream, watch, budget: ReadyBudget::default(), meter })
+        Ok(Self { stream, watch, budget: ReadyBudget::default(), meter, has_failed: false })
     }
 
     /// Writes with a function, and records whether the peer doesn't take the data.
@@ -96,10 +99,11 @@
         context: &mut Context<'_>,
         write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
-        let Self { stream, watch, budget, .. } = self;
+        let Self { stream, watch, budget, has_failed, .. } = self;
         budget.poll(context, |context| {
             let written = write(Pin::new(stream), context);
             watch.record_write(written.is_pending());
+            *has_failed |= matches!(written, Poll::Ready(Err(_)));
             written
         })
     }
@@ -153,6 +157,9 @@
         let read = budget
             .poll(context, |context| Pin::new(stream).poll_read(context, &mut chunk[..length]));
         let read = ready!(read)?;
+        if read == 0 && self.has_failed {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         self.meter.record_read(read)?;
         cursor.put_slice(&chunk[..read]);
         Poll::Ready(Ok(()))
