gateway: confirm the version that began a stream by a newer list

While a daemon's connections to the store were silent, an engine started again as another version; the daemon sent streams to it and told all others the version before, by a list that was out of date without any failed call. A record now names the start of the engine that was meant (new update StreamTargeted, which old builds skip). It is certain once a newer list shows that start, in doubt if the engine started again after the last older list, and else confirmed by a read of the entries' changes when the stream is taken up.

--- a/crates/core/src/serving/directory.rs
+++ b/crates/core/src/serving/directory.rs
@@ -129,6 +129,12 @@
         self.listed_at.map(|at| now.since(at))
     }
 
+    /// Returns the time up to which all changes of the entries are known, or none if there was no list
+    /// yet.
+    pub fn listed_at(&self) -> Option<Timestamp> {
+        self.listed_at
+    }
+
     /// Returns whether the service isn't responding.
     pub fn is_unreachable(&self) -> bool {
         self.outage_started_at.is_some()
--- a/crates/core/src/serving/software.rs
+++ b/crates/core/src/serving/software.rs
@@ -15,7 +15,8 @@
     serving::{
         configuration::{RouteKind, ServingConfiguration},
         directory::ServerEntry,
-        fleet::{ServerFleet, ServerState},
+        fleet::{self, ServerFleet, ServerState},
+        part_evidence::EngineIncarnation,
     },
     time::Timestamp,
 };
@@ -26,6 +27,8 @@
 /// Time that a resume window exceeds the timeout of a route by. Other daemons may hear of changed servers
 /// and timeouts later than this one.
 const RESUME_SLACK: Duration = Duration::from_secs(5);
+/// Most streams of which the engine is known and the version isn't recorded yet. Both come together.
+const PENDING_TARGET_LIMIT: usize = 1024;
 /// Most streams that are remembered; the oldest are forgotten first.
 const STREAM_LIMIT: usize = 32_768;
 
@@ -81,10 +84,61 @@
     }
 }
 
+/// The start of an engine that a stream was sent to, as the sender knew it: the low half of its
+/// incarnation, since each stream's is told to all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamTarget(pub u32);
+
+impl StreamTarget {
+    /// Returns the target for a start.
+    pub fn new(incarnation: EngineIncarnation) -> Self {
+        Self(incarnation.0 as u32)
+    }
+
+    /// Returns the target for the start that an entry states.
+    pub fn of(entry: &ServerEntry) -> Self {
+        Self::new(fleet::incarnation(entry))
+    }
+}
+
+/// A record of the version that began a stream, which is right if the engine hasn't started again
+/// before it got the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnconfirmedOrigin {
+    pub stream: StreamKey,
+    pub software: SoftwareKey,
+    pub target: StreamTarget,
+}
+
+/// What is known of the version that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginKnowledge {
+    /// There is no record.
+    Unknown,
+    Known(SoftwareKey),
+    /// The list of servers isn't newer than the record.
+    Unconfirmed(UnconfirmedOrigin),
+    /// The engine has started again at a time that may be before or after it got the stream.
+    Doubtful,
+}
+
+impl OriginKnowledge {
+    /// Returns the version if it is known for sure.
+    pub fn known(self) -> Option<SoftwareKey> {
+        match self {
+            Self::Known(software) => Some(software),
+            Self::Unknown | Self::Unconfirmed(_) | Self::Doubtful => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct StreamOrigin {
     software: SoftwareKey,
     recorded_at: Timestamp,
+    /// None once the version can't be wrong.
+    target: Option<StreamTarget>,
+    is_doubtful: bool,
 }
 
 /// The versions that began recent streams, at this daemon and others.
@@ -93,6 +147,8 @@
     origins: HashMap<StreamKey, StreamOrigin>,
     /// Records in the order of time, for their removal.
     records: VecDeque<(Timestamp, StreamKey)>,
+    /// Targets of streams whose versions are about to be recorded.
+    targets: HashMap<StreamKey, StreamTarget>,
     windows: ResumeWindows,
 }
 
@@ -102,10 +158,32 @@
         self.windows.extend(configuration);
     }
 
+    /// Records to which engine the stream was sent whose version is recorded next.
+    pub fn record_target(&mut self, stream: StreamKey, target: StreamTarget) {
+        if self.targets.len() >= PENDING_TARGET_LIMIT {
+            self.targets.clear();
+        }
+        self.targets.insert(stream, target);
+    }
+
+    /// Records that an engine has started again since `listed_at`, when the list of servers was last
+    /// confirmed. Streams that were sent to it after that may have begun at either start.
+    pub fn record_restart(&mut self, replaced: StreamTarget, listed_at: Option<Timestamp>) {
+        for origin in self.origins.values_mut() {
+            if origin.target == Some(replaced) {
+                let is_confirmed = listed_at.is_some_and(|at| origin.recorded_at <= at);
+                origin.target = origin.target.filter(|_| !is_confirmed);
+                origin.is_doubtful = !is_confirmed;
+            }
+        }
+    }
+
     /// Records the version that a stream was sent to. A later record replaces an earlier one, since
     /// a request may be sent to another engine before its first event.
     pub fn record(&mut self, stream: StreamKey, software: SoftwareKey, now: Timestamp) {
-        self.origins.insert(stream, StreamOrigin { software, recorded_at: now });
+        let target = self.targets.remove(&stream);
+        let origin = StreamOrigin { software, recorded_at: now, target, is_doubtful: false };
+        self.origins.insert(stream, origin);
         self.records.push_back((now, stream));
         let window = self.windows.longest();
         while let Some((recorded_at, stream)) = self.records.front().copied() {
@@ -119,12 +197,48 @@
         }
     }
 
-    /// Returns the version that began a stream, if it is known.
-    pub fn software(&self, stream: StreamKey) -> Option<SoftwareKey> {
-        self.origins.get(&stream).map(|origin| origin.software)
+    /// Returns what is known of the version that began a stream, by the list of servers.
+    pub fn knowledge(&self, stream: StreamKey, fleet: &ServerFleet) -> OriginKnowledge {
+        let Some(origin) = self.origins.get(&stream) else {
+            return OriginKnowledge::Unknown;
+        };
+        let software = origin.software;
+        match origin.target {
+            None => OriginKnowledge::Known(software),
+            Some(_) if origin.is_doubtful => OriginKnowledge::Doubtful,
+            Some(target) if fleet.connectivity.listed_at() < Some(origin.recorded_at) => {
+                OriginKnowledge::Unconfirmed(UnconfirmedOrigin { stream, software, target })
+            }
+            Some(target) if listed_server(fleet, target).is_some() => {
+                OriginKnowledge::Known(software)
+            }
+            Some(_) => OriginKnowledge::Doubtful,
+        }
     }
 }
 
+/// Returns whether an engine hadn't started again before it got a stream, by the entries that servers have
+/// written since the list was read.
+pub fn is_confirmed(target: StreamTarget, fleet: &ServerFleet, newer: &[ServerEntry]) -> bool {
+    let is_target = |entry: &&ServerEntry| StreamTarget::of(entry) == target;
+    if let Some(listed) = listed_server(fleet, target) {
+        return newer
+            .iter()
+            .filter(|entry| entry.id == listed.entry.id)
+            .all(|entry| is_target(&entry));
+    }
+    // The sender knew of a start that isn't in this list yet.
+    let Some(started) = newer.iter().find(is_target) else {
+        return false;
+    };
+    newer.iter().rfind(|entry| entry.id == started.id).as_ref().is_some_and(is_target)
+}
+
+fn listed_server(fleet: &ServerFleet, target: StreamTarget) -> Option<&ServerState> {
+    let mut servers = fleet.iter().map(|(_, server)| server);
+    servers.find(|server| StreamTarget::of(&server.entry) == target)
+}
+
 /// Returns whether a version remains the only one of a service with these entries, which servers have
 /// written since the list was last read.
 pub fn remains_sole_version(software: SoftwareKey, service: &str, newer: &[ServerEntry]) -> bool {
--- a/crates/core/tests/serving_software.rs
+++ b/crates/core/tests/serving_software.rs
@@ -45,6 +45,10 @@
     assert_eq!(key("v1"), SoftwareKey::of(&entry("another", "model", "v1")));
 }
 
+fn software(origins: &StreamOrigins, stream: StreamKey) -> Option<SoftwareKey> {
+    origins.knowledge(stream, &ServerFleet::default()).known()
+}
+
 #[test]
 fn the_last_record_of_a_stream_counts_until_it_expires() {
     let mut origins = StreamOrigins::default();
@@ -54,9 +58,9 @@
     origins.record(stream, key("v2"), later);
     // The first record expires, the second doesn't.
     origins.record(StreamKey::of("two"), key("v1"), START + LONG);
-    assert_eq!(origins.software(stream), Some(key("v2")));
+    assert_eq!(software(&origins, stream), Some(key("v2")));
     origins.record(StreamKey::of("three"), key("v1"), later + LONG);
-    assert_eq!(origins.software(stream), None);
+    assert_eq!(software(&origins, stream), None);
 }
 
 #[test]
@@ -65,9 +69,9 @@
     for number in 0..100_000 {
         origins.record(StreamKey(number), key("v1"), START);
     }
-    assert_eq!(origins.software(StreamKey(0)), None);
-    assert_eq!(origins.software(StreamKey(99_999)), Some(key("v1")));
-    let known = (0..100_000).filter(|number| origins.software(StreamKey(*number)).is_some());
+    assert_eq!(software(&origins, StreamKey(0)), None);
+    assert_eq!(software(&origins, StreamKey(99_999)), Some(key("v1")));
+    let known = (0..100_000).filter(|number| software(&origins, StreamKey(*number)).is_some());
     assert!(known.count() <= 32_768);
 }
 
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -4,7 +4,8 @@
 
 use gooseberry_core::serving::{
     directory::ServerEntry,
-    software::{self, SoftwareKey, StreamKey},
+    software::{self, OriginKnowledge, SoftwareKey, StreamKey, UnconfirmedOrigin},
+    store_era::StoreRevision,
 };
 use gooseberry_platform::{
     servers,
@@ -66,9 +67,20 @@
     service: &str,
     stream: StreamKey,
 ) -> (Option<SoftwareKey>, OriginSource) {
-    let recorded = || gateway.state.lock().stream_software(stream);
-    if let Some(software) = recorded() {
-        return (Some(software), OriginSource::Record);
+    let known = || gateway.state.lock().stream_software(stream);
+    let knowledge = gateway.state.lock().stream_origin(stream);
+    match knowledge {
+        OriginKnowledge::Known(software) => return (Some(software), OriginSource::Record),
+        OriginKnowledge::Unconfirmed(origin) => {
+            if !confirm(gateway, vec![origin]).await.is_empty() {
+                return (Some(origin.software), OriginSource::Record);
+            }
+            tracing::info!(
+                stream = stream.0,
+                "engine may have started again before it got a stream"
+            );
+        }
+        OriginKnowledge::Unknown | OriginKnowledge::Doubtful => {}
     }
     if let Some(software) = current_sole_version(gateway, service).await {
         return (Some(software), OriginSource::SoleVersion);
@@ -78,7 +90,7 @@
     gateway.wake_publisher();
     while gateway.now().since(asked_at) < RESPONSE_TIMEOUT {
         gateway.clock.sleep(CHECK_INTERVAL).await;
-        if let Some(software) = recorded() {
+        if let Some(software) = known() {
             return (Some(software), OriginSource::Asked);
         }
     }
@@ -95,17 +107,7 @@
         let state = gateway.state.lock();
         (state.sole_software(service, gateway.now())?, state.listed_revision)
     };
-    let mut client = gateway.store.client();
-    let update = match client.watch(revision, Duration::ZERO, LIST_TIMEOUT).await {
-        Ok(update) => update,
-        Err(fault) => {
-            gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
-            tracing::info!(%service, %fault, "can't tell whether a service still has one version");
-            return None;
-        }
-    };
-    gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
-    let newer: Vec<ServerEntry> = update.changes.iter().filter_map(changed_entry).collect();
+    let newer = newer_entries(gateway, revision).await?;
     if !software::remains_sole_version(software, service, &newer) {
         tracing::info!(%service, %revision, "a service has had another version since the list was read");
         return None;
@@ -115,6 +117,37 @@
     is_unchanged.then_some(software)
 }
 
+/// Returns the records whose engines haven't started again before they got their streams, by the changes
+/// of the entries since the list was read. If these can't be read, the list counts.
+pub async fn confirm(
+    gateway: &Gateway,
+    mut records: Vec<UnconfirmedOrigin>,
+) -> Vec<UnconfirmedOrigin> {
+    let revision = gateway.state.lock().listed_revision;
+    let Some(newer) = newer_entries(gateway, revision).await else {
+        return records;
+    };
+    let state = gateway.state.lock();
+    records.retain(|origin| software::is_confirmed(origin.target, &state.fleet, &newer));
+    records
+}
+
+/// Reads the entries that servers have written since a revision, or returns none if they can't be read.
+async fn newer_entries(gateway: &Gateway, revision: StoreRevision) -> Option<Vec<ServerEntry>> {
+    let mut client = gateway.store.client();
+    match client.watch(revision, Duration::ZERO, LIST_TIMEOUT).await {
+        Ok(update) => {
+            gateway.metrics.store_calls.with_label_values(&["answered"]).inc();
+            Some(update.changes.iter().filter_map(changed_entry).collect())
+        }
+        Err(fault) => {
+            gateway.metrics.store_calls.with_label_values(&["failed"]).inc();
+            tracing::info!(%revision, %fault, "can't read the server entries that are newer than the list");
+            None
+        }
+    }
+}
+
 /// Returns whether an engine runs the version that its entry states.
 ///
 /// It may have started again with another version since the list was read, and doesn't check which
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,7 @@
     serving::{
         part_evidence::VerdictChanges,
         relays::{self, RelayCandidate, RelayPlan},
-        software::{SoftwareKey, StreamKey},
+        software::{SoftwareKey, StreamKey, UnconfirmedOrigin},
     },
     time::Timestamp,
 };
@@ -533,10 +533,12 @@
         }
         let mut responses = Vec::new();
         let mut unrecorded: HashMap<SmolStr, Vec<StreamKey>> = HashMap::new();
+        let mut unconfirmed = Vec::new();
         {
             let state = self.gateway.state.lock();
             for bundle in &datagram.bundles {
                 responses.extend(state.origin_responses(&bundle.updates));
+                unconfirmed.extend(state.unconfirmed_origins(&bundle.updates));
                 for (stream, service) in state.unrecorded_origins(&bundle.updates, now) {
                     unrecorded.entry(service).or_default().push(stream);
                 }
@@ -548,11 +550,28 @@
         if !responses.is_empty() {
             self.send(vec![self.bundle(responses)], &[target]).await;
         }
+        if !unconfirmed.is_empty() {
+            task::spawn(self.clone().respond_confirmed(unconfirmed, target));
+        }
         for (service, streams) in unrecorded {
             task::spawn(self.clone().respond_sole_version(service, streams, target));
         }
     }
 
+    /// Tells another daemon the versions that began streams, as far as the key-value service confirms
+    /// them.
+    async fn respond_confirmed(self, unconfirmed: Vec<UnconfirmedOrigin>, target: UpdateTarget) {
+        let confirmed = origin::confirm(&self.gateway, unconfirmed).await;
+        let response = |origin: &UnconfirmedOrigin| SendUpdate::StreamSent {
+            stream: origin.stream.0,
+            software: origin.software.0,
+        };
+        for origins in confirmed.chunks(BATCH_LIMIT) {
+            let responses = origins.iter().map(response).collect();
+            self.send(vec![self.bundle(responses)], &[target]).await;
+        }
+    }
+
     /// Tells another daemon the version that began streams of a service, if there was only one.
     async fn respond_sole_version(
         self,
--- a/crates/gateway/src/prompt_call.rs
+++ b/crates/gateway/src/prompt_call.rs
@@ -10,7 +10,7 @@
         backlog::PendingPrefill,
         configuration::{EngineSpec, RouteKind},
         placement::{self, Placement, PlacementPath, PlacementRequest},
-        software::{SoftwareKey, StreamKey},
+        software::{SoftwareKey, StreamKey, StreamTarget},
     },
 };
 use gooseberry_platform::{
@@ -429,13 +429,15 @@
     sending: impl Future<Output = SendOutcome>,
 ) -> SendOutcome {
     let gateway = &call.gateway;
+    let stream = StreamKey::of(&call.head.request_id);
     let record = || {
-        let stream = StreamKey::of(&call.head.request_id);
         gateway.state.lock().record_stream(stream, target.software, gateway.now());
         gateway.wake_publisher();
     };
     let is_listed = !gateway.state.lock().fleet.connectivity.is_unreachable();
     if is_listed {
+        let start = StreamTarget::new(target.incarnation);
+        gateway.state.lock().record_stream_target(stream, start);
         record();
         return sending.await;
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,10 @@
         relays,
         request_limit::ReturnQueue,
         shares::ShareTable,
-        software::{SoftwareKey, StreamKey, StreamOrigins, VersionHistory},
+        software::{
+            OriginKnowledge, SoftwareKey, StreamKey, StreamOrigins, StreamTarget,
+            UnconfirmedOrigin, VersionHistory,
+        },
         store_era::StoreRevision,
     },
     time::Timestamp,
@@ -182,6 +185,8 @@
             }
             let (before, after) = (fleet::incarnation(old), fleet::incarnation(&entry));
             if before != after {
+                self.origins
+                    .record_restart(StreamTarget::of(old), self.fleet.connectivity.listed_at());
                 self.confirm_crash(before, now);
             }
         }
@@ -252,9 +257,21 @@
         self.outgoing.push_back(update);
     }
 
-    /// Returns the version that began a stream, if this daemon has a record of it.
+    /// Records to which start of an engine this daemon sends the stream that is recorded next, and queues
+    /// the update for the other daemons.
+    pub fn record_stream_target(&mut self, stream: StreamKey, target: StreamTarget) {
+        self.origins.record_target(stream, target);
+        self.outgoing.push_back(SendUpdate::StreamTargeted { stream: stream.0, start: target.0 });
+    }
+
+    /// Returns what this daemon knows of the version that began a stream.
+    pub fn stream_origin(&self, stream: StreamKey) -> OriginKnowledge {
+        self.origins.knowledge(stream, &self.fleet)
+    }
+
+    /// Returns the version that began a stream, if this daemon knows it for sure.
     pub fn stream_software(&self, stream: StreamKey) -> Option<SoftwareKey> {
-        self.origins.software(stream)
+        self.stream_origin(stream).known()
     }
 
     /// Returns the version that began all streams of a service up to the last list, if it was a single
@@ -275,12 +292,29 @@
             let SendUpdate::OriginAsked { stream, .. } = update else {
                 return None;
             };
-            let software = self.origins.software(StreamKey(*stream))?.0;
+            let software = self.stream_software(StreamKey(*stream))?.0;
             Some(SendUpdate::StreamSent { stream: *stream, software })
         };
         updates.iter().filter_map(respond).collect()
     }
 
+    /// Returns the records of streams that another daemon's updates ask for which have to be confirmed
+    /// first.
+    pub fn unconfirmed_origins(&self, updates: &[SendUpdate]) -> Vec<UnconfirmedOrigin> {
+        let unconfirmed = |update: &SendUpdate| {
+            let SendUpdate::OriginAsked { stream, .. } = update else {
+                return None;
+            };
+            match self.stream_origin(StreamKey(*stream)) {
+                OriginKnowledge::Unconfirmed(origin) => Some(origin),
+                OriginKnowledge::Unknown
+                | OriginKnowledge::Known(_)
+                | OriginKnowledge::Doubtful => None,
+            }
+        };
+        updates.iter().filter_map(unconfirmed).collect()
+    }
+
     /// Returns the streams, with their services, that another daemon's updates ask for, of which this
     /// one has no record, although it may know the only version of the service.
     pub fn unrecorded_origins(
@@ -293,7 +327,7 @@
                 return None;
             };
             let stream = StreamKey(*stream);
-            let is_unrecorded = self.origins.software(stream).is_none();
+            let is_unrecorded = self.stream_origin(stream) == OriginKnowledge::Unknown;
             let may_know = is_unrecorded && self.sole_software(service, now).is_some();
             may_know.then(|| (stream, service.into()))
         };
@@ -487,6 +521,9 @@
                 SendUpdate::StreamSent { stream, software } => {
                     self.origins.record(StreamKey(*stream), SoftwareKey(*software), now);
                 }
+                SendUpdate::StreamTargeted { stream, start } => {
+                    self.origins.record_target(StreamKey(*stream), StreamTarget(*start));
+                }
                 SendUpdate::Reached { servers } => self.apply_report(daemon, servers, now),
                 SendUpdate::Paced { servers } => self.apply_pace(servers, now),
                 SendUpdate::AccountWork(record) => {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -199,6 +199,12 @@
     ClockStated {
         wall_ms: u64,
     },
+    /// The start of the engine, as the daemon knew it, that the stream of the [`Self::StreamSent`] after
+    /// this was sent to.
+    StreamTargeted {
+        stream: u64,
+        start: u32,
+    },
 }
 
 /// The updates of one daemon.
--- a/crates/gateway/tests/gateway/formats.rs
+++ b/crates/gateway/tests/gateway/formats.rs
@@ -80,6 +80,7 @@
         SendUpdate::Paced { servers: vec![pace] },
         SendUpdate::AccountWork(work),
         SendUpdate::ClockStated { wall_ms: 300 },
+        SendUpdate::StreamTargeted { stream: 1, start: 2 },
     ];
     assert_eq!(updates.len(), SendUpdate::COUNT);
     updates
@@ -137,6 +138,7 @@
             036f6e650107036f6e6500
             036f6e650107036f6e6500
             036f6e650107036f6e6500
+            036f6e650107036f6e6500
         "#]],
     );
 }
@@ -165,6 +167,7 @@
         00ffff7f0202036f6e650107036f6e65010810010102c8d00704
         00ffff7f0202036f6e650107036f6e65010d110102010304f4030607080109
         00ffff7f0202036f6e650107036f6e65010312ac02
+        00ffff7f0202036f6e650107036f6e650103130102
     "#]],
     );
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod news;
 mod odd_entries;
 mod outages;
+mod outdated_lists;
 mod pace;
 mod plain_crashes;
 mod poison_parts;
