gateway: log outdated entries and cut connections apart, and name both probe counts

Found on reading the change as a newcomer would: an entry that was ignored was logged as updated, a pair of constants hid which was which, and each connection that a flood sheds was logged at the level of the few that are cut.

--- a/crates/gateway/src/store_watch/keys.rs
+++ b/crates/gateway/src/store_watch/keys.rs
@@ -147,6 +147,10 @@
     let was_missing = state.is_entry_missing(&id);
     let effect = state.put_server(entry, now);
     drop(state);
+    if effect == EntryEffect::Outdated {
+        tracing::info!(server = %id, revision, %software, "server entry is older than what is known of the server; ignoring it");
+        return;
+    }
     if was_missing {
         tracing::info!(server = %id, revision, %effect, "server entry came back");
     }
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -26,9 +26,12 @@
 /// Idle time before the first keep-alive probe, and the interval between
 /// probes. The kernel takes whole seconds only.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unacknowledged keep-alive probes after which the kernel closes the connection, on outgoing and on
-/// accepted connections. Both take 2 s: where there is a user timeout, it decides instead.
-const PROBE_COUNTS: (u32, u32) = (2, 1);
+/// Unacknowledged keep-alive probes after which the kernel closes an outgoing connection, if its user
+/// timeout doesn't end before.
+const OUTGOING_PROBE_COUNT: u32 = 2;
+/// The same for an accepted connection, which has no user timeout. It is closed after 2 s, as an
+/// outgoing one is.
+const ACCEPTED_PROBE_COUNT: u32 = 1;
 
 /// Who watches whether the peer takes what is written.
 #[derive(Debug)]
@@ -85,9 +88,9 @@
         let probe_count = match watch {
             PeerWatch::Kernel => {
                 set_unacknowledged_timeout(&stream, UNACKNOWLEDGED_TIMEOUT)?;
-                PROBE_COUNTS.0
+                OUTGOING_PROBE_COUNT
             }
-            PeerWatch::Handle(_) => PROBE_COUNTS.1,
+            PeerWatch::Handle(_) => ACCEPTED_PROBE_COUNT,
         };
         sockopt::set_tcp_keepcnt(&stream, probe_count)?;
         Ok(Self { stream, watch, budget: ReadyBudget::default(), meter, has_failed: false })
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -350,7 +350,11 @@
                 }
             }
             Err(reason) => {
-                tracing::info!(%peer, %reason, "caller's connection cut");
+                match reason {
+                    // A flood sheds many.
+                    CutReason::Shed => tracing::debug!(%peer, %reason, "caller's connection cut"),
+                    CutReason::Unread => tracing::info!(%peer, %reason, "caller's connection cut"),
+                }
                 // What was written of a response must not look complete, and what the kernel holds
                 // of it is freed.
                 io::reset_on_close(&socket);
