--- a/crates/daemon/tests/caller_memory.rs
+++ b/crates/daemon/tests/caller_memory.rs
@@ -15,13 +15,16 @@
         Mutex, MutexGuard, PoisonError,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use gooseberry_standins::gateway_mocks::{
     configuration, server_entry, write_response, ScriptedServer, StandinStore,
 };
-use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
+use rustix::{
+    net::{self, sockopt, AddressFamily, SocketFlags, SocketType},
+    process::{Pid, Signal},
+};
 
 /// Memory of the VM in the settings, in megabytes; the bound on `VmHWM`.
 const MEMORY_MB: u64 = 64;
@@ -47,6 +50,9 @@
 const ORDINARY_ATTEMPTS: u32 = 5;
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// Grace period of a stop in the settings.
+const GRACE: Duration = Duration::from_secs(5);
+
 /// Lets one flood run at a time.
 static FLOOD: Mutex<()> = Mutex::new(());
 
@@ -89,11 +95,13 @@
         let text = format!(
             "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {callers}\n\
              ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\nstore: {}\n\
-             memory_mb: {memory_mb}\nmax_fds: {MAX_DESCRIPTORS}\n",
+             memory_mb: {memory_mb}\nmax_fds: {MAX_DESCRIPTORS}\n\
+             grace_s: {}\n",
             unused_address(),
             unused_address(),
             unused_address(),
             store.address,
+            GRACE.as_secs(),
         );
         fs::write(&settings, text).expect("settings");
         let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryd"))
@@ -296,20 +304,23 @@
     gateway.check(&streams);
 }
 
+/// Connects with a small receive buffer. Another test's process doesn't inherit the socket.
+fn connect_slow_reader(address: SocketAddr) -> Option<TcpStream> {
+    let flags = SocketFlags::CLOEXEC;
+    let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None);
+    let socket = socket.expect("a socket");
+    sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES).expect("the buffer");
+    net::connect(&socket, &address).ok()?;
+    Some(TcpStream::from(socket))
+}
+
 /// Guards against responses that callers don't read being held without a bound.
 #[test]
 fn responses_that_are_read_slowly_stay_within_the_memory() {
     let mut gateway = FloodedGateway::start("slow-readers");
     let mut streams = Vec::new();
     for number in 0..CONNECTIONS {
-        let flags = SocketFlags::CLOEXEC;
-        let socket = net::socket_with(AddressFamily::INET, SocketType::STREAM, flags, None);
-        let socket = socket.expect("a socket");
-        sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES).expect("the buffer");
-        if net::connect(&socket, &gateway.callers).is_err() {
-            continue;
-        }
-        let mut stream = TcpStream::from(socket);
+        let Some(mut stream) = connect_slow_reader(gateway.callers) else { continue };
         let request = format!(
             "GET /plain/large HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: slow-{number}\r\n\
              X-Deadline-Ms: 3000\r\n\r\n"
@@ -367,3 +378,19 @@
     let response = send_largest_body(&gateway, "Content-Length: 4194305", 128 * 1024);
     assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
 }
+
+/// Guards against a stop that waits for a caller which never reads, beyond the grace period.
+#[test]
+fn a_caller_that_never_reads_does_not_hold_up_a_stop() {
+    let mut gateway = FloodedGateway::start("stopped");
+    let mut stream = connect_slow_reader(gateway.callers).expect("a connection");
+    let request = "GET /plain/large HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: never\r\n\
+                   X-Deadline-Ms: 3000\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("a request");
+    assert!(stream.read(&mut [0]).is_ok_and(|length| length == 1), "the response begins");
+    let stopped_at = Instant::now();
+    let pid = Pid::from_child(&gateway.child);
+    rustix::process::kill_process(pid, Signal::TERM).expect("the process is running");
+    assert!(gateway.child.wait().expect("a status").success());
+    assert!(stopped_at.elapsed() < GRACE + Duration::from_secs(1), "{:?}", stopped_at.elapsed());
+}
