--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -68,6 +68,18 @@
     soak(24010, 12, 4);
 }
 
+/// Guards against the same after all daemons were killed.
+#[test]
+fn seed_70206_serves_callers_of_daemons_without_links_after_a_kill() {
+    soak(70206, 12, 4);
+}
+
+/// Guards against the same after a route has moved.
+#[test]
+fn seed_70208_serves_callers_of_daemons_without_links_whose_route_moves() {
+    soak(70208, 12, 4);
+}
+
 /// Guards against daemons that end by SIGTERM itself when they are stopped just after their start.
 #[test]
 fn seed_25024_stops_daemons_that_have_just_started() {
