--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prefix;
 pub mod prefix_table;
 pub mod readers;
+pub mod ready_budget;
 pub mod refusal;
 pub mod rendezvous;
 pub mod retries;
--- a/crates/edges/src/unframed.rs
+++ b/crates/edges/src/unframed.rs
@@ -14,7 +14,7 @@
     io::{AsyncReadExt, BufReader, Cursor},
     ready, AsyncRead, AsyncWrite,
 };
-use gooseberry_transport::budget::ReadyBudget;
+use gooseberry_core::ready_budget::ReadyBudget;
 use http_types::{
     headers::{CONTENT_LENGTH, TRANSFER_ENCODING},
     Body, Method, Response, StatusCode,
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::budget::OverheadMeter;
+use crate::meter::OverheadMeter;
 
 /// The reason why a response body ended early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/transport/src/client.rs
+++ b/crates/transport/src/client.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     body::ArrivingBody,
-    budget::OverheadMeter,
     io::{self, StreamIo},
+    meter::OverheadMeter,
 };
 
 /// Largest head of a response, in bytes.
--- a/crates/transport/src/io.rs
+++ b/crates/transport/src/io.rs
@@ -9,13 +9,11 @@
 
 use async_std::net::TcpStream;
 use futures_lite::{ready, AsyncRead, AsyncWrite};
+use gooseberry_core::ready_budget::ReadyBudget;
 use hyper::rt;
 use rustix::net::sockopt;
 
-use crate::{
-    budget::{OverheadMeter, ReadyBudget},
-    handle::ConnectionHandle,
-};
+use crate::{handle::ConnectionHandle, meter::OverheadMeter};
 
 /// Most bytes read from the socket at once.
 const READ_CHUNK_BYTES: usize = 8192;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,10 +6,10 @@
 //! distinguishes a complete response from a truncated one.
 
 pub mod body;
-pub mod budget;
 pub mod client;
 pub mod handle;
 pub mod io;
+pub mod meter;
 pub mod pool;
 pub mod server;
 pub mod timer;
--- a/crates/transport/src/server.rs
+++ b/crates/transport/src/server.rs
@@ -30,9 +30,9 @@
 
 use crate::{
     body::{ArrivingBody, BodyError, ResponseBody},
-    budget::OverheadMeter,
     handle::ConnectionHandle,
     io::{self, StreamIo},
+    meter::OverheadMeter,
     timer::RuntimeTimer,
 };
 
--- a/crates/transport/tests/io.rs
+++ b/crates/transport/tests/io.rs
@@ -10,7 +10,7 @@
 };
 
 use async_std::{net::TcpStream, task};
-use gooseberry_transport::{budget::OverheadMeter, io::StreamIo};
+use gooseberry_transport::{io::StreamIo, meter::OverheadMeter};
 use hyper::rt::{Read, ReadBuf, Write as _};
 use rustix::net::sockopt;
 
