daemon: install signal handlers before the settings are read

SIGHUP does the same. The handlers were installed by the runtime's first task, after the settings, the log and the runtime; whatever comes before that ends the process. They come first in main now and are handed in; a gateway that is stopped before its start ends without one. With a pipe as the settings file, so that the signal arrives while they are read, both new tests failed before (the status is "signal: 15 (SIGTERM)") and pass now, with the four others of the file. The signal may still come while the program is being loaded.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 use bpaf::Bpaf;
 use gooseberry_config::{diagnostic::TextDiagnostics, settings};
 use gooseberry_daemon::{logs, program};
+use gooseberry_edges::stop::{ProcessSignals, StopSignal};
 use gooseberry_gateway::settings::GatewayOptions;
 
 /// Forwards requests of callers to the backend servers of this platform
@@ -30,16 +31,18 @@
     if arguments.gateway {
         return run_gateway(arguments);
     }
+    let stop = StopSignal::on_termination()?;
     let settings = read(&arguments.settings, settings::parse)?;
     if arguments.check {
         return Ok(());
     }
     let log_filter = logs::install(&settings.log)?;
     set_threads(settings.traffic_threads);
-    task::block_on(program::run(settings, log_filter))
+    task::block_on(program::run(settings, log_filter, stop))
 }
 
 fn run_gateway(arguments: Arguments) -> anyhow::Result<()> {
+    let signals = ProcessSignals::install()?;
     let settings = read(&arguments.settings, settings::parse_gateway)?;
     let options = GatewayOptions::new(&settings)?;
     if arguments.check {
@@ -53,7 +56,7 @@
         Ok(GatewayOptions::new(&settings)?)
     };
     let dropped_lines = Box::new(move || dropped.dropped_lines() as u64);
-    task::block_on(gooseberry_gateway::program::run(options, reload, dropped_lines))
+    task::block_on(gooseberry_gateway::program::run(options, signals, reload, dropped_lines))
 }
 
 /// Reads and validates settings.
--- a/crates/daemon/src/program.rs
+++ b/crates/daemon/src/program.rs
@@ -57,8 +57,11 @@
 /// # Errors
 ///
 /// Returns an error if an address can't be bound.
-pub async fn run(settings: DaemonSettings, log_filter: LogFilter) -> anyhow::Result<()> {
-    let stop = StopSignal::on_termination()?;
+pub async fn run(
+    settings: DaemonSettings,
+    log_filter: LogFilter,
+    stop: StopSignal,
+) -> anyhow::Result<()> {
     let drain_limit = Duration::from_secs(settings.drain_s);
     let (context, events) = context(settings, log_filter, stop.clone())?;
     start_control(&context, events)?;
--- a/crates/daemon/tests/gateway_signals.rs
+++ b/crates/daemon/tests/gateway_signals.rs
@@ -4,7 +4,7 @@
     fs,
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
 };
@@ -30,6 +30,34 @@
 
 impl GatewayProcess {
     fn start(name: &str) -> Self {
+        let mut process = Self::spawn(name, |settings, text| {
+            fs::write(settings, text).expect("settings");
+        });
+        process.wait_for_line("\"started\"");
+        process
+    }
+
+    /// Starts a process and sends it a signal while it reads its settings.
+    fn start_signalled(name: &str, signal: Signal) -> Self {
+        let mut text = String::new();
+        let process = Self::spawn(name, |settings, written| {
+            let made = Command::new("mkfifo").arg(settings).status().expect("mkfifo runs");
+            assert!(made.success(), "no pipe at {}", settings.display());
+            text = written.to_owned();
+        });
+        // Opens once the process reads.
+        let mut pipe = fs::File::options().write(true).open(&process.settings).expect("a pipe");
+        process.signal(signal);
+        // A process that the signal has ended reads nothing.
+        let _ = pipe.write_all(text.as_bytes());
+        fs::remove_file(&process.settings).expect("the pipe");
+        // Later reads find the same settings.
+        fs::write(&process.settings, text).expect("settings");
+        process
+    }
+
+    /// Starts a process once its settings were laid at a path by a function.
+    fn spawn(name: &str, lay: impl FnOnce(&Path, &str)) -> Self {
         let settings = std::env::temp_dir().join(format!("{name}-{}.yaml", std::process::id()));
         let (callers, metrics) = (unused_address(), unused_address());
         let text = format!(
@@ -39,7 +67,7 @@
             unused_address(),
             unused_address()
         );
-        fs::write(&settings, text).expect("settings");
+        lay(&settings, &text);
         let mut child = Command::new(env!("CARGO_BIN_EXE_gooseberryd"))
             .args(["--gateway", "--settings"])
             .arg(&settings)
@@ -47,9 +75,7 @@
             .spawn()
             .expect("the process starts");
         let lines = BufReader::new(child.stdout.take().expect("the process's output"));
-        let mut process = Self { child, lines, settings, callers, metrics };
-        process.wait_for_line("\"started\"");
-        process
+        Self { child, lines, settings, callers, metrics }
     }
 
     /// Sends a request for a path to one of the process's addresses and returns the
@@ -149,3 +175,19 @@
     process.wait_for_line("\"stopped\"");
     assert!(process.child.wait().expect("a status").success());
 }
+
+// Guards against a process that a stop just after its start ends by the signal itself.
+#[test]
+fn a_stop_before_the_start_ends_the_process_in_order() {
+    let mut process = GatewayProcess::start_signalled("stopped-early", Signal::TERM);
+    let status = process.child.wait().expect("a status");
+    assert!(status.success(), "{status}");
+}
+
+// Guards against a process that a change of its settings just after its start ends.
+#[test]
+fn a_reload_before_the_start_does_not_end_the_process() {
+    let mut process = GatewayProcess::start_signalled("reloaded-early", Signal::HUP);
+    process.wait_for_line("\"started\"");
+    process.wait_for_line("settings reloaded");
+}
--- a/crates/edges/src/stop.rs
+++ b/crates/edges/src/stop.rs
@@ -62,6 +62,27 @@
     }
 }
 
+/// The signals of a process that serves until it is stopped.
+///
+/// They are installed first of all: until then each of them ends the process at once.
+#[derive(Debug)]
+pub struct ProcessSignals {
+    pub stop: StopSignal,
+    /// Receives a message for each SIGHUP.
+    pub reload_requests: async_channel::Receiver<()>,
+}
+
+impl ProcessSignals {
+    /// Installs the handlers of SIGTERM, SIGINT and SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the signal handlers can't be installed.
+    pub fn install() -> io::Result<Self> {
+        Ok(Self { stop: StopSignal::on_termination()?, reload_requests: reload_requests()? })
+    }
+}
+
 /// Returns a channel that receives a message for each SIGHUP.
 ///
 /// Without this handler SIGHUP would end the process. Signals that arrive while
@@ -70,7 +91,7 @@
 /// # Errors
 ///
 /// Returns an error if the signal handler can't be installed.
-pub fn reload_requests() -> io::Result<async_channel::Receiver<()>> {
+fn reload_requests() -> io::Result<async_channel::Receiver<()>> {
     let (sender, receiver) = async_channel::bounded(1);
     let mut signals = Signals::new([SIGHUP])?;
     thread::Builder::new().name("reload".to_owned()).spawn(move || {
--- a/crates/gateway/src/program.rs
+++ b/crates/gateway/src/program.rs
@@ -6,10 +6,7 @@
 use async_channel::Receiver;
 use async_std::{net::TcpListener, task};
 use gooseberry_core::serving::shutdown;
-use gooseberry_edges::{
-    clock::Clock,
-    stop::{self, StopSignal},
-};
+use gooseberry_edges::{clock::Clock, stop::ProcessSignals};
 use gooseberry_platform::front as platform_front;
 use gooseberry_transport::{
     body::{ArrivingBody, ResponseBody},
@@ -46,14 +43,18 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the signal handlers can't be installed or the tasks can't be started.
+/// Returns an error if the tasks can't be started.
 pub async fn run(
     options: GatewayOptions,
+    signals: ProcessSignals,
     reload: impl Fn() -> anyhow::Result<GatewayOptions> + Send + 'static,
     dropped_lines: LineCounter,
 ) -> anyhow::Result<()> {
-    let stop = StopSignal::on_termination()?;
-    let reload_requests = stop::reload_requests()?;
+    let ProcessSignals { stop, reload_requests } = signals;
+    if stop.is_triggered() {
+        tracing::info!("stopped before the start");
+        return Ok(());
+    }
     let (gateway, callers) = start(options, dropped_lines).await?;
     task::spawn(reload_forever(Arc::clone(&gateway), reload_requests, reload));
     stop.wait().await;
