gateway: let large responses exceed the memory by a part of it, not all at once

Responses grow while they are read: each held a part and waited for the rest, none was complete, so none could stall and be shed, and after 0.5 s all exceeded the bound. Now large ones exceed it by a quarter together, and one by any size; the others wait until their deadline at most, and the wait isn't put down to their server.

--- a/crates/core/src/serving/caller_memory.rs
+++ b/crates/core/src/serving/caller_memory.rs
@@ -22,6 +22,8 @@
 const MIN_BOUND_BYTES: u64 = 8 * 1024 * 1024;
 /// Part of the bound that is reserved for small bodies.
 const SMALL_RESERVE_DIVISOR: u64 = 4;
+/// Part of the bound by which large responses may exceed it together.
+const OVERDRAFT_DIVISOR: u64 = 4;
 /// Memory of a connection, in bytes: the read and the write buffer of 8 KiB each, and its task.
 const CONNECTION_BYTES: u64 = 24 * 1024;
 /// Part of the bound that connections may take.
@@ -124,12 +126,14 @@
     held_bytes: u64,
     next_key: u64,
     holders: BTreeMap<HolderKey, Holder>,
+    /// The large response that last exceeded the bound.
+    overdrawn: Option<HolderKey>,
 }
 
 impl MemoryLedger {
     /// Creates an empty ledger.
     pub fn new(limits: MemoryLimits) -> Self {
-        Self { limits, held_bytes: 0, next_key: 0, holders: BTreeMap::new() }
+        Self { limits, held_bytes: 0, next_key: 0, holders: BTreeMap::new(), overdrawn: None }
     }
 
     /// Returns the bytes that are held.
@@ -194,6 +198,28 @@
         }
     }
 
+    /// Sets the memory of a response, in bytes, beyond the bound, and returns whether it was set.
+    ///
+    /// Responses that each hold a part of their memory and wait for the rest would wait for ever, so
+    /// large ones may exceed the bound by a part of it together, and one of them by any size. Small ones
+    /// always may.
+    pub fn overdraw(&mut self, key: HolderKey, bytes: u64) -> bool {
+        let Some(holder) = self.holders.get(&key) else {
+            return true;
+        };
+        if bytes > SMALL_BODY_BYTES {
+            let limit = self.limits.total_bytes + self.limits.total_bytes / OVERDRAFT_DIVISOR;
+            let exceeds = self.held_bytes - holder.bytes + bytes > limit;
+            let other = self.overdrawn.filter(|other| *other != key && self.contains(*other));
+            if exceeds && other.is_some() {
+                return false;
+            }
+            self.overdrawn = Some(key);
+        }
+        self.force(key, bytes);
+        true
+    }
+
     /// Sheds the holder whose caller has stalled longest, for the sake of its connection.
     pub fn shed_longest_stalled(&mut self, now: Timestamp) -> Option<ShedHolder> {
         let victim = self.stalled(now).min_by_key(|(since, _)| *since).map(|(_, shed)| shed)?;
--- a/crates/core/tests/serving_caller_memory.rs
+++ b/crates/core/tests/serving_caller_memory.rs
@@ -49,6 +49,28 @@
     assert!(MemoryLimits::new(120_000_000, 3_075).connections > 360);
 }
 
+/// Guards against all responses exceeding the bound that wait for memory at the same time.
+#[test]
+fn large_responses_exceed_the_bound_by_a_part_of_it_or_one_at_a_time() {
+    let mut ledger = ledger();
+    let responses: Vec<_> = (0..12).map(|_| ledger.open(HolderKind::Response)).collect();
+    for key in &responses {
+        ledger.resize(*key, LARGE / 4, START).expect("room for a part");
+    }
+    for key in &responses {
+        ledger.resize(*key, 2 * LARGE, START).expect_err("no room for the rest");
+    }
+    let [first, second, third, ..] = responses[..] else { panic!("too few responses") };
+    assert!(ledger.overdraw(first, 2 * LARGE), "a part of the bound");
+    assert!(!ledger.overdraw(second, 2 * LARGE), "the part is used");
+    assert!(ledger.overdraw(first, 4 * LARGE), "one may exceed it by any size");
+    assert!(!ledger.overdraw(second, LARGE / 2), "not a second one");
+    assert!(ledger.overdraw(third, SMALL), "a small one may always");
+    ledger.close(first);
+    assert!(ledger.overdraw(second, 4 * LARGE), "the first one has ended");
+    assert!(ledger.held_bytes() < 7 * LARGE, "{}", ledger.held_bytes());
+}
+
 /// Guards against shedding a caller that is sending in favour of one that has stalled.
 #[test]
 fn the_longest_stalled_is_shed_first() {
--- a/crates/daemon/tests/caller_memory.rs
+++ b/crates/daemon/tests/caller_memory.rs
@@ -11,7 +11,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicU16, Ordering},
+        atomic::{AtomicBool, AtomicU16, Ordering},
         Mutex, MutexGuard, PoisonError,
     },
     thread,
@@ -42,6 +42,10 @@
 const TINY_CHUNK_PAUSE: Duration = Duration::from_millis(25);
 /// Size of a response for a slow reader, in bytes.
 const RESPONSE_BYTES: usize = 500_000;
+/// Part of the bound by which responses may exceed it together.
+const OVERDRAFT_DIVISOR: u64 = 4;
+/// Bytes of small responses and parts, which may exceed the bound besides.
+const SMALL_BYTES: u64 = 128 * 1024;
 /// Receive buffer of a slow reader, in bytes, so that the kernel doesn't take the response.
 const RECEIVE_BUFFER_BYTES: usize = 4096;
 /// Longest time for which one write to a connection that isn't read may block.
@@ -69,6 +73,7 @@
     child: Child,
     settings: PathBuf,
     callers: SocketAddr,
+    metrics: SocketAddr,
     most_descriptors: usize,
     _store: StandinStore,
     _server: ScriptedServer,
@@ -91,15 +96,14 @@
         store.put_configuration(&configuration(1, "plain"));
         store.put_server("s0", &server_entry("plain", &server.address.to_string(), "", "ready"));
         let settings = std::env::temp_dir().join(format!("{name}-{}.yaml", std::process::id()));
-        let callers = unused_address();
+        let (callers, metrics) = (unused_address(), unused_address());
         let text = format!(
             "name: {name}\nfailure_domain: a\nregions: {{a: one}}\nlisten: {callers}\n\
-             ready_listen: {}\nmetrics_listen: {}\npeer_listen: {}\nstore: {}\n\
+             ready_listen: {}\nmetrics_listen: {metrics}\npeer_listen: {}\nstore: {}\n\
              memory_mb: {memory_mb}\nmax_fds: {MAX_DESCRIPTORS}\n\
              grace_s: {}\n",
             unused_address(),
             unused_address(),
-            unused_address(),
             store.address,
             GRACE.as_secs(),
         );
@@ -121,6 +125,7 @@
             child,
             settings,
             callers,
+            metrics,
             most_descriptors: 0,
             _store: store,
             _server: server,
@@ -167,6 +172,29 @@
         }
     }
 
+    /// Opens the connections of a flood of callers that each read one byte of a large response.
+    fn flood_slow_readers(&mut self) -> Vec<TcpStream> {
+        let mut streams = Vec::new();
+        for number in 0..CONNECTIONS {
+            let Some(mut stream) = connect_slow_reader(self.callers) else { continue };
+            let request = format!(
+                "GET /plain/large HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: slow-{number}\r\n\
+                 X-Deadline-Ms: 3000\r\n\r\n"
+            );
+            if stream.write_all(request.as_bytes()).is_ok() {
+                streams.push(stream);
+            }
+            self.count_descriptors();
+        }
+        // One byte from each shows that its response has begun, or its connection was closed.
+        for mut stream in &streams {
+            let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+            let _ = stream.read(&mut [0]);
+            self.count_descriptors();
+        }
+        streams
+    }
+
     fn count_descriptors(&mut self) {
         let path = format!("/proc/{}/fd", self.child.id());
         let count = fs::read_dir(path).expect("the process is running").count();
@@ -314,31 +342,52 @@
     Some(TcpStream::from(socket))
 }
 
+/// Reads metrics of the memory held for callers until the flag is set. Returns by how many bytes what
+/// was held exceeded at most the bound and the part by which responses may exceed it together.
+fn most_held_beyond_bound(metrics: SocketAddr, is_over: &AtomicBool) -> u64 {
+    let mut most = 0;
+    while !is_over.load(Ordering::Relaxed) {
+        let mut stream = TcpStream::connect(metrics).expect("a connection");
+        let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).expect("a request");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("metrics");
+        let value = |name: &str| {
+            let line = text.lines().find_map(|line| line.strip_prefix(name)).expect("the metric");
+            line.trim().parse::<u64>().expect("a number")
+        };
+        let limit = value("gooseberrykeel_caller_memory_limit_bytes ");
+        let held = value("gooseberrykeel_caller_memory_bytes ");
+        most = most.max(held.saturating_sub(limit + limit / OVERDRAFT_DIVISOR));
+        thread::sleep(Duration::from_millis(5));
+    }
+    most
+}
+
 /// Guards against responses that callers don't read being held without a bound.
 #[test]
 fn responses_that_are_read_slowly_stay_within_the_memory() {
     let mut gateway = FloodedGateway::start("slow-readers");
-    let mut streams = Vec::new();
-    for number in 0..CONNECTIONS {
-        let Some(mut stream) = connect_slow_reader(gateway.callers) else { continue };
-        let request = format!(
-            "GET /plain/large HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: slow-{number}\r\n\
-             X-Deadline-Ms: 3000\r\n\r\n"
-        );
-        if stream.write_all(request.as_bytes()).is_ok() {
-            streams.push(stream);
-        }
-        gateway.count_descriptors();
-    }
-    // One byte from each shows that its response has begun, or its connection was closed.
-    for mut stream in &streams {
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-        let _ = stream.read(&mut [0]);
-        gateway.count_descriptors();
-    }
+    let streams = gateway.flood_slow_readers();
     gateway.check(&streams);
 }
 
+/// Guards against responses that each hold a part of their memory, wait for the rest and then all exceed
+/// the bound.
+#[test]
+fn responses_exceed_what_may_be_held_by_a_part_of_it() {
+    let mut gateway = FloodedGateway::start("overdrawn");
+    let (metrics, is_over) = (gateway.metrics, AtomicBool::new(false));
+    let most = thread::scope(|scope| {
+        let sampled = scope.spawn(|| most_held_beyond_bound(metrics, &is_over));
+        let streams = gateway.flood_slow_readers();
+        is_over.store(true, Ordering::Relaxed);
+        drop(streams);
+        sampled.join().expect("samples")
+    });
+    assert!(most <= RESPONSE_BYTES as u64 + SMALL_BYTES, "{most} bytes beyond the bound");
+}
+
 /// Sends one request with a body of 4 MiB, whose head has this header, and returns the response. The
 /// body is sent whatever the process responds.
 fn send_largest_body(gateway: &FloodedGateway, header: &str, bytes: usize) -> String {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -91,6 +91,8 @@
     has_arrived: AtomicBool,
     /// Whether the request is counted for its account.
     is_counted: AtomicBool,
+    /// Whether the response waits for memory of this daemon instead of its server.
+    waits_for_memory: AtomicBool,
     /// Servers that have refused the request, or its prefill.
     refusals: Mutex<Vec<EngineKey>>,
 }
@@ -474,6 +476,12 @@
         let limit = if can_repeat { time_left.mul_f64(ATTEMPT_SHARE) } else { time_left };
         let outcome = match self.gateway.clock.timeout(limit, work).await {
             Ok(outcome) => outcome,
+            // The server has responded, and isn't to blame.
+            Err(_) if self.execution.waits_for_memory.swap(false, Ordering::Relaxed) => {
+                let id = &self.head.request_id;
+                tracing::info!(request = %id, server = %target.id, "no memory for a response in time");
+                PlainAttempt::Failed(Err(LocalResponse::TimedOut))
+            }
             Err(_) => {
                 self.execution.record_arrival();
                 send::record_failure(&self.gateway, target, "no response in time");
@@ -490,7 +498,9 @@
 
     async fn read_response(&self, body: ArrivingBody) -> Result<Bytes, ReadError> {
         let memory = &self.gateway.memory;
-        memory.read_response(body, PLAIN_RESPONSE_LIMIT_BYTES, &self.parts.extensions).await
+        let is_waiting = &self.execution.waits_for_memory;
+        let caller = &self.parts.extensions;
+        memory.read_response(body, PLAIN_RESPONSE_LIMIT_BYTES, caller, is_waiting).await
     }
 
     /// Reads the complete response, so that a truncated one isn't forwarded.
--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -3,7 +3,10 @@
 
 use std::{
     collections::HashMap,
-    sync::Arc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
@@ -33,11 +36,13 @@
 const REQUEST_BYTES: usize = 8 * 1024;
 /// Memory of a part of a response beside its data, in bytes.
 const PART_BYTES: usize = 128;
-/// Longest wait of a response for memory. What a server has run isn't cut off; afterwards the
-/// response exceeds the bound.
+/// Wait of a response for memory after which it may exceed the bound. What a server has run isn't cut
+/// off.
 const RESPONSE_WAIT: Duration = Duration::from_millis(500);
 /// Time between attempts to get memory for a response.
 const RESPONSE_RETRY: Duration = Duration::from_millis(10);
+/// The same after that wait. Each attempt looks at all holders, and many responses may wait.
+const LATE_RETRY: Duration = Duration::from_millis(100);
 
 /// The reason why a request body isn't read to its end. The request hasn't reached a server.
 #[derive(Debug, thiserror::Error)]
@@ -193,7 +198,11 @@
             capacity
         };
         if is_new || capacity > buffer.capacity() {
-            self.resize(&mut table, key, REQUEST_BYTES + capacity, now)?;
+            let resized = self.resize(&mut table, key, REQUEST_BYTES + capacity, now);
+            if resized.is_err() {
+                self.metrics.refusals.with_label_values(&["exhausted"]).inc();
+            }
+            resized?;
         }
         if let Some(HeldData::Body { buffer, .. }) = table.data.get_mut(&key) {
             buffer.reserve_exact(capacity - buffer.len());
@@ -226,7 +235,8 @@
     }
 
     /// Reads a server's response of at most `limit_bytes` for the caller of a request with these
-    /// extensions. The bytes hold their memory until the caller has read them.
+    /// extensions. The bytes hold their memory until the caller has read them. `is_waiting` says whether
+    /// the response waits for memory instead of its server.
     ///
     /// # Errors
     ///
@@ -236,6 +246,7 @@
         mut body: ArrivingBody,
         limit_bytes: usize,
         caller: &Extensions,
+        is_waiting: &AtomicBool,
     ) -> Result<Bytes, ReadError> {
         let longest = body.size_hint().exact().map_or(limit_bytes, |length| length as usize);
         let hold = self.open_response(caller);
@@ -248,7 +259,9 @@
             }
             if needed > bytes.capacity() {
                 let capacity = caller_memory::next_capacity(bytes.capacity(), needed, longest);
+                is_waiting.store(true, Ordering::Relaxed);
                 self.grow_response(hold.key, PART_BYTES + capacity).await;
+                is_waiting.store(false, Ordering::Relaxed);
                 bytes.reserve_exact(capacity - bytes.len());
             }
             bytes.extend_from_slice(&data);
@@ -286,25 +299,28 @@
         self.open(HolderKind::Response, HeldData::Response(connection))
     }
 
-    /// Sets the memory of a response. Waits a while if there is none, and meanwhile nothing is read
-    /// from the server.
+    /// Sets the memory of a response. Waits if there is none, and meanwhile nothing is read from the
+    /// server.
     async fn grow_response(&self, key: HolderKey, bytes: usize) {
         let mut waited = Duration::ZERO;
         loop {
             let now = self.clock.now();
+            let may_exceed = waited >= RESPONSE_WAIT;
             {
                 let mut table = self.table.lock();
-                let is_granted = self.resize(&mut table, key, bytes, now).is_ok();
-                if !is_granted && waited >= RESPONSE_WAIT {
-                    table.ledger.force(key, bytes as u64);
-                }
+                let is_granted = self.resize(&mut table, key, bytes, now).is_ok()
+                    || may_exceed && table.ledger.overdraw(key, bytes as u64);
                 self.report(&table);
-                if is_granted || waited >= RESPONSE_WAIT {
+                if is_granted {
                     return;
                 }
+                if waited.is_zero() {
+                    self.metrics.refusals.with_label_values(&["exhausted"]).inc();
+                }
             }
-            self.clock.sleep(RESPONSE_RETRY).await;
-            waited += RESPONSE_RETRY;
+            let pause = if may_exceed { LATE_RETRY } else { RESPONSE_RETRY };
+            self.clock.sleep(pause).await;
+            waited += pause;
         }
     }
 
@@ -326,7 +342,6 @@
                 Ok(())
             }
             Err(fault) => {
-                self.metrics.refusals.with_label_values(&["exhausted"]).inc();
                 if table.floods.record(now) {
                     tracing::warn!(
                         held_bytes = fault.held_bytes,
