--- a/crates/edges/src/listener.rs
+++ b/crates/edges/src/listener.rs
@@ -22,8 +22,7 @@
     task,
 };
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
-use gooseberry_core::ready_budget::ReadyBudget;
-use gooseberry_core::time::Timestamp;
+use gooseberry_core::{ready_budget::ReadyBudget, time::Timestamp};
 use parking_lot::Mutex;
 
 use crate::{clock::Clock, stop::StopSignal};
--- a/crates/gateway/src/caller_memory.rs
+++ b/crates/gateway/src/caller_memory.rs
@@ -198,11 +198,9 @@
             capacity
         };
         if is_new || capacity > buffer.capacity() {
-            let resized = self.resize(&mut table, key, REQUEST_BYTES + capacity, now);
-            if resized.is_err() {
+            self.resize(&mut table, key, REQUEST_BYTES + capacity, now).inspect_err(|_| {
                 self.metrics.refusals.with_label_values(&["exhausted"]).inc();
-            }
-            resized?;
+            })?;
         }
         if let Some(HeldData::Body { buffer, .. }) = table.data.get_mut(&key) {
             buffer.reserve_exact(capacity - buffer.len());
