--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -80,6 +80,12 @@
     soak(70208, 12, 4);
 }
 
+/// Guards against the same while nearly all requests of the other daemons are refused too.
+#[test]
+fn seed_80125_serves_callers_of_daemons_without_links_when_few_are_served() {
+    soak(80125, 12, 4);
+}
+
 /// Guards against daemons that end by SIGTERM itself when they are stopped just after their start.
 #[test]
 fn seed_25024_stops_daemons_that_have_just_started() {
