Add review case 12: streams go on at another version while the store is silent

An engine starts again under its id with a newer version just after the store has fallen silent. The daemons record its streams for the version that they know, can't confirm that without the store, and let callers take them up at engines of the old version. The script starts four gateways as deployed, nine engines and a store whose links stall for 4.5 s.

--- a/review/kit-3/src/setup.rs
+++ b/review/kit-3/src/setup.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// Time between the starts of two engines: a ninth of the time between two heartbeats.
+const HEARTBEAT_STEP: Duration = Duration::from_millis(133);
+
 /// The deployment.
 pub struct Deployment {
     pub store: StandinStore,
@@ -113,6 +116,8 @@
                     event_gap,
                 };
                 engines.push(Engine::start(plan, link.clone(), record.clone()));
+                // The heartbeats of servers aren't in step.
+                thread::sleep(HEARTBEAT_STEP);
             }
         }
         let daemons: Vec<Daemon> = (0..daemons)
