--- a/review/kit-3/src/engine.rs
+++ b/review/kit-3/src/engine.rs
@@ -143,11 +143,6 @@
         self.write_entry();
     }
 
-    /// Returns the number of requests that run.
-    pub fn running(&self) -> usize {
-        self.state.lock().running
-    }
-
     fn write_entry(&self) {
         if *self.link.is_away.lock() {
             return;
--- a/review/kit-3/src/load.rs
+++ b/review/kit-3/src/load.rs
@@ -22,8 +22,9 @@
 }
 
 /// Starts streams at these times, in seconds after `started`. A broken stream is taken up once, at the
-/// next daemon of the list.
+/// next daemon of the list. `first` is the number of the first one, which its id follows from.
 pub fn start(
+    first: usize,
     times: Vec<f64>,
     started: Instant,
     frontends: Vec<String>,
@@ -39,7 +40,7 @@
                 (record.clone(), Arc::clone(&counts), frontends.clone());
             threads.push(thread::spawn(move || {
                 let wish = Wish {
-                    id: format!("{:08x}", 0x5a00_0000 + number * 16),
+                    id: format!("{:08x}", 0x5a00_0000 + (first + number) * 16),
                     deadline: Duration::from_secs(4),
                     shared: format!("{:x}", 0xc0 + number % 7),
                     resumes: 1,
