--- a/review/kit-3/src/bin/restored-store.rs
+++ b/review/kit-3/src/bin/restored-store.rs
@@ -11,8 +11,8 @@
     load,
     record::Record,
     setup::{self, CaseArguments, Deployment},
+    store::StoreBehaviour,
 };
-use gooseberry_standins::gateway_mocks::StoreBehaviour;
 
 /// Streams a second.
 const STREAMS_PER_S: f64 = 60.0;
--- a/review/kit-3/src/engine.rs
+++ b/review/kit-3/src/engine.rs
@@ -12,12 +12,15 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use gooseberry_harness::process::bind_unused_address;
-use gooseberry_standins::gateway_mocks::{self, ReceivedRequest, StandinStore};
 use parking_lot::Mutex;
 use serde_json::json;
 
-use crate::record::Record;
+use crate::{
+    net,
+    record::Record,
+    store::StandinStore,
+    wire::{self, ReceivedRequest},
+};
 
 /// Time between two writes of an entry.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
@@ -84,7 +87,7 @@
 impl Engine {
     /// Starts an engine, which registers itself.
     pub fn start(plan: EnginePlan, link: StoreLink, record: Record) -> Self {
-        let listener = bind_unused_address();
+        let listener = net::bind_unused_address();
         let address = listener.local_addr().expect("an address").to_string();
         let state = EngineState {
             stage: plan.stage,
@@ -203,7 +206,7 @@
         if let Ok(handle) = stream.try_clone() {
             self.open.lock().insert(number, handle);
         }
-        while let Some(request) = gateway_mocks::read_request(&mut stream) {
+        while let Some(request) = wire::read_request(&mut stream) {
             let is_same = {
                 let state = self.state.lock();
                 state.is_up && state.born == born
@@ -228,16 +231,16 @@
             return write(stream, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         }
         if request.expected_server().is_some_and(|id| id != self.id) {
-            return gateway_mocks::write_misdirected(request, stream);
+            return wire::write_misdirected(request, stream);
         }
         let is_busy = self.state.lock().busy_until.is_some();
         if is_busy {
-            return gateway_mocks::write_rejection(request, stream, "");
+            return wire::write_rejection(request, stream, "");
         }
         if request.is_prefill() {
             thread::sleep(PREFILL_TIME);
             let id = request.id();
-            let body = gateway_mocks::prefill_body(request);
+            let body = wire::prefill_body(request);
             return write(
                 stream,
                 &format!(
@@ -251,12 +254,12 @@
             let mut state = self.state.lock();
             if state.stage == "prefill" {
                 drop(state);
-                return gateway_mocks::write_misdirected(request, stream);
+                return wire::write_misdirected(request, stream);
             }
             if state.running >= state.slots {
                 drop(state);
                 self.record.add(format!("engine {} is full and rejects {}", self.id, request.id()));
-                return gateway_mocks::write_rejection(request, stream, "");
+                return wire::write_rejection(request, stream, "");
             }
             state.running += 1;
         }
@@ -286,7 +289,7 @@
             request.id(),
             request.header("resumes").unwrap_or("-")
         ));
-        let head = gateway_mocks::response_head(
+        let head = wire::response_head(
             request,
             "X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked",
         );
--- a/review/kit-3/src/lib.rs
+++ b/review/kit-3/src/lib.rs
@@ -3,6 +3,10 @@
 pub mod caller;
 pub mod engine;
 pub mod load;
+pub mod net;
 pub mod process;
+pub mod proxy;
 pub mod record;
 pub mod setup;
+pub mod store;
+pub mod wire;
--- a/review/kit-3/src/process.rs
+++ b/review/kit-3/src/process.rs
@@ -10,10 +10,11 @@
     time::{Duration, Instant},
 };
 
-use gooseberry_harness::{process::unused_address, proxy::TestProxy};
 use parking_lot::Mutex;
 use rustix::process::{kill_process, Pid, Signal};
 
+use crate::{net::unused_address, proxy::TestProxy};
+
 /// Time after which a case is given up and all its processes are ended.
 const CASE_LIMIT: Duration = Duration::from_secs(105);
 
--- a/review/kit-3/src/setup.rs
+++ b/review/kit-3/src/setup.rs
@@ -10,15 +10,15 @@
     time::Duration,
 };
 
-use gooseberry_harness::proxy::ProxyState;
-use gooseberry_standins::gateway_mocks::StandinStore;
 use parking_lot::Mutex;
 use serde_json::{json, Value};
 
 use crate::{
     engine::{Engine, EnginePlan, StoreLink},
     process::{self, Daemon, DaemonPlan, ZONES},
+    proxy::ProxyState,
     record::Record,
+    store::StandinStore,
 };
 
 /// Arguments of a case: the program, the folder of the case, a temporary folder, and whether the
