--- a/review/kit-3/src/bin/body-flood.rs
+++ b/review/kit-3/src/bin/body-flood.rs
@@ -105,6 +105,7 @@
     let started = Instant::now();
     let ordinary = load::start(
         0,
+        7,
         load::steady(0.0, FLOOD.as_secs_f64(), 4.0),
         started,
         deployment.frontends(),
--- a/review/kit-3/src/bin/moved-stream.rs
+++ b/review/kit-3/src/bin/moved-stream.rs
@@ -45,7 +45,7 @@
         times.extend(load::steady(silent_at + 3.4, silent_at + 4.2, 64.0));
     }
     times.sort_by(f64::total_cmp);
-    let callers = load::start(0, times, started, deployment.frontends(), record);
+    let callers = load::start(0, 7, times, started, deployment.frontends(), record);
     let engine = deployment.engine("i-10").clone();
     for (silent_at, software) in SILENT_AT.into_iter().zip(["v2", "v3", "v4"]) {
         setup::wait_until(started, silent_at);
--- a/review/kit-3/src/bin/restored-store.rs
+++ b/review/kit-3/src/bin/restored-store.rs
@@ -41,7 +41,7 @@
     thread::sleep(Duration::from_secs(4));
     let started = Instant::now();
     let times = load::steady(0.0, 11.0, STREAMS_PER_S);
-    let callers = load::start(0, times, started, deployment.frontends(), record);
+    let callers = load::start(0, 7, times, started, deployment.frontends(), record);
     let engine = deployment.engine("i-10").clone();
     setup::wait_until(started, AWAY_AT - COPY_AGE);
     let copy = deployment.store.copy();
--- a/review/kit-3/src/bin/silent-store.rs
+++ b/review/kit-3/src/bin/silent-store.rs
@@ -14,7 +14,7 @@
 };
 
 /// Streams a second.
-const STREAMS_PER_S: f64 = 20.0;
+const STREAMS_PER_S: f64 = 30.0;
 /// Streams of two versions that the rule allows.
 const ALLOWED: usize = 2;
 /// Time of the outage in seconds, as in the site file.
@@ -39,7 +39,7 @@
     thread::sleep(Duration::from_secs(4));
     let started = Instant::now();
     let times = load::steady(0.0, 12.0, STREAMS_PER_S);
-    let callers = load::start(0, times, started, deployment.frontends(), record);
+    let callers = load::start(0, 66, times, started, deployment.frontends(), record);
     let engine = deployment.engine("i-10").clone();
     setup::wait_until(started, SILENT_AT - 0.3);
     engine.crash();
--- a/review/kit-3/src/load.rs
+++ b/review/kit-3/src/load.rs
@@ -22,9 +22,11 @@
 }
 
 /// Starts streams at these times, in seconds after `started`. A broken stream is taken up once, at the
-/// next daemon of the list. `first` is the number of the first one, which its id follows from.
+/// next daemon of the list. `first` is the number of the first one, which its id follows from; the
+/// prompts have one of `shared_parts` shared parts each.
 pub fn start(
     first: usize,
+    shared_parts: usize,
     times: Vec<f64>,
     started: Instant,
     frontends: Vec<String>,
@@ -42,7 +44,7 @@
                 let wish = Wish {
                     id: format!("{:08x}", 0x5a00_0000 + (first + number) * 16),
                     deadline: Duration::from_secs(4),
-                    shared: format!("{:x}", 0xc0 + number % 7),
+                    shared: format!("{:x}", 0xc0 + number % shared_parts),
                     resumes: 1,
                 };
                 let versions = caller::stream(&wish, &record, |attempt| {
--- a/review/kit-3/src/process.rs
+++ b/review/kit-3/src/process.rs
@@ -106,13 +106,6 @@
         self.child = spawn(&self.program, &self.settings, &self.log);
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: Signal) {
-        if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
-            let _ = kill_process(pid, signal);
-        }
-    }
-
     /// Returns whether the readiness check is answered with 200.
     pub fn is_ready(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(&self.readiness) else { return false };
--- a/review/kit-3/src/setup.rs
+++ b/review/kit-3/src/setup.rs
@@ -2,10 +2,7 @@
 
 use std::{
     path::{Path, PathBuf},
-    sync::{
-        atomic::{AtomicUsize, Ordering},
-        Arc,
-    },
+    sync::Arc,
     thread,
     time::Duration,
 };
@@ -55,7 +52,6 @@
     pub engines: Vec<Engine>,
     pub daemons: Vec<Daemon>,
     pub record: Record,
-    next: Arc<AtomicUsize>,
 }
 
 /// Returns the configuration, with one route for streams that may be resumed.
@@ -131,8 +127,7 @@
             })
             .collect();
         let is_ready = daemons.iter().all(Daemon::wait_ready);
-        let deployment =
-            Self { store, link, engines, daemons, record: record.clone(), next: Arc::default() };
+        let deployment = Self { store, link, engines, daemons, record: record.clone() };
         is_ready.then_some(deployment)
     }
 
@@ -153,12 +148,6 @@
         self.daemons.iter().for_each(|daemon| daemon.store_link.set_state(state));
     }
 
-    /// Returns the address of another daemon for each call.
-    pub fn next_frontend(&self) -> String {
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        self.daemons[number % self.daemons.len()].frontend.clone()
-    }
-
     /// Returns the addresses of all daemons.
     pub fn frontends(&self) -> Vec<String> {
         self.daemons.iter().map(|daemon| daemon.frontend.clone()).collect()
--- a/review/kit-3/src/store.rs
+++ b/review/kit-3/src/store.rs
@@ -88,8 +88,6 @@
 pub struct StandinStore {
     pub address: SocketAddr,
     tables: Arc<Mutex<StoreTables>>,
-    /// Addresses of servers that readers at this address of the store get in place of others.
-    redirects: Arc<Mutex<BTreeMap<String, String>>>,
 }
 
 impl StandinStore {
@@ -102,24 +100,9 @@
         Self::serve_tables(Arc::default())
     }
 
-    /// Starts another address of this store, whose readers can be given addresses of their own for
-    /// the servers.
-    ///
-    /// # Panics
-    ///
-    /// Panics if there is no free port.
-    pub fn start_view(&self) -> Self {
-        Self::serve_tables(Arc::clone(&self.tables))
-    }
-
-    /// Lets readers at this address of the store reach a server at another address.
-    pub fn redirect(&self, server: &str, address: &str) {
-        self.redirects.lock().insert(server.to_owned(), address.to_owned());
-    }
-
     fn serve_tables(tables: Arc<Mutex<StoreTables>>) -> Self {
         let (listener, address) = wire::bind_listener();
-        let store = Self { address, tables, redirects: Arc::default() };
+        let store = Self { address, tables };
         let accepting = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -189,35 +172,11 @@
         tables.era = Some(era.unwrap_or_default() + 1);
     }
 
-    /// Lets all leases expire, as they may while the store is down.
-    pub fn expire_all_leases(&self) {
-        let mut tables = self.tables.lock();
-        let now = Instant::now();
-        tables.leases.values_mut().for_each(|(_, end)| *end = now);
-        tables.expire_leases();
-    }
-
-    /// Removes all history, so that a watch from an earlier revision gets 410.
-    pub fn compact(&self) {
-        let mut tables = self.tables.lock();
-        tables.compacted_revision = tables.revision;
-    }
-
     /// Writes a key without a lease, as operators and servers do.
     pub fn put(&self, key: &str, value: &Value) {
         self.tables.lock().write(key, Some(STANDARD.encode(value.to_string())), 0);
     }
 
-    /// Writes bytes that may be no JSON, as another writer does.
-    pub fn put_bytes(&self, key: &str, value: &[u8]) {
-        self.tables.lock().write(key, Some(STANDARD.encode(value)), 0);
-    }
-
-    /// Writes an item whose value isn't base64, so that the responses that hold it are odd themselves.
-    pub fn put_unencoded(&self, key: &str, value: &str) {
-        self.tables.lock().write(key, Some(value.to_owned()), 0);
-    }
-
     /// Writes the operators' configuration.
     pub fn put_configuration(&self, configuration: &Value) {
         self.put("op/config", configuration);
@@ -228,48 +187,6 @@
         self.put(&format!("servers/{id}"), entry);
     }
 
-    /// Removes the entry of a server.
-    pub fn remove_server(&self, id: &str) {
-        self.remove(&format!("servers/{id}"));
-    }
-
-    /// Removes a key.
-    pub fn remove(&self, key: &str) {
-        self.tables.lock().write(key, None, 0);
-    }
-
-    /// Removes a key and all history, so that no watch reports the removal.
-    pub fn remove_and_compact(&self, key: &str) {
-        let mut tables = self.tables.lock();
-        tables.write(key, None, 0);
-        tables.compacted_revision = tables.revision;
-    }
-
-    /// Returns the revision of the last change.
-    pub fn revision(&self) -> u64 {
-        self.tables.lock().revision
-    }
-
-    /// Returns all keys.
-    pub fn keys(&self) -> Vec<String> {
-        let tables = self.tables.lock();
-        let existing = tables.items.iter().filter(|(_, item)| item.value.is_some());
-        existing.map(|(key, _)| key.clone()).collect()
-    }
-
-    /// Returns the ids of all servers with an entry.
-    pub fn server_ids(&self) -> Vec<String> {
-        let keys = self.keys();
-        keys.iter().filter_map(|key| key.strip_prefix("servers/")).map(str::to_owned).collect()
-    }
-
-    /// Returns the decoded value of a key, or `None` if there is none or it isn't UTF-8.
-    pub fn value_text(&self, key: &str) -> Option<String> {
-        let tables = self.tables.lock();
-        let value = tables.items.get(key)?.value.as_ref()?;
-        String::from_utf8(STANDARD.decode(value).ok()?).ok()
-    }
-
     fn respond(&self, request: &ReceivedRequest) -> (u16, Value) {
         self.tables.lock().expire_leases();
         let target = request.request_line.split(' ').nth(1).unwrap_or_default();
@@ -301,9 +218,6 @@
 
     fn item_json(&self, key: &str, item: &StoreItem) -> Option<Value> {
         let value = item.value.as_ref()?;
-        let redirected =
-            key.starts_with("servers/").then(|| redirect(value, &self.redirects.lock()));
-        let value = redirected.flatten().unwrap_or_else(|| value.clone());
         let revision = item.revision;
         Some(
             json!({"key": key, "value": value, "revision": revision, "created": revision, "lease": item.lease}),
@@ -381,11 +295,3 @@
         }
     }
 }
-
-/// Returns the entry of a server with another address, or `None` if it keeps its own.
-fn redirect(value: &str, redirects: &BTreeMap<String, String>) -> Option<String> {
-    let mut entry: Value = serde_json::from_slice(&STANDARD.decode(value).ok()?).ok()?;
-    let address = redirects.get(entry["address"].as_str()?)?;
-    entry["address"] = address.as_str().into();
-    Some(STANDARD.encode(entry.to_string()))
-}
--- a/review/kit-3/src/wire.rs
+++ b/review/kit-3/src/wire.rs
@@ -32,11 +32,6 @@
         self.header("x-expect-instance")
     }
 
-    /// Returns the parts of the prompt as the request lists them, or an empty text.
-    pub fn prompt_parts(&self) -> &str {
-        self.header("x-prompt-prefix").unwrap_or_default()
-    }
-
     /// Returns the path without its query.
     pub fn path(&self) -> &str {
         let target = self.request_line.split(' ').nth(1).unwrap_or_default();
