Let two review cases say when a process may open too few descriptors

Cases 11 and 14 hold thousands of connections; with a lower limit they would hold the rule for the wrong reason, so they exit with 2 then (seen with a limit of 1,024 descriptors: case 11 exits with 2 at once).

--- a/review/kit-3/src/bin/body-flood.rs
+++ b/review/kit-3/src/bin/body-flood.rs
@@ -15,7 +15,7 @@
 };
 
 use gooseberry_review_kit_3::{
-    load,
+    load, process,
     record::Record,
     setup::{CaseArguments, Deployment},
 };
@@ -95,6 +95,10 @@
 }
 
 fn run(arguments: &CaseArguments, record: &Record) -> i32 {
+    if !process::may_open(2 * CALLERS as u64 + 200) {
+        record.say("too few descriptors for the callers and the daemons");
+        return 2;
+    }
     let gap = Duration::from_millis(50);
     let deployment = Deployment::start_with(arguments, record, 2, 64, 30, gap, MEMORY_MB);
     let Some(mut deployment) = deployment else {
--- a/review/kit-3/src/bin/slow-bodies.rs
+++ b/review/kit-3/src/bin/slow-bodies.rs
@@ -14,6 +14,7 @@
 };
 
 use gooseberry_review_kit_3::{
+    process,
     record::Record,
     setup::{CaseArguments, Deployment},
 };
@@ -95,6 +96,10 @@
 }
 
 fn run(arguments: &CaseArguments, record: &Record) -> i32 {
+    if !process::may_open(LARGE_CALLERS as u64 + 400) {
+        record.say("too few descriptors for the callers and the daemons");
+        return 2;
+    }
     let gap = Duration::from_millis(20);
     let deployment = Deployment::start_with(arguments, record, 1, 64, 5, gap, MEMORY_MB);
     let Some(deployment) = deployment else {
--- a/review/kit-3/src/process.rs
+++ b/review/kit-3/src/process.rs
@@ -11,7 +11,7 @@
 };
 
 use parking_lot::Mutex;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{getrlimit, kill_process, Pid, Resource, Signal};
 
 use crate::{net::unused_address, proxy::TestProxy};
 
@@ -35,6 +35,11 @@
     });
 }
 
+/// Returns whether this process, and those that it starts, may open so many descriptors.
+pub fn may_open(descriptors: u64) -> bool {
+    getrlimit(Resource::Nofile).current.is_none_or(|limit| limit >= descriptors)
+}
+
 /// Settings of a daemon that differ between cases.
 #[derive(Clone, Debug)]
 pub struct DaemonPlan {
